--- /dev/null
+++ b/crates/wirehost/src/wire.rs
@@ -0,0 +1,422 @@
+//! The wire's words, translated to and from `eideryard::interface`. No decision is made here.
+
+use eideryard::decide::Gateway;
+use eideryard::interface::*;
+use std::collections::{BTreeMap, HashMap};
+use std::fmt::Write;
+
+/// The gateways of this process and the batch being read.
+#[derive(Default)]
+pub struct Host {
+    gateways: BTreeMap<u64, Gateway>,
+    lists: HashMap<u64, Vec<Entry>>,
+    /// The list whose items are being read, and how many are still to come.
+    open_list: Option<(u64, u64)>,
+    /// Clock and number of the batch being read.
+    batch: Option<(Micros, u64)>,
+    actions: Vec<Action>,
+    reply: String,
+}
+
+/// The fields of one line, as written.
+struct Fields<'a> {
+    verb: &'a str,
+    pairs: Vec<(&'a str, &'a str)>,
+}
+
+impl<'a> Fields<'a> {
+    fn new(line: &'a str) -> Result<Self, String> {
+        let mut parts = line.split(' ').filter(|part| !part.is_empty());
+        let verb = parts.next().unwrap_or("");
+        let pairs = parts
+            .map(|part| part.split_once('=').ok_or_else(|| format!("{verb}: '{part}' is not name=value")))
+            .collect::<Result<_, _>>()?;
+        Ok(Fields { verb, pairs })
+    }
+
+    fn text(&self, name: &str) -> Option<&'a str> {
+        self.pairs.iter().find(|(key, _)| *key == name).map(|(_, value)| *value)
+    }
+
+    fn optional<T: std::str::FromStr>(&self, name: &str) -> Result<Option<T>, String> {
+        self.text(name).map(|value| number(self.verb, name, value)).transpose()
+    }
+
+    fn required<T: std::str::FromStr>(&self, name: &str) -> Result<T, String> {
+        self.optional(name)?.ok_or_else(|| format!("{}: field '{name}' is missing", self.verb))
+    }
+
+    fn or<T: std::str::FromStr>(&self, name: &str, default: T) -> Result<T, String> {
+        Ok(self.optional(name)?.unwrap_or(default))
+    }
+}
+
+fn number<T: std::str::FromStr>(verb: &str, name: &str, value: &str) -> Result<T, String> {
+    value.parse().map_err(|_| format!("{verb}: field '{name}' has the value '{value}', which is not valid"))
+}
+
+impl Host {
+    /// Takes one line; gives the reply where the line ends a batch.
+    pub fn take_line(&mut self, line: &str) -> Result<Option<&str>, String> {
+        if line.is_empty() {
+            return Ok(None);
+        }
+        let fields = Fields::new(line)?;
+        if self.open_list.is_some() && fields.verb != "ITEM" {
+            return Err(format!("{}: a list still lacks entries", fields.verb));
+        }
+        if fields.verb == "FRAME" {
+            if self.batch.is_some() {
+                return Err("FRAME: the batch before it has no GO".into());
+            }
+            self.batch = Some((fields.required("wall-us")?, fields.required("turn")?));
+            self.reply.clear();
+            return Ok(None);
+        }
+        let (now, turn) = self.batch.ok_or_else(|| format!("{}: outside of a batch", fields.verb))?;
+        match fields.verb {
+            "GO" => {
+                self.batch = None;
+                let _ = writeln!(self.reply, "READY turn={turn}");
+                return Ok(Some(&self.reply));
+            }
+            "MANIFEST" => self.begin_list(&fields)?,
+            "ITEM" => self.add_item(&fields)?,
+            "ENLIST" => {
+                let who = fields.required("who")?;
+                let settings = settings(&fields)?;
+                self.gateways.insert(who, Gateway::new(settings, fields.required("init-seed")?, now));
+            }
+            "TEARDOWN" => {
+                let who: u64 = fields.required("who")?;
+                self.gateways.remove(&who).ok_or_else(|| format!("TEARDOWN: no instance {who}"))?;
+            }
+            _ => self.drive(now, &fields)?,
+        }
+        Ok(None)
+    }
+
+    /// The end of input: fine between batches only.
+    pub fn at_rest(&self) -> Result<(), String> {
+        match self.batch {
+            Some((_, turn)) => Err(format!("input ended inside batch {turn}")),
+            None => Ok(()),
+        }
+    }
+
+    fn begin_list(&mut self, fields: &Fields) -> Result<(), String> {
+        let (list, count): (u64, u64) = (fields.required("ref")?, fields.required("members-list")?);
+        self.lists.insert(list, Vec::new());
+        self.open_list = (count > 0).then_some((list, count));
+        Ok(())
+    }
+
+    fn add_item(&mut self, fields: &Fields) -> Result<(), String> {
+        let (list, left) = self.open_list.ok_or("ITEM: no list awaits an entry")?;
+        let phase = match fields.or("phase", 1u32)? {
+            0 => Phase::Draining,
+            1 => Phase::Ready,
+            3 => Phase::Gone,
+            other => return Err(format!("ITEM: phase {other} is unknown")),
+        };
+        let entry = Entry {
+            engine: fields.required("engine")?,
+            zone: fields.or("campus", 0)?,
+            kind: fields.or("flavor", 0)?,
+            cell: fields.or("group", 0)?,
+            phase,
+            booted_at: fields.or("boot-time-us", 0)?,
+        };
+        self.lists.entry(list).or_default().push(entry);
+        self.open_list = (left > 1).then_some((list, left - 1));
+        Ok(())
+    }
+
+    fn drive(&mut self, now: Micros, fields: &Fields) -> Result<(), String> {
+        let who: u64 = match fields.verb {
+            "MEMBERS" | "CALL" | "ACK_FIRST" | "HINT_UPDATE" | "FINISHED" | "TIMED_OUT_CLIENT"
+            | "ELAPSED" | "PROBE_DONE" | "PEER" => fields.required("who")?,
+            // Events added to the wire later concern nothing that is known here.
+            _ => return Ok(()),
+        };
+        if !self.gateways.contains_key(&who) {
+            return Err(format!("{}: no instance {who}", fields.verb));
+        }
+        let Some(event) = self.event(fields)? else { return Ok(()) };
+        let Some(gateway) = self.gateways.get_mut(&who) else { return Ok(()) };
+        gateway.handle(now, event, &mut self.actions);
+        for action in self.actions.drain(..) {
+            write_action(&mut self.reply, who, action);
+        }
+        Ok(())
+    }
+
+    fn event(&self, fields: &Fields) -> Result<Option<Event>, String> {
+        let request = || fields.required::<RequestId>("call");
+        let attempt = || fields.required::<usize>("send-no");
+        Ok(Some(match fields.verb {
+            "MEMBERS" => match fields.required::<u32>("mode")? {
+                3 => Event::ListFailed,
+                mode @ 0..=2 => {
+                    let list: u64 = fields.required("ref")?;
+                    let entries = self.lists.get(&list).ok_or_else(|| format!("MEMBERS: no list {list}"))?;
+                    match mode {
+                        2 => Event::ListChanges(entries.clone()),
+                        _ => Event::FullList(entries.clone()),
+                    }
+                }
+                mode => return Err(format!("MEMBERS: mode {mode} is unknown")),
+            },
+            "CALL" => Event::Arrived(call(fields)?),
+            "ACK_FIRST" => Event::StreamBegan { request: request()? },
+            "HINT_UPDATE" => {
+                let level: f64 = fields.or("level", 0.0)?;
+                let note = match (fields.required::<u32>("what")?, level) {
+                    (1, share) => Note::Progress(share),
+                    (2, missing) => Note::Spilling(missing),
+                    (3, 2.0) => Note::WaitsForLoad,
+                    (3, _) => Note::WaitsForMemory,
+                    _ => return Ok(None),
+                };
+                Event::Noted { request: request()?, attempt: attempt()?, note }
+            }
+            "FINISHED" => Event::Ended {
+                request: request()?,
+                attempt: attempt()?,
+                outcome: outcome(fields)?,
+                spent: fields.or("spent-us", 0)?,
+                complete: fields.or("complete", 0u8)? != 0,
+                bill: fields.optional("stats")?.and_then(bill),
+                report: report(fields)?,
+            },
+            "TIMED_OUT_CLIENT" => Event::ClientLeft { request: request()? },
+            "ELAPSED" => Event::Timer { tag: fields.required("tag")? },
+            "PROBE_DONE" => Event::Probed {
+                engine: fields.required("engine")?,
+                answered: outcome(fields)? == Outcome::Answered,
+                report: report(fields)?,
+            },
+            _ => return Ok(None),
+        }))
+    }
+}
+
+fn call(fields: &Fields) -> Result<Request, String> {
+    let options: u64 = fields.or("options", 0)?;
+    let work: f64 = fields.or("cost-us", 0.0)?;
+    let memory: f64 = fields.or("ram-mb", 0.0)?;
+    Ok(Request {
+        id: fields.required("call")?,
+        class: fields.required("kind")?,
+        tenant: fields.or("org", 0)?,
+        key: fields.text("key").map(str::to_string),
+        deadline: fields.required("client-deadline-us")?,
+        work: (options & 1 != 0 && work > 0.0).then_some(work),
+        memory_mb: (memory > 0.0).then_some(memory),
+        group: fields.or("schema-no", 0.0)? as u64,
+    })
+}
+
+fn outcome(fields: &Fields) -> Result<Outcome, String> {
+    Ok(match fields.text("rc").ok_or_else(|| format!("{}: field 'rc' is missing", fields.verb))? {
+        "delivered" => Outcome::Answered,
+        "app_error" => Outcome::Error,
+        "shed" => Outcome::Full,
+        "expired" => Outcome::TimedOut,
+        "dial_failed" => Outcome::NoConnection,
+        "dropped" => Outcome::Broken,
+        "revoked" => Outcome::Cancelled,
+        "unused" => Outcome::Unsent,
+        other => return Err(format!("{}: outcome '{other}' is unknown", fields.verb)),
+    })
+}
+
+/// Milliseconds of work x 4096, plus memory in units of 4 MB.
+fn bill(stats: u64) -> Option<Bill> {
+    (stats > 0).then(|| Bill { work: (stats / 4096) as f64 * 1e3, memory_mb: (stats % 4096) as f64 * 4.0 })
+}
+
+fn report(fields: &Fields) -> Result<Option<LoadReport>, String> {
+    let Some(text) = fields.text("report") else { return Ok(None) };
+    let mut report = LoadReport::default();
+    for part in text.split(',').filter(|part| !part.is_empty()) {
+        let (name, value) =
+            part.split_once(':').ok_or_else(|| format!("{}: '{part}' is not name:value", fields.verb))?;
+        let value = Some(number(fields.verb, name, value)?);
+        match name {
+            "concurrent" => report.in_flight = value,
+            "depth" => report.waiting_for_memory = value,
+            "load_share" => report.cores_busy = value,
+            "x0" => report.memory_granted = value,
+            "x1" => report.disks_busy = value,
+            _ => {}
+        }
+    }
+    Ok(Some(report))
+}
+
+/// The settings that ride on an `ENLIST` line; a key that is absent leaves what it names unlimited or off.
+fn settings(fields: &Fields) -> Result<Settings, String> {
+    let map: HashMap<&str, &str> = fields.pairs.iter().copied().collect();
+    let env = Env { map };
+    let mut classes = Vec::new();
+    for index in 0..env.or("grades.count", 0usize)? {
+        let at = |name: &str| format!("grades.{index}.{name}");
+        classes.push(Class {
+            aim: env.or(&at("aim-us"), env.or(&at("deadline-us"), 0)?)?,
+            aim_stretch: env.or(&at("aim-stretch"), 0.0)?,
+            worth: env.or(&at("value"), 1.0)?,
+            late_worth: env.or(&at("late-worth"), 0.0)?,
+            effect: match env.text(&at("repeat")) {
+                Some("pure") => Effect::Safe,
+                Some("token") => Effect::Keyed,
+                _ => Effect::Unsafe,
+            },
+            scope: match env.text(&at("group")) {
+                Some("all") => Scope::All,
+                Some("zone") => Scope::Zone,
+                _ => Scope::Cell,
+            },
+            window: env.or(&at("window-us"), 0)?,
+            ordered: env.flag(&at("sequential")),
+            zones_only: env.places(&at("zones-only"), "zones")?,
+            kinds_only: env.places(&at("kinds-only"), "kinds")?,
+            threads: env.item("extra.threads-by-class", index)?.unwrap_or(1.0),
+            is_load: env.list("extra.is-load").nth(index) == Some("true"),
+            waits_for_load: env.list("extra.class-waits").nth(index) == Some("true"),
+        });
+    }
+    let mut tenants = Vec::new();
+    for index in 0..env.or("orgs.count", 0usize)? {
+        tenants.push(Tenant { quota_per_s: env.or(&format!("orgs.{index}.quota-rps"), f64::INFINITY)? });
+    }
+    let mut kinds = Vec::new();
+    for index in 0..env.list("kinds").count().max(1) {
+        kinds.push(Kind {
+            cores: env.item("extra.kind-cores", index)?.unwrap_or(1.0),
+            memory_mb: env.item("extra.kind-memory-mb", index)?.unwrap_or(f64::INFINITY),
+        });
+    }
+    let budget = match env.optional::<f64>("rules.further-ratio")? {
+        None => None,
+        Some(ratio) => Some(AttemptBudget {
+            span: env.or("rules.ratio-span-us", 0)?,
+            ratio,
+            spare: env.or("rules.spare-attempts", 0.0)?,
+        }),
+    };
+    Ok(Settings {
+        classes,
+        tenants,
+        kinds,
+        peers: env.or("peers-total", 1.0)?,
+        zone: env.or("az", 0)?,
+        tick: env.or("tick-us", 1_000)?,
+        discovery: match env.text("discovery") {
+            Some("ask") => Discovery::Ask,
+            _ => Discovery::Push,
+        },
+        report_source: match env.text("report.source") {
+            Some("inline") => ReportSource::Answers,
+            Some("on_probe") => ReportSource::Probes,
+            _ => ReportSource::Off,
+        },
+        note_period: env.or("extra.note-period-us", 0)?,
+        ranks_heeded: env.flag("extra.ranks-heeded"),
+        grants_heeded: env.flag("extra.grants"),
+        shortage: match env.text("extra.on-shortage") {
+            Some("wait") => Shortage::Wait,
+            Some("shrink") => Shortage::Shrink,
+            _ => Shortage::Page,
+        },
+        largest_share: env.or("extra.largest-share", 1.0)?,
+        max_attempts: env.or("limits.max-attempts", usize::MAX)?,
+        may_cancel: env.flag("limits.may-cancel"),
+        may_duplicate: env.flag("limits.may-duplicate"),
+        may_probe: env.flag("limits.probes"),
+        may_advise: env.flag("limits.retry-after"),
+        max_advice: env.or("limits.max-retry-after-us", 0)?,
+        drain_grace: env.or("rules.drain-grace-us", 0)?,
+        fall_multiple: env.or("rules.fall-multiple", f64::INFINITY)?,
+        fall_window: env.or("rules.fall-us", 0)?,
+        start_capacity: env.or("rules.start-capacity", 1.0)?,
+        warm_within: env.or("rules.warm-within-us", 0)?,
+        order_pause: env.or("rules.order-pause-us", 0)?,
+        attempt_budget: budget,
+        ask_every: env.or("rules.ask-every-us", 0)?,
+        over_share_worth: env.or("over-share-worth", 1.0)?,
+        probe_tariff: env.or("tariffs.probe", 0.0)?,
+        cross_zone_tariff: env.or("tariffs.cross-zone", 0.0)?,
+        waste_tariff: env.or("tariffs.waste", 0.0)?,
+    })
+}
+
+struct Env<'a> {
+    map: HashMap<&'a str, &'a str>,
+}
+
+impl Env<'_> {
+    fn text(&self, path: &str) -> Option<&str> {
+        self.map.get(path).copied()
+    }
+
+    fn optional<T: std::str::FromStr>(&self, path: &str) -> Result<Option<T>, String> {
+        self.text(path).map(|value| number("ENLIST", path, value)).transpose()
+    }
+
+    fn or<T: std::str::FromStr>(&self, path: &str, default: T) -> Result<T, String> {
+        Ok(self.optional(path)?.unwrap_or(default))
+    }
+
+    fn flag(&self, path: &str) -> bool {
+        matches!(self.text(path), Some("true" | "1"))
+    }
+
+    fn list(&self, path: &str) -> impl Iterator<Item = &str> {
+        self.text(path).unwrap_or("").split(',').filter(|item| !item.is_empty())
+    }
+
+    fn item<T: std::str::FromStr>(&self, path: &str, index: usize) -> Result<Option<T>, String> {
+        self.list(path).nth(index).map(|value| number("ENLIST", path, value)).transpose()
+    }
+
+    /// Places named by position, or by their name in the list at `names`.
+    fn places(&self, path: &str, names: &str) -> Result<Option<Vec<u32>>, String> {
+        if self.text(path).is_none() {
+            return Ok(None);
+        }
+        let position = |item: &str| match self.list(names).position(|name| name == item) {
+            Some(index) => Ok(index as u32),
+            None => number("ENLIST", path, item),
+        };
+        self.list(path).map(position).collect::<Result<_, _>>().map(Some)
+    }
+}
+
+fn write_action(reply: &mut String, who: u64, action: Action) {
+    // Writing to a String cannot fail.
+    let _ = match action {
+        Action::Terms { request, grant_mb, rank } => writeln!(
+            reply,
+            "GRANT_AND_RANK who={who} call={request} memory-grant={} importance={rank}",
+            grant_mb.round()
+        ),
+        Action::Send { request, engine, give_up_at } => {
+            writeln!(reply, "TRANSMIT who={who} call={request} engine={engine} cut-at-us={give_up_at}")
+        }
+        Action::Cancel { request, attempt } => {
+            writeln!(reply, "DROP_ATTEMPT who={who} call={request} send-no={attempt}")
+        }
+        Action::Refuse { request, retry_after: 0 } => writeln!(reply, "SAY_NO who={who} call={request}"),
+        Action::Refuse { request, retry_after } => {
+            writeln!(reply, "SAY_NO who={who} call={request} backoff-us={retry_after}")
+        }
+        Action::Fail { request } => writeln!(reply, "FAIL who={who} call={request}"),
+        Action::SetTimer { after, tag } => writeln!(reply, "SLEEP who={who} after-us={after} tag={tag}"),
+        Action::Probe { engine } => writeln!(reply, "PING who={who} engine={engine}"),
+        Action::Subscribe => writeln!(reply, "STREAM_CHANGES who={who} want=1"),
+        Action::Log(text) => {
+            writeln!(reply, "JOURNAL_LINE who={who} reason-text={}", text.replace('\n', " "))
+        }
+    };
+}
--- /dev/null
+++ b/src/decide.rs
@@ -0,0 +1,1145 @@
+//! Every decision of one gateway. The types, events and actions are in `src/interface.rs`.
+//!
+//! A request passes through the parts of this file in order: take, admit, choose engine, grant and rank, send,
+//! outcome, end. After them come health, shedding and the list of engines. The mechanism is that of the BI Batch
+//! Manager paper carried to many gateways and engines; docs/design.md says what was kept and what was changed.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Bound::{Excluded, Unbounded};
+
+// Tuned values. Each is a ratio of something told in the settings or learned, or a count of observations.
+
+/// Memory room at the start, in shares (1/peers) of an engine's memory: a priority gradient keeps throughput
+/// near its best up to three times the memory (paper, section 4.2).
+const START_ROOM: f64 = 3.0;
+/// Thread bound at the start, threads a core of this gateway's share: where engines commonly stop gaining.
+const START_BOUND: f64 = 2.0;
+/// How far pressure may cut either bound, as a part of its start: a bound must not choke an engine.
+const LEAST_BOUND: f64 = 0.6;
+/// How far calm may widen either bound, in multiples of its start.
+const MOST_BOUND: f64 = 2.0;
+/// Step by which an outcome near best latency widens the bounds; one under pressure cuts by four times it.
+const BOUND_STEP: f64 = 0.01;
+/// Stretch over the engine's best at which it counts as under pressure.
+const PRESSURE: f64 = 1.6;
+/// Stretch over the engine's best up to which it counts as near best.
+const NEAR_BEST: f64 = 1.25;
+/// Share of busy cores, disks or granted memory in a report that counts as pressure.
+const BUSY_REPORT: f64 = 0.95;
+/// Before a class's memory is known, a query without estimate counts as this part of the room.
+const UNKNOWN_MEMORY: f64 = 0.125;
+/// A grant over the corrected estimate, as the engines' own default does it.
+const GRANT_MARGIN: f64 = 1.25;
+/// A class is a dashboard when its mean work is under this part of the mean of all requests.
+const DASHBOARD_WORK: f64 = 0.5;
+/// Weight of one more observation in learned means and ratios: the last twenty or so count.
+const LEARN: f64 = 0.05;
+/// One observation moves a ratio as if it were at most this many times off: a runaway must not bend it.
+const CLIP: f64 = 3.0;
+/// Weight of a bad outcome in an engine's bad share: three bad ones in a row are enough to act on.
+const BAD_WEIGHT: f64 = 0.15;
+/// Bad share from which an engine is quarantined.
+const BAD_SHARE: f64 = 0.35;
+/// Good answers in a row that end the probation after a quarantine.
+const PROBATION: u32 = 6;
+/// First quarantine and its longest, in parts of the time an engine takes to warm up: doubled at each relapse.
+const QUARANTINE: f64 = 0.07;
+const LONGEST_QUARANTINE: f64 = 0.5;
+/// Note periods without a word from an engine that should speak, after which it counts as silent.
+const SILENCE: f64 = 3.0;
+/// Share of engines that may be in quarantine at once: more means that the cause is shared.
+const MOST_QUARANTINED: f64 = 0.5;
+/// Remaining time over that of a fresh attempt beyond which a running one has a bad plan.
+const BAD_PLAN: f64 = 3.0;
+/// Part of the cold budget that is used: estimates scatter, and other gateways round up as well.
+const COLD_MARGIN: f64 = 0.6;
+/// Capacity is counted at this part of busy cores.
+const CAPACITY_BUSY: f64 = 0.85;
+/// What reading a warm group saves, as part of the cost of a query: on its home engines, or where last read.
+const HOME_GAIN: f64 = 0.25;
+const WARM_GAIN: f64 = 0.15;
+/// Engines that are home to a group, and groups an engine is held to keep warm.
+const HOMES: usize = 2;
+const WARM_GROUPS: usize = 4;
+/// Cost of crossing zones in multiples of its tariff.
+const CROSSING: f64 = 4.0;
+/// Extra cost of a query per share of its engine's memory that it lacks.
+const SPILL_COST: f64 = 3.0;
+/// Part of the aim by which a queue may run late before something is shed.
+const SHED_SLACK: f64 = 0.1;
+/// Bad share of all outcomes from which a request gets one further attempt only; twice that: none.
+const SICK_FLEET: f64 = 0.3;
+/// Ticks between two beats, at which held requests, silent engines and overload are looked at.
+const BEAT_TICKS: u64 = 10;
+/// Time constant of the latency memory of an engine, in parts of the time it takes to warm up.
+const STRETCH_MEMORY: f64 = 0.2;
+/// Log lines that one gateway writes at most.
+const MOST_LOG_LINES: u32 = 200;
+/// Timer tag of the beat; a request's own timer bears its id plus one.
+const BEAT: u64 = 0;
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Out,
+    NeverRan,
+    MayHaveRun,
+}
+
+struct Attempt {
+    engine: EngineId,
+    zone: u32,
+    cell: u32,
+    sent_at: Micros,
+    state: State,
+    cancelled: bool,
+}
+
+struct Held {
+    req: Request,
+    /// Corrected estimates: work of all threads, time on an idle engine, memory.
+    work: f64,
+    ideal: f64,
+    memory: f64,
+    /// The aim, from arrival on; the order in which held requests leave.
+    due: Micros,
+    /// Before this time it must be ended.
+    end_by: Micros,
+    worth: f64,
+    attempts: Vec<Attempt>,
+    streaming: bool,
+    ended: bool,
+    sent_terms: Option<(f64, u8)>,
+}
+
+/// What an attempt that is out is charged with on its engine.
+struct Charge {
+    class: usize,
+    group: u64,
+    memory: f64,
+    threads: f64,
+    ideal: f64,
+    sent_at: Micros,
+    waited: bool,
+}
+
+struct Engine {
+    entry: Entry,
+    listed: bool,
+    cold_until: Micros,
+    cold_sends: VecDeque<(Micros, f64)>,
+    out: BTreeMap<(RequestId, usize), Charge>,
+    threads: f64,
+    memory: f64,
+    /// Factors on the starting room and bound.
+    room: f64,
+    bound: f64,
+    /// Decaying sums of time spent and of ideal time: their ratio is the stretch.
+    spent: f64,
+    ideal: f64,
+    stretch_at: Micros,
+    best: f64,
+    full_until: Micros,
+    busy_until: Micros,
+    others: f64,
+    bad: f64,
+    quarantined_until: Micros,
+    strikes: i32,
+    probation: u32,
+    lost_connection: bool,
+    last_heard: Micros,
+    silent: bool,
+    warm: VecDeque<u64>,
+}
+
+impl Engine {
+    fn new(entry: Entry) -> Self {
+        Engine {
+            entry,
+            listed: true,
+            cold_until: 0,
+            cold_sends: VecDeque::new(),
+            out: BTreeMap::new(),
+            threads: 0.0,
+            memory: 0.0,
+            room: 1.0,
+            bound: 1.0,
+            spent: 0.0,
+            ideal: 0.0,
+            stretch_at: 0,
+            best: f64::INFINITY,
+            full_until: 0,
+            busy_until: 0,
+            others: 0.0,
+            bad: 0.0,
+            quarantined_until: 0,
+            strikes: 0,
+            probation: 0,
+            lost_connection: false,
+            last_heard: 0,
+            silent: false,
+            warm: VecDeque::new(),
+        }
+    }
+
+    fn stretch(&self) -> f64 {
+        if self.ideal > 0.0 {
+            self.spent / self.ideal
+        } else {
+            1.0
+        }
+    }
+
+    fn under_pressure(&self, now: Micros) -> bool {
+        now < self.full_until || now < self.busy_until || self.stretch() > PRESSURE * self.best
+    }
+
+    fn observe_stretch(&mut self, now: Micros, memory: f64, spent: f64, ideal: f64) {
+        let kept = (-((now - self.stretch_at) as f64) / memory.max(1.0)).exp();
+        self.stretch_at = now;
+        let spent = if self.ideal > 0.0 { spent.min(CLIP * ideal * self.stretch()) } else { spent };
+        self.spent = self.spent * kept + spent;
+        self.ideal = self.ideal * kept + ideal;
+        self.best = (self.best * (1.0 + BOUND_STEP / 10.0)).min(self.stretch());
+    }
+}
+
+/// What outcomes taught about a class.
+#[derive(Clone, Copy)]
+struct Learned {
+    work_ratio: f64,
+    memory_ratio: f64,
+    /// Mean corrected work of requests taken, 0 before the first.
+    work: f64,
+    memory: Option<f64>,
+}
+
+/// One gateway: all it knows comes from its settings and the events it was handed.
+pub struct Gateway {
+    set: Settings,
+    rng: fastrand::Rng,
+    now: Micros,
+    engines: BTreeMap<EngineId, Engine>,
+    requests: BTreeMap<RequestId, Held>,
+    /// Requests with no attempt out and no answer yet, by due time.
+    queue: BTreeSet<(Micros, RequestId)>,
+    keys: BTreeMap<String, VecDeque<RequestId>>,
+    key_rest: BTreeMap<String, Micros>,
+    learned: Vec<Learned>,
+    mean_work: f64,
+    /// Tokens left to each tenant, and when they were last filled.
+    tokens: Vec<(f64, Micros)>,
+    taken: VecDeque<Micros>,
+    further: VecDeque<Micros>,
+    fleet_bad: f64,
+    beating: bool,
+    subscribe_at: Option<Micros>,
+    log_lines: u32,
+    actions: Vec<Action>,
+}
+
+impl Gateway {
+    pub fn new(set: Settings, seed: u64, now: Micros) -> Self {
+        let fresh = Learned { work_ratio: 1.0, memory_ratio: 1.0, work: 0.0, memory: None };
+        Gateway {
+            rng: fastrand::Rng::with_seed(seed),
+            now,
+            engines: BTreeMap::new(),
+            requests: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            keys: BTreeMap::new(),
+            key_rest: BTreeMap::new(),
+            learned: vec![fresh; set.classes.len()],
+            mean_work: 0.0,
+            tokens: set.tenants.iter().map(|t| (t.quota_per_s / set.peers, now)).collect(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            fleet_bad: 0.0,
+            beating: false,
+            subscribe_at: (set.discovery == Discovery::Ask).then_some(now),
+            log_lines: 0,
+            actions: Vec::new(),
+            set,
+        }
+    }
+
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        self.now = now;
+        match event {
+            Event::Arrived(request) => self.take(request),
+            Event::Ended { request, attempt, outcome, spent, complete, bill, report } => {
+                self.outcome(request, attempt, outcome, spent, complete, bill, report)
+            }
+            Event::Noted { request, attempt, note } => self.noted(request, attempt, note),
+            Event::StreamBegan { request } => {
+                if let Some(held) = self.requests.get_mut(&request) {
+                    held.streaming = true;
+                }
+            }
+            Event::ClientLeft { request } => self.close(request),
+            Event::Timer { tag: BEAT } => self.beat(),
+            Event::Timer { tag } => self.time_up(tag - 1),
+            Event::Probed { engine, answered, report } => self.probed(engine, answered, report),
+            Event::FullList(entries) => self.full_list(entries),
+            Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
+            Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
+        }
+        self.subscribe();
+        self.release();
+        self.keep_beating();
+        actions.append(&mut self.actions);
+    }
+
+    // ---- Take -------------------------------------------------------------------------------------------------
+
+    fn take(&mut self, req: Request) {
+        let class = &self.set.classes[req.class];
+        let known = &mut self.learned[req.class];
+        let work = match req.work {
+            Some(estimate) => estimate * known.work_ratio,
+            None if known.work > 0.0 => known.work,
+            None => class.aim as f64 * class.threads / 2.0,
+        };
+        known.work = if known.work > 0.0 { known.work + LEARN * (work - known.work) } else { work };
+        self.mean_work += if self.mean_work > 0.0 { LEARN / 2.0 * (work - self.mean_work) } else { work };
+        let memory = match req.memory_mb {
+            Some(estimate) => estimate * known.memory_ratio,
+            None => known.memory.unwrap_or(0.0),
+        };
+        let ideal = work / class.threads;
+        // Two ticks early, so that the answer is in the client's hands before it gives up.
+        let end_by = req.deadline.saturating_sub(2 * self.set.tick).max(self.now);
+        let due = self.now + class.aim + (class.aim_stretch * ideal) as Micros;
+        let worth = class.worth;
+        let share = if self.within_share(req.tenant) { 1.0 } else { self.set.over_share_worth };
+        if let (true, Some(key)) = (self.set.classes[req.class].ordered, &req.key) {
+            self.keys.entry(key.clone()).or_default().push_back(req.id);
+        }
+        self.taken.push_back(self.now);
+        self.actions.push(Action::SetTimer { after: end_by - self.now, tag: req.id + 1 });
+        self.queue.insert((due, req.id));
+        let held = Held {
+            work,
+            ideal,
+            memory,
+            due,
+            end_by,
+            worth: worth * share,
+            attempts: Vec::new(),
+            streaming: false,
+            ended: false,
+            sent_terms: None,
+            req,
+        };
+        self.requests.insert(held.req.id, held);
+    }
+
+    /// A tenant's own bucket on this gateway, filled at its quota over the gateways, one second deep.
+    fn within_share(&mut self, tenant: usize) -> bool {
+        let Some(quota) = self.set.tenants.get(tenant).map(|t| t.quota_per_s / self.set.peers) else {
+            return true;
+        };
+        let (tokens, filled) = &mut self.tokens[tenant];
+        *tokens = (*tokens + quota * (self.now - *filled) as f64 / 1e6).min(quota);
+        *filled = self.now;
+        let within = *tokens >= 1.0;
+        if within {
+            *tokens -= 1.0;
+        }
+        within
+    }
+
+    fn is_dashboard(&self, class: usize) -> bool {
+        !self.set.classes[class].is_load && self.learned[class].work < DASHBOARD_WORK * self.mean_work
+    }
+
+    // ---- Admit ------------------------------------------------------------------------------------------------
+
+    /// Held requests leave earliest due first; one that can't leave doesn't block others that can.
+    fn release(&mut self) {
+        let mut no_room = vec![f64::INFINITY; self.set.classes.len()];
+        let mut last = (0, 0);
+        while let Some(&next) = self.queue.range((Excluded(last), Unbounded)).next() {
+            last = next;
+            let held = &self.requests[&next.1];
+            let (class, memory) = (held.req.class, held.memory);
+            if memory >= no_room[class] {
+                continue;
+            }
+            let plain = held.attempts.is_empty() && held.req.key.is_none();
+            match self.choose(next.1) {
+                Some(engine) => self.send(next.1, engine),
+                None if plain => {
+                    no_room[class] = if self.is_dashboard(class) { 0.0 } else { memory };
+                    if no_room.iter().all(|&least| least <= 0.0) {
+                        break;
+                    }
+                }
+                None => {}
+            }
+        }
+    }
+
+    /// Both bounds, which bind only while the engine shows pressure; an idle gateway may send one of any size.
+    fn has_room(&self, held: &Held, engine: &Engine) -> bool {
+        if engine.out.is_empty() || !engine.under_pressure(self.now) {
+            return true;
+        }
+        let kind = self.kind(engine);
+        let share = 1.0 / self.set.peers;
+        let threads = engine.threads + self.set.classes[held.req.class].threads;
+        if threads > START_BOUND * engine.bound * kind.cores * self.warmth(engine) * share {
+            return false;
+        }
+        let room = START_ROOM * engine.room * kind.memory_mb * share;
+        self.is_dashboard(held.req.class) || engine.memory + self.charged_memory(held, engine) <= room
+    }
+
+    fn charged_memory(&self, held: &Held, engine: &Engine) -> f64 {
+        if held.memory > 0.0 {
+            return held.memory;
+        }
+        UNKNOWN_MEMORY * START_ROOM * engine.room * self.kind(engine).memory_mb / self.set.peers
+    }
+
+    fn kind(&self, engine: &Engine) -> &Kind {
+        &self.set.kinds[(engine.entry.kind as usize).min(self.set.kinds.len() - 1)]
+    }
+
+    /// The part of its capacity that an engine is held to have: it grows from a cold start on.
+    fn warmth(&self, engine: &Engine) -> f64 {
+        let left = engine.cold_until.saturating_sub(self.now) as f64 / self.set.warm_within.max(1) as f64;
+        1.0 - (1.0 - self.set.start_capacity) * left.min(1.0)
+    }
+
+    // ---- Choose engine ----------------------------------------------------------------------------------------
+
+    /// The engine with the least expected cost among those that may take the request now.
+    fn choose(&self, id: RequestId) -> Option<EngineId> {
+        let held = &self.requests[&id];
+        let homes = self.homes(held.req.group);
+        let mut best: Option<(f64, EngineId)> = None;
+        for (&engine_id, engine) in &self.engines {
+            if !self.rules_allow(held, engine)
+                || !self.healthy_enough(held, engine)
+                || !self.has_room(held, engine)
+            {
+                continue;
+            }
+            let cost = self.cost(held, engine, &homes);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, engine_id));
+            }
+        }
+        best.map(|(_, engine)| engine)
+    }
+
+    /// Every gateway finds the same few engines for a group without talking: highest hash of both ids first.
+    fn homes(&self, group: u64) -> Vec<EngineId> {
+        let usable = self.engines.iter().filter(|(_, e)| e.listed && e.entry.phase == Phase::Ready);
+        let mut order: Vec<(u64, EngineId)> =
+            usable.map(|(&id, _)| (mix(group ^ mix(id as u64)), id)).collect();
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn cost(&self, held: &Held, engine: &Engine, homes: &[EngineId]) -> f64 {
+        let class = &self.set.classes[held.req.class];
+        let kind = self.kind(engine);
+        let cores = kind.cores * self.warmth(engine);
+        let crowd = (engine.threads + engine.others + class.threads) / cores;
+        let mut cost = held.ideal * (0.5 + crowd);
+        // Loads hold their group where they run, so they keep away from the homes where it is read.
+        let at_home = homes.iter().take(HOMES).any(|&home| home == engine.entry.engine);
+        if at_home != class.is_load {
+            cost *= 1.0 - HOME_GAIN;
+        } else if engine.warm.contains(&held.req.group) && !class.is_load {
+            cost *= 1.0 - WARM_GAIN;
+        }
+        if class.is_load || class.waits_for_load {
+            cost += self.load_ahead(held.req.group, engine);
+        }
+        let share = kind.memory_mb / self.set.peers;
+        let lacking = (engine.memory + held.memory - share).max(0.0) / share;
+        cost *= 1.0 + SPILL_COST * lacking;
+        if engine.entry.zone != self.set.zone {
+            cost *= 1.0 + CROSSING * self.set.cross_zone_tariff;
+        }
+        cost / (1.0 - engine.bad).max(LEARN)
+    }
+
+    /// How long this gateway's loads on the group will still hold it there.
+    fn load_ahead(&self, group: u64, engine: &Engine) -> f64 {
+        let loads = engine.out.values().filter(|c| c.group == group && self.set.classes[c.class].is_load);
+        loads.map(|c| (c.ideal * engine.stretch() - (self.now - c.sent_at) as f64).max(c.ideal / 4.0)).sum()
+    }
+
+    // ---- Grant and rank ---------------------------------------------------------------------------------------
+
+    /// A quarter over the corrected estimate, never under the engine's default, within the largest grant.
+    fn grant(&self, held: &Held, engine: &Engine) -> f64 {
+        let estimate = held.memory.max(held.req.memory_mb.unwrap_or(0.0));
+        (GRANT_MARGIN * estimate).min(self.set.largest_share * self.kind(engine).memory_mb)
+    }
+
+    /// Largest report or load on the engine at 2, next at 1, others 0; dashboards at 3.
+    fn rerank(&mut self, engine_id: EngineId) {
+        let Some(engine) = self.engines.get(&engine_id) else { return };
+        let mut sized: Vec<(f64, RequestId)> =
+            engine.out.iter().map(|(&(id, _), charge)| (charge.memory, id)).collect();
+        sized.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        let mut next = 2;
+        for (_, id) in sized {
+            let Some(class) = self.requests.get(&id).map(|held| held.req.class) else { continue };
+            let rank = if self.is_dashboard(class) {
+                3
+            } else {
+                let rank = next;
+                next = if next > 0 { next - 1 } else { 0 };
+                rank
+            };
+            let Some(held) = self.requests.get_mut(&id) else { continue };
+            match held.sent_terms {
+                Some((grant_mb, old)) if old != rank && !held.ended => {
+                    held.sent_terms = Some((grant_mb, rank));
+                    self.actions.push(Action::Terms { request: id, grant_mb, rank });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    // ---- Send -------------------------------------------------------------------------------------------------
+
+    /// All rules on sending, in one place.
+    fn rules_allow(&self, held: &Held, engine: &Engine) -> bool {
+        let class = &self.set.classes[held.req.class];
+        // Drains: from the moment this gateway is told, whatever the grace.
+        let open = engine.listed && engine.entry.phase == Phase::Ready;
+        // Placement, also when all allowed engines are down or full.
+        let zone_ok = class.zones_only.as_ref().is_none_or(|zones| zones.contains(&engine.entry.zone));
+        let kind_ok = class.kinds_only.as_ref().is_none_or(|kinds| kinds.contains(&engine.entry.kind));
+        open && zone_ok
+            && kind_ok
+            && !held.ended
+            && self.now < held.end_by
+            && held.attempts.len() < self.set.max_attempts
+            && (held.attempts.is_empty() || self.budget_allows_further())
+            && self.effect_allows(held, class, engine)
+            && self.order_allows(held, class)
+            && self.cold_budget_allows(held, engine)
+    }
+
+    /// Effects: what an earlier attempt may have done decides where a further one may go.
+    fn effect_allows(&self, held: &Held, class: &Class, engine: &Engine) -> bool {
+        let may_run = |a: &&Attempt| a.state != State::NeverRan;
+        let out = held.attempts.iter().any(|a| a.state == State::Out);
+        if out && !self.set.may_duplicate {
+            return false;
+        }
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => !held.attempts.iter().any(|a| a.state != State::NeverRan),
+            Effect::Keyed => {
+                let first = held.attempts.iter().filter(may_run).map(|a| a.sent_at).min();
+                let in_window = first.is_none_or(|at| self.now + 2 * self.set.tick < at + class.window);
+                let same = |a: &Attempt| match class.scope {
+                    Scope::All => true,
+                    Scope::Zone => a.zone == engine.entry.zone,
+                    Scope::Cell => a.cell == engine.entry.cell,
+                };
+                in_window && held.attempts.iter().filter(may_run).all(same)
+            }
+        }
+    }
+
+    /// Order: only the first of its key that is not over, and after the pause that its forerunner left.
+    fn order_allows(&self, held: &Held, class: &Class) -> bool {
+        let Some(key) = held.req.key.as_ref().filter(|_| class.ordered) else { return true };
+        let first = self.keys.get(key).and_then(|line| line.front()) == Some(&held.req.id);
+        let rested = self.key_rest.get(key).is_none_or(|&until| self.now >= until);
+        first && (rested || !held.attempts.is_empty())
+    }
+
+    fn budget_allows_further(&self) -> bool {
+        let Some(budget) = self.set.attempt_budget else { return true };
+        let since = self.now.saturating_sub(budget.span);
+        let taken = self.taken.iter().rev().take_while(|&&at| at > since).count() as f64;
+        let further = self.further.iter().rev().take_while(|&&at| at >= since).count() as f64;
+        further + 1.0 <= budget.spare + budget.ratio * taken
+    }
+
+    /// Cold engines: this gateway's share of the budget, in usual work of the classes sent.
+    fn cold_budget_allows(&self, held: &Held, engine: &Engine) -> bool {
+        if self.now >= engine.cold_until {
+            return true;
+        }
+        let since = self.now.saturating_sub(self.set.fall_window);
+        let sent: f64 = engine.cold_sends.iter().filter(|(at, _)| *at >= since).map(|(_, work)| work).sum();
+        let capacity = self.set.start_capacity * CAPACITY_BUSY * self.kind(engine).cores;
+        let budget =
+            COLD_MARGIN * self.set.fall_multiple * capacity * self.set.fall_window as f64 / self.set.peers;
+        sent + self.learned[held.req.class].work <= budget
+    }
+
+    /// The only place that sends.
+    fn send(&mut self, id: RequestId, engine_id: EngineId) {
+        let (Some(held), Some(engine)) = (self.requests.get(&id), self.engines.get(&engine_id)) else {
+            return;
+        };
+        if !self.rules_allow(held, engine) {
+            return;
+        }
+        let class = &self.set.classes[held.req.class];
+        let dashboard = self.is_dashboard(held.req.class);
+        let charge = Charge {
+            class: held.req.class,
+            group: held.req.group,
+            memory: if dashboard { held.memory } else { self.charged_memory(held, engine) },
+            threads: class.threads,
+            ideal: held.ideal,
+            sent_at: self.now,
+            waited: false,
+        };
+        let grant_mb = self.grant(held, engine);
+        let larger =
+            engine.out.values().filter(|c| c.memory >= charge.memory && !self.is_dashboard(c.class)).count();
+        let rank = if dashboard { 3 } else { 2u8.saturating_sub(larger.min(2) as u8) };
+        let usual = self.learned[held.req.class].work;
+        let give_up_at = held.end_by;
+        let (Some(held), Some(engine)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine_id))
+        else {
+            return;
+        };
+        if !held.attempts.is_empty() {
+            self.further.push_back(self.now);
+        }
+        if self.now < engine.cold_until {
+            engine.cold_sends.push_back((self.now, usual));
+        }
+        if engine.out.is_empty() {
+            engine.last_heard = self.now;
+        }
+        engine.threads += charge.threads;
+        engine.memory += charge.memory;
+        engine.out.insert((id, held.attempts.len()), charge);
+        remember(&mut engine.warm, held.req.group);
+        let Entry { zone, cell, .. } = engine.entry;
+        held.attempts.push(Attempt {
+            engine: engine_id,
+            zone,
+            cell,
+            sent_at: self.now,
+            state: State::Out,
+            cancelled: false,
+        });
+        self.queue.remove(&(held.due, id));
+        if held.sent_terms != Some((grant_mb, rank)) {
+            held.sent_terms = Some((grant_mb, rank));
+            self.actions.push(Action::Terms { request: id, grant_mb, rank });
+        }
+        self.actions.push(Action::Send { request: id, engine: engine_id, give_up_at });
+        self.rerank(engine_id);
+    }
+
+    // ---- Outcome ----------------------------------------------------------------------------------------------
+
+    #[allow(clippy::too_many_arguments)] // one for each field of the event
+    fn outcome(
+        &mut self,
+        id: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        spent: Micros,
+        complete: bool,
+        bill: Option<Bill>,
+        report: Option<LoadReport>,
+    ) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let Some(tried) = held.attempts.get_mut(attempt) else { return };
+        let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
+        tried.state = if never_ran { State::NeverRan } else { State::MayHaveRun };
+        let engine_id = tried.engine;
+        let (class, estimate) = (held.req.class, (held.req.work, held.req.memory_mb));
+        held.ended |= complete;
+        let ended = held.ended;
+        if let Some(charge) = self.uncharge(engine_id, id, attempt) {
+            if outcome == Outcome::Answered {
+                self.learn(class, estimate, bill);
+                self.learn_stretch(engine_id, &charge, spent, bill);
+            }
+        }
+        self.judge(engine_id, outcome);
+        if let Some(report) = report {
+            self.heed_report(engine_id, report);
+        }
+        if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
+            self.rest_key(id);
+        }
+        self.rerank(engine_id);
+        if ended {
+            self.close(id);
+        } else {
+            self.further_or_end(id);
+        }
+    }
+
+    fn uncharge(&mut self, engine: EngineId, id: RequestId, attempt: usize) -> Option<Charge> {
+        let engine = self.engines.get_mut(&engine)?;
+        let charge = engine.out.remove(&(id, attempt))?;
+        engine.threads = engine.out.values().map(|c| c.threads).sum();
+        engine.memory = engine.out.values().map(|c| c.memory).sum();
+        Some(charge)
+    }
+
+    /// Estimates are scaled by the class's mean true-to-estimated ratio, where answers tell the truth.
+    fn learn(&mut self, class: usize, estimate: (Option<f64>, Option<f64>), bill: Option<Bill>) {
+        let Some(bill) = bill else { return };
+        let known = &mut self.learned[class];
+        if let Some(work) = estimate.0 {
+            known.work_ratio = nudged(known.work_ratio, bill.work / work);
+        }
+        if let Some(memory) = estimate.1 {
+            known.memory_ratio = nudged(known.memory_ratio, bill.memory_mb / memory);
+        }
+        let mean = known.memory.unwrap_or(bill.memory_mb);
+        known.memory = Some(mean + LEARN * (bill.memory_mb - mean));
+    }
+
+    fn learn_stretch(&mut self, engine: EngineId, charge: &Charge, spent: Micros, bill: Option<Bill>) {
+        let memory = STRETCH_MEMORY * self.set.warm_within as f64;
+        let ideal = bill.map_or(charge.ideal, |bill| bill.work / charge.threads);
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(&engine) else { return };
+        if !charge.waited && ideal > 0.0 {
+            engine.observe_stretch(now, memory, spent as f64, ideal);
+        }
+        if engine.under_pressure(now) {
+            engine.room = (engine.room * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
+            engine.bound = (engine.bound * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
+        } else if engine.stretch() < NEAR_BEST * engine.best {
+            engine.room = (engine.room * (1.0 + BOUND_STEP)).min(MOST_BOUND);
+            engine.bound = (engine.bound * (1.0 + BOUND_STEP)).min(MOST_BOUND);
+        }
+    }
+
+    fn heed_report(&mut self, engine: EngineId, report: LoadReport) {
+        let lasting = self.now + BEAT_TICKS * self.set.tick;
+        let busy = [report.cores_busy, report.disks_busy, report.memory_granted];
+        let Some(engine) = self.engines.get_mut(&engine) else { return };
+        if busy.iter().flatten().any(|&share| share > BUSY_REPORT)
+            || report.waiting_for_memory.is_some_and(|waiting| waiting > 1.0)
+        {
+            engine.busy_until = lasting;
+        }
+        if let Some(in_flight) = report.in_flight {
+            let own = engine.out.len() as f64;
+            let mean_threads = engine.threads / own.max(1.0);
+            engine.others = (in_flight - own).max(0.0) * mean_threads.max(1.0);
+        }
+    }
+
+    /// A word on an attempt that is out: the engine lives, and a plan may prove bad.
+    fn noted(&mut self, id: RequestId, attempt: usize, note: Note) {
+        let Some(held) = self.requests.get(&id) else { return };
+        let Some(engine_id) = held.attempts.get(attempt).map(|a| a.engine) else { return };
+        self.heard(engine_id);
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        let stretch = engine.stretch().max(1.0);
+        let Some(charge) = engine.out.get_mut(&(id, attempt)) else { return };
+        match note {
+            Note::Progress(share) => {
+                let elapsed = (self.now - charge.sent_at) as f64;
+                let remaining = elapsed * (1.0 - share).max(0.0) / share.max(1e-6);
+                let fresh = charge.ideal * stretch;
+                if !charge.waited && remaining > BAD_PLAN * fresh {
+                    self.leave_bad_plan(id, attempt, fresh);
+                }
+            }
+            Note::WaitsForMemory | Note::WaitsForLoad => charge.waited = true,
+            Note::Spilling(_) => {}
+        }
+    }
+
+    /// Far slower than its own estimate on an engine that runs others well: the plan is drawn anew elsewhere.
+    fn leave_bad_plan(&mut self, id: RequestId, attempt: usize, fresh: f64) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let class = &self.set.classes[held.req.class];
+        let in_time = self.now + fresh as Micros <= held.end_by;
+        let again = class.effect == Effect::Safe && held.attempts.len() < self.set.max_attempts;
+        if !self.set.may_cancel || held.streaming || !again || !in_time || held.attempts[attempt].cancelled {
+            return;
+        }
+        held.attempts[attempt].cancelled = true;
+        self.actions.push(Action::Cancel { request: id, attempt });
+    }
+
+    /// Another attempt where rules, time and the fleet's health allow one; else the end.
+    fn further_or_end(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get(&id) else { return };
+        if held.attempts.iter().any(|a| a.state == State::Out) {
+            return;
+        }
+        let class = &self.set.classes[held.req.class];
+        let own_cancels = held.attempts.iter().filter(|a| a.cancelled).count();
+        let tried = held.attempts.len() - own_cancels;
+        let sick = if self.fleet_bad > 2.0 * SICK_FLEET {
+            1
+        } else if self.fleet_bad > SICK_FLEET {
+            2
+        } else {
+            99
+        };
+        let ran = held.attempts.iter().any(|a| a.state == State::MayHaveRun);
+        let may_repeat = class.effect != Effect::Unsafe || !ran;
+        let left = held.attempts.len() < self.set.max_attempts.min(sick + own_cancels) && tried < sick;
+        if may_repeat && left && self.now < held.end_by && self.budget_allows_further() {
+            self.queue.insert((held.due, id));
+        } else {
+            self.end(id, 0);
+        }
+    }
+
+    // ---- End --------------------------------------------------------------------------------------------------
+
+    fn time_up(&mut self, id: RequestId) {
+        if self.requests.get(&id).is_some_and(|held| !held.streaming && !held.ended) {
+            self.end(id, 0);
+        }
+    }
+
+    /// The only place that ends a request: refused where that is allowed, else failed.
+    fn end(&mut self, id: RequestId, retry_after: Micros) {
+        let Some(held) = self.requests.get_mut(&id).filter(|held| !held.ended) else { return };
+        held.ended = true;
+        let class = &self.set.classes[held.req.class];
+        let ran = held.attempts.iter().any(|a| a.state != State::NeverRan);
+        let may_refuse = match class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => !ran || class.scope == Scope::All,
+            Effect::Unsafe => !ran,
+        };
+        if may_refuse {
+            let retry_after = if self.set.may_advise { retry_after.min(self.set.max_advice) } else { 0 };
+            self.actions.push(Action::Refuse { request: id, retry_after });
+        } else {
+            self.actions.push(Action::Fail { request: id });
+        }
+        self.close(id);
+    }
+
+    /// The request is over: it leaves the queue, and is forgotten once no attempt of it is out.
+    fn close(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        held.ended = true;
+        self.queue.remove(&(held.due, id));
+        let mut out = false;
+        for (attempt, tried) in held.attempts.iter_mut().enumerate().filter(|(_, a)| a.state == State::Out) {
+            out = true;
+            if self.set.may_cancel && !tried.cancelled && !held.streaming {
+                tried.cancelled = true;
+                self.actions.push(Action::Cancel { request: id, attempt });
+            }
+        }
+        if out {
+            return;
+        }
+        let Some(held) = self.requests.remove(&id) else { return };
+        let Some(key) = held.req.key.filter(|_| self.set.classes[held.req.class].ordered) else { return };
+        if let Some(line) = self.keys.get_mut(&key) {
+            line.retain(|&other| other != id);
+            if line.is_empty() {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
+    fn rest_key(&mut self, id: RequestId) {
+        let Some(held) = self.requests.get(&id) else { return };
+        if let (true, Some(key)) = (self.set.classes[held.req.class].ordered, &held.req.key) {
+            self.key_rest.insert(key.clone(), self.now + self.set.order_pause + self.set.tick);
+        }
+    }
+
+    // ---- Health -----------------------------------------------------------------------------------------------
+
+    fn healthy_enough(&self, held: &Held, engine: &Engine) -> bool {
+        if self.now < engine.quarantined_until || engine.silent {
+            return false;
+        }
+        // On probation an engine gets one safe request at a time.
+        engine.probation == 0
+            || engine.out.is_empty() && self.set.classes[held.req.class].effect == Effect::Safe
+    }
+
+    fn heard(&mut self, engine_id: EngineId) {
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        engine.last_heard = now;
+        if engine.silent {
+            engine.silent = false;
+            engine.quarantined_until = now;
+            self.log(format!("engine {engine_id} speaks again"));
+        }
+    }
+
+    /// Health by symptoms: the share of bad outcomes, whatever makes them bad.
+    fn judge(&mut self, engine_id: EngineId, outcome: Outcome) {
+        let bad = match outcome {
+            Outcome::Answered => 0.0,
+            Outcome::Error | Outcome::NoConnection | Outcome::Broken => 1.0,
+            Outcome::Full => return self.refused_as_full(engine_id),
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::Unsent => return,
+        };
+        if bad == 0.0 || outcome == Outcome::Error {
+            self.heard(engine_id);
+        }
+        self.fleet_bad += LEARN * (bad - self.fleet_bad);
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        engine.bad += BAD_WEIGHT * (bad - engine.bad);
+        engine.lost_connection |= matches!(outcome, Outcome::NoConnection | Outcome::Broken);
+        if bad > 0.0 {
+            if engine.bad > BAD_SHARE || engine.probation > 0 {
+                self.quarantine(engine_id, "bad outcomes");
+            }
+        } else if engine.probation > 0 {
+            engine.probation -= 1;
+            if engine.probation == 0 {
+                engine.bad = 0.0;
+                engine.strikes = 0;
+                self.log(format!("engine {engine_id} is back from probation"));
+            }
+        }
+        self.suspect_restart(engine_id, bad);
+    }
+
+    /// An engine that lost its connections and answers again may have restarted, though nobody told.
+    fn suspect_restart(&mut self, engine_id: EngineId, bad: f64) {
+        let until = self.now + self.set.warm_within;
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        if bad == 0.0 && engine.lost_connection {
+            engine.lost_connection = false;
+            if engine.probation > 0 {
+                engine.cold_until = engine.cold_until.max(until);
+                engine.warm.clear();
+            }
+        }
+    }
+
+    fn refused_as_full(&mut self, engine_id: EngineId) {
+        let until = self.now + (STRETCH_MEMORY * self.set.warm_within as f64) as Micros / 3;
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        engine.full_until = until;
+        engine.bound = (engine.bound * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
+    }
+
+    fn quarantine(&mut self, engine_id: EngineId, symptom: &str) {
+        let away = |e: &&Engine| e.listed && (self.now < e.quarantined_until || e.silent || e.probation > 0);
+        let (all, gone) =
+            (self.engines.values().filter(|e| e.listed).count(), self.engines.values().filter(away).count());
+        let now = self.now;
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        if now < engine.quarantined_until {
+            return;
+        }
+        // When all engines look bad at once the cause is shared: shutting them out would leave nothing.
+        if engine.probation == 0 && (gone + 1) as f64 > MOST_QUARANTINED * all as f64 {
+            return;
+        }
+        let part = (QUARANTINE * 2f64.powi(engine.strikes)).min(LONGEST_QUARANTINE);
+        let away = (part * self.set.warm_within as f64) as Micros;
+        engine.strikes += 1;
+        engine.quarantined_until = now + away;
+        engine.probation = PROBATION;
+        if engine.strikes == 1 {
+            self.log(format!("engine {engine_id} quarantined: {symptom}"));
+        }
+    }
+
+    /// Silence: attempts are out, yet no note and no outcome comes while other engines speak.
+    fn watch_silence(&mut self) {
+        if self.set.note_period == 0 {
+            return;
+        }
+        let limit = (SILENCE * self.set.note_period as f64) as Micros;
+        let busy = |e: &&Engine| !e.out.is_empty();
+        let quiet = |e: &Engine| e.last_heard + limit < self.now;
+        let (all, mute) = self
+            .engines
+            .values()
+            .filter(busy)
+            .fold((0, 0), |(all, mute), e| (all + 1, mute + quiet(e) as usize));
+        if mute as f64 > MOST_QUARANTINED * all as f64 {
+            return;
+        }
+        let hung: Vec<EngineId> = self
+            .engines
+            .iter()
+            .filter(|(_, e)| busy(e) && quiet(e) && !e.silent)
+            .map(|(&id, _)| id)
+            .collect();
+        for engine_id in hung {
+            if let Some(engine) = self.engines.get_mut(&engine_id) {
+                engine.silent = true;
+                engine.probation = PROBATION;
+            }
+            self.log(format!("engine {engine_id} quarantined: silent"));
+            self.rescue(engine_id);
+        }
+    }
+
+    /// Takes back what a silent engine holds, where cancels are allowed and a repeat is safe.
+    fn rescue(&mut self, engine_id: EngineId) {
+        let Some(engine) = self.engines.get(&engine_id) else { return };
+        if !self.set.may_cancel {
+            return;
+        }
+        for &(id, attempt) in engine.out.keys() {
+            let Some(held) = self.requests.get_mut(&id) else { continue };
+            let repeat = self.set.classes[held.req.class].effect != Effect::Unsafe;
+            if repeat && !held.streaming && !held.attempts[attempt].cancelled {
+                held.attempts[attempt].cancelled = true;
+                self.actions.push(Action::Cancel { request: id, attempt });
+            }
+        }
+    }
+
+    // ---- Overload ---------------------------------------------------------------------------------------------
+
+    /// What can't meet its aim gives way: when a request would be late, the one worth least per work goes.
+    fn shed(&mut self) {
+        let rate = self.service_rate();
+        let mut ahead = 0.0;
+        let mut kept: Vec<(f64, f64, RequestId)> = Vec::new();
+        let mut gone = Vec::new();
+        for &(due, id) in &self.queue {
+            let held = &self.requests[&id];
+            let slack = SHED_SLACK * (due.saturating_sub(held.end_by.min(self.now))) as f64;
+            ahead += held.work;
+            kept.push((held.worth / held.work.max(1.0), held.work, id));
+            while self.now as f64 + ahead / rate + held.ideal > due as f64 + slack && !kept.is_empty() {
+                let least = (0..kept.len()).min_by(|&a, &b| kept[a].0.total_cmp(&kept[b].0)).unwrap_or(0);
+                let (_, work, victim) = kept.swap_remove(least);
+                ahead -= work;
+                gone.push(victim);
+                if victim == id {
+                    break;
+                }
+            }
+        }
+        for id in gone {
+            let advice = (self.set.max_advice as f64 * (0.5 + 0.5 * self.rng.f64())) as Micros;
+            self.end(id, advice);
+        }
+    }
+
+    /// Work a microsecond that this gateway's share of the usable engines gets done.
+    fn service_rate(&self) -> f64 {
+        let usable = self.engines.values().filter(|e| {
+            e.listed && e.entry.phase == Phase::Ready && self.now >= e.quarantined_until && !e.silent
+        });
+        let rate: f64 = usable.map(|e| self.kind(e).cores * self.warmth(e) / e.best.clamp(0.5, 2.0)).sum();
+        (rate / self.set.peers).max(LEARN)
+    }
+
+    // ---- Beat -------------------------------------------------------------------------------------------------
+
+    fn keep_beating(&mut self) {
+        let awake = !self.requests.is_empty() || self.subscribe_at.is_some();
+        if awake && !self.beating {
+            self.beating = true;
+            self.actions.push(Action::SetTimer { after: BEAT_TICKS * self.set.tick, tag: BEAT });
+        }
+    }
+
+    fn beat(&mut self) {
+        self.beating = false;
+        self.watch_silence();
+        self.shed();
+        let span = self.set.attempt_budget.map_or(0, |b| b.span);
+        let since = self.now.saturating_sub(span);
+        while self.taken.front().is_some_and(|&at| at < since) {
+            self.taken.pop_front();
+        }
+        while self.further.front().is_some_and(|&at| at < since) {
+            self.further.pop_front();
+        }
+        let now = self.now;
+        self.key_rest.retain(|_, until| *until > now);
+        let window = self.now.saturating_sub(self.set.fall_window);
+        for engine in self.engines.values_mut() {
+            while engine.cold_sends.front().is_some_and(|(at, _)| *at < window) {
+                engine.cold_sends.pop_front();
+            }
+        }
+        self.engines.retain(|_, engine| engine.listed || !engine.out.is_empty());
+    }
+
+    // ---- List of engines --------------------------------------------------------------------------------------
+
+    fn subscribe(&mut self) {
+        if self.subscribe_at.is_some_and(|at| self.now >= at) {
+            self.subscribe_at = None;
+            self.actions.push(Action::Subscribe);
+        }
+    }
+
+    fn full_list(&mut self, entries: Vec<Entry>) {
+        for engine in self.engines.values_mut() {
+            engine.listed = entries.iter().any(|entry| entry.engine == engine.entry.engine);
+        }
+        entries.into_iter().for_each(|entry| self.listed(entry));
+    }
+
+    fn listed(&mut self, entry: Entry) {
+        let warm_at = entry.booted_at + self.set.warm_within;
+        let cold = entry.booted_at > 0 && warm_at > self.now;
+        let engine = self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry));
+        if entry.booted_at > engine.entry.booted_at {
+            // A restart: what was learned of the process before it is void, what it is charged with is not.
+            engine.warm.clear();
+            engine.bad = 0.0;
+            engine.silent = false;
+            engine.quarantined_until = 0;
+            engine.probation = 0;
+            engine.strikes = 0;
+            engine.lost_connection = false;
+        }
+        if cold {
+            engine.cold_until = engine.cold_until.max(warm_at);
+        }
+        engine.entry = entry;
+        engine.listed = entry.phase != Phase::Gone;
+    }
+
+    fn probed(&mut self, engine: EngineId, answered: bool, report: Option<LoadReport>) {
+        if let (true, Some(report)) = (answered, report) {
+            self.heed_report(engine, report);
+        }
+    }
+
+    fn log(&mut self, text: String) {
+        if self.log_lines < MOST_LOG_LINES {
+            self.log_lines += 1;
+            self.actions.push(Action::Log(text));
+        }
+    }
+}
+
+/// A ratio moved toward an observation, which counts as at most `CLIP` times off.
+fn nudged(ratio: f64, seen: f64) -> f64 {
+    ratio + LEARN * (seen.clamp(ratio / CLIP, ratio * CLIP) - ratio)
+}
+
+fn remember(warm: &mut VecDeque<u64>, group: u64) {
+    warm.retain(|&other| other != group);
+    warm.push_front(group);
+    warm.truncate(WARM_GROUPS);
+}
+
+/// A fixed mixing of bits, the same on every gateway.
+fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    value ^ (value >> 31)
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,261 @@
+//! What goes into the decision module and what comes out of it: settings, events, actions.
+//!
+//! Nothing here decides anything and nothing here knows a protocol. A host translates its own messages into
+//! [`Event`]s, carries out the [`Action`]s in the order given, and may host any number of gateways side by side.
+//! Times are microseconds on one clock that never runs backward; its start means nothing.
+
+pub type Micros = u64;
+pub type RequestId = u64;
+pub type EngineId = u32;
+
+/// What a further attempt of a request may do to its effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat anywhere, any time.
+    Safe,
+    /// Engines of one scope drop a repeat for a while.
+    Keyed,
+    /// Never repeated unless every earlier attempt is known not to have run.
+    Unsafe,
+}
+
+/// The engines that know each other's keyed requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Discovery {
+    /// Changes of the list arrive by themselves.
+    Push,
+    /// The list must be subscribed to.
+    Ask,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportSource {
+    Off,
+    Answers,
+    Probes,
+}
+
+/// What an engine does when the grants it is asked for pass its memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    Wait,
+    Shrink,
+    Page,
+}
+
+#[derive(Clone, Debug)]
+pub struct Class {
+    /// Answers within `aim` plus `aim_stretch` times the true work per thread earn the full worth.
+    pub aim: Micros,
+    pub aim_stretch: f64,
+    pub worth: f64,
+    /// Share of the worth that a later answer earns, up to the client's deadline.
+    pub late_worth: f64,
+    pub effect: Effect,
+    pub scope: Scope,
+    /// How long engines of the scope remember a keyed request.
+    pub window: Micros,
+    /// Requests that carry the same key run one at a time, in the order taken.
+    pub ordered: bool,
+    /// The only zones and machine kinds that may serve it, where bound.
+    pub zones_only: Option<Vec<u32>>,
+    pub kinds_only: Option<Vec<u32>>,
+    /// Threads that a query runs on.
+    pub threads: f64,
+    /// It holds its table group on its engine while it runs.
+    pub is_load: bool,
+    /// It stands still while a load holds its group there.
+    pub waits_for_load: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Requests a second, over all gateways, that count as within its share.
+    pub quota_per_s: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub cores: f64,
+    pub memory_mb: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptBudget {
+    pub span: Micros,
+    pub ratio: f64,
+    pub spare: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub classes: Vec<Class>,
+    pub tenants: Vec<Tenant>,
+    pub kinds: Vec<Kind>,
+    /// Gateways in this tier, this one included.
+    pub peers: f64,
+    pub zone: u32,
+    pub tick: Micros,
+    pub discovery: Discovery,
+    pub report_source: ReportSource,
+    /// Time between progress notes; 0 where there are none.
+    pub note_period: Micros,
+    pub ranks_heeded: bool,
+    pub grants_heeded: bool,
+    pub shortage: Shortage,
+    /// Share of an engine's memory that one query gets at most.
+    pub largest_share: f64,
+    pub max_attempts: usize,
+    pub may_cancel: bool,
+    pub may_duplicate: bool,
+    pub may_probe: bool,
+    pub may_advise: bool,
+    pub max_advice: Micros,
+    pub drain_grace: Micros,
+    /// A cold engine sent more than `fall_multiple` times its present capacity for `fall_window` falls over.
+    pub fall_multiple: f64,
+    pub fall_window: Micros,
+    pub start_capacity: f64,
+    pub warm_within: Micros,
+    pub order_pause: Micros,
+    pub attempt_budget: Option<AttemptBudget>,
+    pub ask_every: Micros,
+    pub over_share_worth: f64,
+    pub probe_tariff: f64,
+    pub cross_zone_tariff: f64,
+    pub waste_tariff: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Entry {
+    pub engine: EngineId,
+    pub zone: u32,
+    pub kind: u32,
+    pub cell: u32,
+    pub phase: Phase,
+    /// When the engine last started; 0: long ago.
+    pub booted_at: Micros,
+}
+
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: RequestId,
+    pub class: usize,
+    pub tenant: usize,
+    pub key: Option<String>,
+    pub deadline: Micros,
+    /// Estimated work of all its threads, as time on one.
+    pub work: Option<f64>,
+    pub memory_mb: Option<f64>,
+    pub group: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Answered,
+    /// The engine answered with an error; it may have run.
+    Error,
+    /// Turned away unseen; it never ran.
+    Full,
+    /// No reply in time; it may have run, or run still.
+    TimedOut,
+    /// No connection; it never ran.
+    NoConnection,
+    /// The connection broke; it may have run.
+    Broken,
+    /// Withdrawn by this gateway; it may have run.
+    Cancelled,
+    /// Never sent.
+    Unsent,
+}
+
+/// What an answer says it cost.
+#[derive(Clone, Copy, Debug)]
+pub struct Bill {
+    pub work: f64,
+    pub memory_mb: f64,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub enum Note {
+    /// Share done, rough.
+    Progress(f64),
+    /// Megabytes short: it spills to disk.
+    Spilling(f64),
+    WaitsForMemory,
+    WaitsForLoad,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LoadReport {
+    pub in_flight: Option<f64>,
+    pub waiting_for_memory: Option<f64>,
+    pub cores_busy: Option<f64>,
+    pub memory_granted: Option<f64>,
+    pub disks_busy: Option<f64>,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The complete list: an engine that it lacks is gone.
+    FullList(Vec<Entry>),
+    ListChanges(Vec<Entry>),
+    ListFailed,
+    Arrived(Request),
+    StreamBegan {
+        request: RequestId,
+    },
+    Noted {
+        request: RequestId,
+        attempt: usize,
+        note: Note,
+    },
+    Ended {
+        request: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        spent: Micros,
+        /// The request has had its final answer.
+        complete: bool,
+        bill: Option<Bill>,
+        report: Option<LoadReport>,
+    },
+    ClientLeft {
+        request: RequestId,
+    },
+    Probed {
+        engine: EngineId,
+        answered: bool,
+        report: Option<LoadReport>,
+    },
+    Timer {
+        tag: u64,
+    },
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Terms { request: RequestId, grant_mb: f64, rank: u8 },
+    Send { request: RequestId, engine: EngineId, give_up_at: Micros },
+    Cancel { request: RequestId, attempt: usize },
+    Refuse { request: RequestId, retry_after: Micros },
+    Fail { request: RequestId },
+    SetTimer { after: Micros, tag: u64 },
+    Probe { engine: EngineId },
+    Subscribe,
+    Log(String),
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,6 @@
+//! eideryard: a workload manager in front of analytic engines.
+//!
+//! [`decide::Gateway`] makes every decision; [`interface`] holds the types that go in and out of it.
+
+pub mod decide;
+pub mod interface;
