--- a/src/decide.rs
+++ b/src/decide.rs
@@ -19,6 +19,8 @@
 const LEAST_BOUND: f64 = 0.6;
 /// How far calm may widen either bound, in multiples of its start.
 const MOST_BOUND: f64 = 2.0;
+/// Drift of an engine's best latency upward over one latency memory: what was best once may not return.
+const BEST_DRIFT: f64 = 0.02;
 /// Step by which an outcome near best latency widens the bounds; one under pressure cuts by four times it.
 const BOUND_STEP: f64 = 0.01;
 /// Stretch over the engine's best at which it counts as under pressure.
@@ -121,8 +123,11 @@
     ideal: f64,
     sent_at: Micros,
     waited: bool,
+    /// At the last note: time since it was sent, and how much of its ideal time that brought it forward.
+    noted: Option<(f64, f64)>,
 }
 
+#[derive(Default)]
 struct Engine {
     entry: Entry,
     listed: bool,
@@ -138,7 +143,10 @@
     spent: f64,
     ideal: f64,
     stretch_at: Micros,
+    stretch: f64,
     best: f64,
+    /// Work that goes on after this gateway stopped waiting for it: until when, threads, memory.
+    ghosts: Vec<(Micros, f64, f64)>,
     full_until: Micros,
     busy_until: Micros,
     others: f64,
@@ -154,53 +162,40 @@
 
 impl Engine {
     fn new(entry: Entry) -> Self {
-        Engine {
-            entry,
-            listed: true,
-            cold_until: 0,
-            cold_sends: VecDeque::new(),
-            out: BTreeMap::new(),
-            threads: 0.0,
-            memory: 0.0,
-            room: 1.0,
-            bound: 1.0,
-            spent: 0.0,
-            ideal: 0.0,
-            stretch_at: 0,
-            best: f64::INFINITY,
-            full_until: 0,
-            busy_until: 0,
-            others: 0.0,
-            bad: 0.0,
-            quarantined_until: 0,
-            strikes: 0,
-            probation: 0,
-            lost_connection: false,
-            last_heard: 0,
-            silent: false,
-            warm: VecDeque::new(),
-        }
-    }
-
-    fn stretch(&self) -> f64 {
-        if self.ideal > 0.0 {
-            self.spent / self.ideal
-        } else {
-            1.0
-        }
+        Engine { entry, listed: true, room: 1.0, bound: 1.0, best: 1.0, stretch: 1.0, ..Default::default() }
     }
 
     fn under_pressure(&self, now: Micros) -> bool {
-        now < self.full_until || now < self.busy_until || self.stretch() > PRESSURE * self.best
+        now < self.full_until || now < self.busy_until || self.stretch > PRESSURE * self.best
     }
 
-    fn observe_stretch(&mut self, now: Micros, memory: f64, spent: f64, ideal: f64) {
-        let kept = (-((now - self.stretch_at) as f64) / memory.max(1.0)).exp();
+    /// Stretch is time spent over ideal time, of what ended lately and of what is out: a jam shows in what does
+    /// not end. What no note tells of is held to have run at its ideal pace so far.
+    fn observe(&mut self, now: Micros, memory: f64, ended: Option<(f64, f64)>) {
+        let kept = (-((now - self.stretch_at) as f64) / memory).exp();
         self.stretch_at = now;
-        let spent = if self.ideal > 0.0 { spent.min(CLIP * ideal * self.stretch()) } else { spent };
-        self.spent = self.spent * kept + spent;
+        let (spent, ideal) = ended.unwrap_or((0.0, 0.0));
+        self.spent = self.spent * kept + spent.min(CLIP * ideal * self.stretch);
         self.ideal = self.ideal * kept + ideal;
-        self.best = (self.best * (1.0 + BOUND_STEP / 10.0)).min(self.stretch());
+        let (mut spent, mut ideal) = (self.spent, self.ideal);
+        for charge in self.out.values().filter(|charge| !charge.waited) {
+            let age = (now - charge.sent_at) as f64;
+            let (elapsed, done) = charge.noted.unwrap_or((age, age.min(charge.ideal)));
+            spent += elapsed.min(CLIP * done * self.stretch);
+            ideal += done;
+        }
+        if ideal > 0.0 {
+            self.stretch = spent / ideal;
+        }
+        let drift = (1.0 - kept) * BEST_DRIFT;
+        self.best = (self.best * (1.0 + drift)).min(self.stretch);
+    }
+
+    fn tally(&mut self, now: Micros) {
+        self.ghosts.retain(|(until, _, _)| *until > now);
+        let ghosts = |pick: fn(&(Micros, f64, f64)) -> f64| self.ghosts.iter().map(pick).sum::<f64>();
+        self.threads = self.out.values().map(|c| c.threads).sum::<f64>() + ghosts(|g| g.1);
+        self.memory = self.out.values().map(|c| c.memory).sum::<f64>() + ghosts(|g| g.2);
     }
 }
 
@@ -471,7 +466,7 @@
     /// How long this gateway's loads on the group will still hold it there.
     fn load_ahead(&self, group: u64, engine: &Engine) -> f64 {
         let loads = engine.out.values().filter(|c| c.group == group && self.set.classes[c.class].is_load);
-        loads.map(|c| (c.ideal * engine.stretch() - (self.now - c.sent_at) as f64).max(c.ideal / 4.0)).sum()
+        loads.map(|c| (c.ideal * engine.stretch - (self.now - c.sent_at) as f64).max(c.ideal / 4.0)).sum()
     }
 
     // ---- Grant and rank ---------------------------------------------------------------------------------------
@@ -600,6 +595,7 @@
             ideal: held.ideal,
             sent_at: self.now,
             waited: false,
+            noted: None,
         };
         let grant_mb = self.grant(held, engine);
         let larger =
@@ -620,9 +616,8 @@
         if engine.out.is_empty() {
             engine.last_heard = self.now;
         }
-        engine.threads += charge.threads;
-        engine.memory += charge.memory;
         engine.out.insert((id, held.attempts.len()), charge);
+        engine.tally(self.now);
         remember(&mut engine.warm, held.req.group);
         let Entry { zone, cell, .. } = engine.entry;
         held.attempts.push(Attempt {
@@ -663,7 +658,7 @@
         let (class, estimate) = (held.req.class, (held.req.work, held.req.memory_mb));
         held.ended |= complete;
         let ended = held.ended;
-        if let Some(charge) = self.uncharge(engine_id, id, attempt) {
+        if let Some(charge) = self.uncharge(engine_id, id, attempt, outcome) {
             if outcome == Outcome::Answered {
                 self.learn(class, estimate, bill);
                 self.learn_stretch(engine_id, &charge, spent, bill);
@@ -684,11 +679,21 @@
         }
     }
 
-    fn uncharge(&mut self, engine: EngineId, id: RequestId, attempt: usize) -> Option<Charge> {
+    /// Takes the charge off, unless the engine goes on working where nobody waits any more.
+    fn uncharge(
+        &mut self,
+        engine: EngineId,
+        id: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+    ) -> Option<Charge> {
         let engine = self.engines.get_mut(&engine)?;
         let charge = engine.out.remove(&(id, attempt))?;
-        engine.threads = engine.out.values().map(|c| c.threads).sum();
-        engine.memory = engine.out.values().map(|c| c.memory).sum();
+        if !self.set.may_cancel && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
+            let left = charge.ideal * engine.stretch.max(1.0);
+            engine.ghosts.push((self.now + left as Micros, charge.threads, charge.memory));
+        }
+        engine.tally(self.now);
         Some(charge)
     }
 
@@ -706,18 +711,19 @@
         known.memory = Some(mean + LEARN * (bill.memory_mb - mean));
     }
 
+    fn latency_memory(&self) -> f64 {
+        (STRETCH_MEMORY * self.set.warm_within as f64).max(1.0)
+    }
+
     fn learn_stretch(&mut self, engine: EngineId, charge: &Charge, spent: Micros, bill: Option<Bill>) {
-        let memory = STRETCH_MEMORY * self.set.warm_within as f64;
+        let (now, memory) = (self.now, self.latency_memory());
         let ideal = bill.map_or(charge.ideal, |bill| bill.work / charge.threads);
-        let now = self.now;
         let Some(engine) = self.engines.get_mut(&engine) else { return };
-        if !charge.waited && ideal > 0.0 {
-            engine.observe_stretch(now, memory, spent as f64, ideal);
-        }
+        engine.observe(now, memory, (!charge.waited).then_some((spent as f64, ideal)));
         if engine.under_pressure(now) {
             engine.room = (engine.room * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
             engine.bound = (engine.bound * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
-        } else if engine.stretch() < NEAR_BEST * engine.best {
+        } else if engine.stretch < NEAR_BEST * engine.best {
             engine.room = (engine.room * (1.0 + BOUND_STEP)).min(MOST_BOUND);
             engine.bound = (engine.bound * (1.0 + BOUND_STEP)).min(MOST_BOUND);
         }
@@ -744,15 +750,19 @@
         let Some(held) = self.requests.get(&id) else { return };
         let Some(engine_id) = held.attempts.get(attempt).map(|a| a.engine) else { return };
         self.heard(engine_id);
+        let memory = self.latency_memory();
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        let stretch = engine.stretch().max(1.0);
+        let stretch = engine.stretch.max(1.0);
         let Some(charge) = engine.out.get_mut(&(id, attempt)) else { return };
         match note {
             Note::Progress(share) => {
                 let elapsed = (self.now - charge.sent_at) as f64;
                 let remaining = elapsed * (1.0 - share).max(0.0) / share.max(1e-6);
                 let fresh = charge.ideal * stretch;
-                if !charge.waited && remaining > BAD_PLAN * fresh {
+                charge.noted = Some((elapsed, share * charge.ideal));
+                let bad_plan = !charge.waited && remaining > BAD_PLAN * fresh;
+                engine.observe(self.now, memory, None);
+                if bad_plan {
                     self.leave_bad_plan(id, attempt, fresh);
                 }
             }
@@ -1038,8 +1048,13 @@
         let usable = self.engines.values().filter(|e| {
             e.listed && e.entry.phase == Phase::Ready && self.now >= e.quarantined_until && !e.silent
         });
-        let rate: f64 = usable.map(|e| self.kind(e).cores * self.warmth(e) / e.best.clamp(0.5, 2.0)).sum();
-        (rate / self.set.peers).max(LEARN)
+        let rate: f64 = usable
+            .map(|e| match e.under_pressure(self.now) {
+                true => e.threads / e.stretch,
+                false => self.kind(e).cores * self.warmth(e) / self.set.peers / e.best.clamp(0.5, 2.0),
+            })
+            .sum();
+        rate.max(LEARN)
     }
 
     // ---- Beat -------------------------------------------------------------------------------------------------
@@ -1067,7 +1082,10 @@
         let now = self.now;
         self.key_rest.retain(|_, until| *until > now);
         let window = self.now.saturating_sub(self.set.fall_window);
+        let memory = self.latency_memory();
         for engine in self.engines.values_mut() {
+            engine.observe(now, memory, None);
+            engine.tally(now);
             while engine.cold_sends.front().is_some_and(|(at, _)| *at < window) {
                 engine.cold_sends.pop_front();
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -133,14 +133,15 @@
     pub waste_tariff: f64,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Phase {
+    #[default]
     Ready,
     Draining,
     Gone,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Entry {
     pub engine: EngineId,
     pub zone: u32,
