--- a/src/decide.rs
+++ b/src/decide.rs
@@ -377,13 +377,16 @@
 
     /// Both bounds, which bind only while the engine shows pressure; an idle gateway may send one of any size.
     fn has_room(&self, held: &Held, engine: &Engine) -> bool {
-        if engine.out.is_empty() || !engine.under_pressure(self.now) {
-            return true;
-        }
         let kind = self.kind(engine);
         let share = 1.0 / self.set.peers;
+        let cores = kind.cores * self.warmth(engine) * share;
         let threads = engine.threads + self.set.classes[held.req.class].threads;
-        if threads > START_BOUND * engine.bound * kind.cores * self.warmth(engine) * share {
+        // Latency shows seconds after the sends that cause it; threads over cores imply it at once.
+        let pressure = engine.under_pressure(self.now) || threads > PRESSURE * cores;
+        if engine.out.is_empty() || !pressure {
+            return true;
+        }
+        if threads > START_BOUND * engine.bound * cores {
             return false;
         }
         let room = START_ROOM * engine.room * kind.memory_mb * share;
