--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -180,7 +180,7 @@
                 };
                 Event::Noted { request: request()?, attempt: attempt()?, note }
             }
-            "FINISHED" => Event::Ended {
+            "FINISHED" => Event::Ended(Ended {
                 request: request()?,
                 attempt: attempt()?,
                 outcome: outcome(fields)?,
@@ -188,7 +188,7 @@
                 complete: fields.or("complete", 0u8)? != 0,
                 bill: fields.optional("stats")?.and_then(bill),
                 report: report(fields)?,
-            },
+            }),
             "TIMED_OUT_CLIENT" => Event::ClientLeft { request: request()? },
             "ELAPSED" => Event::Timer { tag: fields.required("tag")? },
             "PROBE_DONE" => Event::Probed {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -33,6 +33,8 @@
 const UNKNOWN_MEMORY: f64 = 0.125;
 /// A grant over the corrected estimate, as the engines' own default does it.
 const GRANT_MARGIN: f64 = 1.25;
+/// Rank of the largest report or load; dashboards run one higher.
+const TOP_RANK: u8 = 2;
 /// A class is a dashboard when its mean work is under this part of the mean of all requests.
 const DASHBOARD_WORK: f64 = 0.5;
 /// Weight of one more observation in learned means and ratios: the last twenty or so count.
@@ -80,6 +82,8 @@
 const MOST_LOG_LINES: u32 = 200;
 /// Timer tag of the beat; a request's own timer bears its id plus one.
 const BEAT: u64 = 0;
+/// A silent engine stays in quarantine until it speaks.
+const UNTIL_HEARD: Micros = Micros::MAX;
 
 #[derive(Clone, Copy, PartialEq)]
 enum State {
@@ -111,7 +115,9 @@
     attempts: Vec<Attempt>,
     streaming: bool,
     ended: bool,
-    sent_terms: Option<(f64, u8)>,
+    /// What it was last granted and ranked.
+    grant: f64,
+    rank: Option<u8>,
 }
 
 /// What an attempt that is out is charged with on its engine.
@@ -156,7 +162,6 @@
     probation: u32,
     lost_connection: bool,
     last_heard: Micros,
-    silent: bool,
     warm: VecDeque<u64>,
 }
 
@@ -218,8 +223,8 @@
     requests: BTreeMap<RequestId, Held>,
     /// Requests with no attempt out and no answer yet, by due time.
     queue: BTreeSet<(Micros, RequestId)>,
-    keys: BTreeMap<String, VecDeque<RequestId>>,
-    key_rest: BTreeMap<String, Micros>,
+    /// For each key of an ordered class: its requests in the order taken, and until when it rests.
+    keys: BTreeMap<String, (VecDeque<RequestId>, Micros)>,
     learned: Vec<Learned>,
     mean_work: f64,
     /// Tokens left to each tenant, and when they were last filled.
@@ -243,7 +248,6 @@
             requests: BTreeMap::new(),
             queue: BTreeSet::new(),
             keys: BTreeMap::new(),
-            key_rest: BTreeMap::new(),
             learned: vec![fresh; set.classes.len()],
             mean_work: 0.0,
             tokens: set.tenants.iter().map(|t| (t.quota_per_s / set.peers, now)).collect(),
@@ -262,9 +266,7 @@
         self.now = now;
         match event {
             Event::Arrived(request) => self.take(request),
-            Event::Ended { request, attempt, outcome, spent, complete, bill, report } => {
-                self.outcome(request, attempt, outcome, spent, complete, bill, report)
-            }
+            Event::Ended(ended) => self.outcome(ended),
             Event::Noted { request, attempt, note } => self.noted(request, attempt, note),
             Event::StreamBegan { request } => {
                 if let Some(held) = self.requests.get_mut(&request) {
@@ -308,7 +310,7 @@
         let worth = class.worth;
         let share = if self.within_share(req.tenant) { 1.0 } else { self.set.over_share_worth };
         if let (true, Some(key)) = (self.set.classes[req.class].ordered, &req.key) {
-            self.keys.entry(key.clone()).or_default().push_back(req.id);
+            self.keys.entry(key.clone()).or_default().0.push_back(req.id);
         }
         self.taken.push_back(self.now);
         self.actions.push(Action::SetTimer { after: end_by - self.now, tag: req.id + 1 });
@@ -323,7 +325,8 @@
             attempts: Vec::new(),
             streaming: false,
             ended: false,
-            sent_terms: None,
+            grant: 0.0,
+            rank: None,
             req,
         };
         self.requests.insert(held.req.id, held);
@@ -480,29 +483,21 @@
         (GRANT_MARGIN * estimate).min(self.set.largest_share * self.kind(engine).memory_mb)
     }
 
-    /// Largest report or load on the engine at 2, next at 1, others 0; dashboards at 3.
+    /// Largest report or load on the engine at 2, next at 1, others 0; dashboards at 3. Told where it changes.
     fn rerank(&mut self, engine_id: EngineId) {
         let Some(engine) = self.engines.get(&engine_id) else { return };
-        let mut sized: Vec<(f64, RequestId)> =
-            engine.out.iter().map(|(&(id, _), charge)| (charge.memory, id)).collect();
+        let mut sized: Vec<(f64, RequestId, usize)> =
+            engine.out.iter().map(|(&(id, _), charge)| (charge.memory, id, charge.class)).collect();
         sized.sort_unstable_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        let mut next = 2;
-        for (_, id) in sized {
-            let Some(class) = self.requests.get(&id).map(|held| held.req.class) else { continue };
-            let rank = if self.is_dashboard(class) {
-                3
-            } else {
-                let rank = next;
-                next = if next > 0 { next - 1 } else { 0 };
-                rank
-            };
+        let mut next = TOP_RANK;
+        for (_, id, class) in sized {
+            let dashboard = self.is_dashboard(class);
+            let rank = if dashboard { TOP_RANK + 1 } else { next };
+            next = if dashboard { next } else { next.saturating_sub(1) };
             let Some(held) = self.requests.get_mut(&id) else { continue };
-            match held.sent_terms {
-                Some((grant_mb, old)) if old != rank && !held.ended => {
-                    held.sent_terms = Some((grant_mb, rank));
-                    self.actions.push(Action::Terms { request: id, grant_mb, rank });
-                }
-                _ => {}
+            if held.rank != Some(rank) && !held.ended {
+                held.rank = Some(rank);
+                self.actions.push(Action::Terms { request: id, grant_mb: held.grant, rank });
             }
         }
     }
@@ -528,35 +523,37 @@
             && self.cold_budget_allows(held, engine)
     }
 
+    /// Effects: whether any engine at all may still be sent this.
+    fn may_repeat(&self, held: &Held) -> bool {
+        let class = &self.set.classes[held.req.class];
+        let first = held.attempts.iter().filter(|a| a.state != State::NeverRan).map(|a| a.sent_at).min();
+        match class.effect {
+            Effect::Safe => true,
+            Effect::Unsafe => first.is_none(),
+            Effect::Keyed => first.is_none_or(|at| self.now + 2 * self.set.tick < at + class.window),
+        }
+    }
+
     /// Effects: what an earlier attempt may have done decides where a further one may go.
     fn effect_allows(&self, held: &Held, class: &Class, engine: &Engine) -> bool {
-        let may_run = |a: &&Attempt| a.state != State::NeverRan;
         let out = held.attempts.iter().any(|a| a.state == State::Out);
         if out && !self.set.may_duplicate {
             return false;
         }
-        match class.effect {
-            Effect::Safe => true,
-            Effect::Unsafe => !held.attempts.iter().any(|a| a.state != State::NeverRan),
-            Effect::Keyed => {
-                let first = held.attempts.iter().filter(may_run).map(|a| a.sent_at).min();
-                let in_window = first.is_none_or(|at| self.now + 2 * self.set.tick < at + class.window);
-                let same = |a: &Attempt| match class.scope {
-                    Scope::All => true,
-                    Scope::Zone => a.zone == engine.entry.zone,
-                    Scope::Cell => a.cell == engine.entry.cell,
-                };
-                in_window && held.attempts.iter().filter(may_run).all(same)
-            }
-        }
+        let same = |a: &Attempt| match class.scope {
+            Scope::All => true,
+            Scope::Zone => a.zone == engine.entry.zone,
+            Scope::Cell => a.cell == engine.entry.cell,
+        };
+        let mut ran = held.attempts.iter().filter(|a| a.state != State::NeverRan);
+        self.may_repeat(held) && (class.effect != Effect::Keyed || ran.all(same))
     }
 
     /// Order: only the first of its key that is not over, and after the pause that its forerunner left.
     fn order_allows(&self, held: &Held, class: &Class) -> bool {
         let Some(key) = held.req.key.as_ref().filter(|_| class.ordered) else { return true };
-        let first = self.keys.get(key).and_then(|line| line.front()) == Some(&held.req.id);
-        let rested = self.key_rest.get(key).is_none_or(|&until| self.now >= until);
-        first && (rested || !held.attempts.is_empty())
+        let Some((line, rests_until)) = self.keys.get(key) else { return false };
+        line.front() == Some(&held.req.id) && (self.now >= *rests_until || !held.attempts.is_empty())
     }
 
     fn budget_allows_further(&self) -> bool {
@@ -582,34 +579,20 @@
 
     /// The only place that sends.
     fn send(&mut self, id: RequestId, engine_id: EngineId) {
-        let (Some(held), Some(engine)) = (self.requests.get(&id), self.engines.get(&engine_id)) else {
-            return;
-        };
+        let (held, engine) = (&self.requests[&id], &self.engines[&engine_id]);
         if !self.rules_allow(held, engine) {
             return;
         }
-        let class = &self.set.classes[held.req.class];
-        let dashboard = self.is_dashboard(held.req.class);
-        let charge = Charge {
-            class: held.req.class,
-            group: held.req.group,
-            memory: if dashboard { held.memory } else { self.charged_memory(held, engine) },
-            threads: class.threads,
-            ideal: held.ideal,
-            sent_at: self.now,
-            waited: false,
-            noted: None,
-        };
-        let grant_mb = self.grant(held, engine);
-        let larger =
-            engine.out.values().filter(|c| c.memory >= charge.memory && !self.is_dashboard(c.class)).count();
-        let rank = if dashboard { 3 } else { 2u8.saturating_sub(larger.min(2) as u8) };
-        let usual = self.learned[held.req.class].work;
-        let give_up_at = held.end_by;
-        let (Some(held), Some(engine)) = (self.requests.get_mut(&id), self.engines.get_mut(&engine_id))
-        else {
-            return;
-        };
+        let class = held.req.class;
+        let dashboard = self.is_dashboard(class);
+        let memory = if dashboard { held.memory } else { self.charged_memory(held, engine) };
+        let threads = self.set.classes[class].threads;
+        let (group, ideal, sent_at) = (held.req.group, held.ideal, self.now);
+        let charge = Charge { class, group, memory, threads, ideal, sent_at, waited: false, noted: None };
+        let grant = self.grant(held, engine);
+        let usual = self.learned[class].work;
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        let Some(held) = self.requests.get_mut(&id) else { return };
         if !held.attempts.is_empty() {
             self.further.push_back(self.now);
         }
@@ -621,64 +604,46 @@
         }
         engine.out.insert((id, held.attempts.len()), charge);
         engine.tally(self.now);
-        remember(&mut engine.warm, held.req.group);
+        remember(&mut engine.warm, group);
         let Entry { zone, cell, .. } = engine.entry;
-        held.attempts.push(Attempt {
-            engine: engine_id,
-            zone,
-            cell,
-            sent_at: self.now,
-            state: State::Out,
-            cancelled: false,
-        });
+        let state = State::Out;
+        held.attempts.push(Attempt { engine: engine_id, zone, cell, sent_at, state, cancelled: false });
         self.queue.remove(&(held.due, id));
-        if held.sent_terms != Some((grant_mb, rank)) {
-            held.sent_terms = Some((grant_mb, rank));
-            self.actions.push(Action::Terms { request: id, grant_mb, rank });
-        }
-        self.actions.push(Action::Send { request: id, engine: engine_id, give_up_at });
+        (held.grant, held.rank) = (grant, None);
+        let give_up_at = held.end_by;
         self.rerank(engine_id);
+        self.actions.push(Action::Send { request: id, engine: engine_id, give_up_at });
     }
 
     // ---- Outcome ----------------------------------------------------------------------------------------------
 
-    #[allow(clippy::too_many_arguments)] // one for each field of the event
-    fn outcome(
-        &mut self,
-        id: RequestId,
-        attempt: usize,
-        outcome: Outcome,
-        spent: Micros,
-        complete: bool,
-        bill: Option<Bill>,
-        report: Option<LoadReport>,
-    ) {
-        let Some(held) = self.requests.get_mut(&id) else { return };
-        let Some(tried) = held.attempts.get_mut(attempt) else { return };
-        let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
+    fn outcome(&mut self, end: Ended) {
+        let Some(held) = self.requests.get_mut(&end.request) else { return };
+        let Some(tried) = held.attempts.get_mut(end.attempt) else { return };
+        let never_ran = matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
         tried.state = if never_ran { State::NeverRan } else { State::MayHaveRun };
         let engine_id = tried.engine;
-        let (class, estimate) = (held.req.class, (held.req.work, held.req.memory_mb));
-        held.ended |= complete;
-        let ended = held.ended;
-        if let Some(charge) = self.uncharge(engine_id, id, attempt, outcome) {
-            if outcome == Outcome::Answered {
-                self.learn(class, estimate, bill);
-                self.learn_stretch(engine_id, &charge, spent, bill);
+        held.ended |= end.complete;
+        let (ended, class) = (held.ended, held.req.class);
+        let estimate = (held.req.work, held.req.memory_mb);
+        if let Some(charge) = self.uncharge(engine_id, end.request, end.attempt, end.outcome) {
+            if end.outcome == Outcome::Answered {
+                self.learn(class, estimate, end.bill);
+                self.learn_stretch(engine_id, &charge, end.spent, end.bill);
             }
         }
-        self.judge(engine_id, outcome);
-        if let Some(report) = report {
+        self.judge(engine_id, end.outcome);
+        if let Some(report) = end.report {
             self.heed_report(engine_id, report);
         }
-        if matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
-            self.rest_key(id);
+        if matches!(end.outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
+            self.rest_key(end.request);
         }
         self.rerank(engine_id);
         if ended {
-            self.close(id);
+            self.close(end.request);
         } else {
-            self.further_or_end(id);
+            self.further_or_end(end.request);
         }
     }
 
@@ -752,6 +717,7 @@
     fn noted(&mut self, id: RequestId, attempt: usize, note: Note) {
         let Some(held) = self.requests.get(&id) else { return };
         let Some(engine_id) = held.attempts.get(attempt).map(|a| a.engine) else { return };
+        let end_by = held.end_by;
         self.heard(engine_id);
         let memory = self.latency_memory();
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
@@ -765,8 +731,9 @@
                 charge.noted = Some((elapsed, share * charge.ideal));
                 let bad_plan = !charge.waited && remaining > BAD_PLAN * fresh;
                 engine.observe(self.now, memory, None);
-                if bad_plan {
-                    self.leave_bad_plan(id, attempt, fresh);
+                // Far slower than its own estimate where others run well: the plan is drawn anew elsewhere.
+                if bad_plan && self.now + fresh as Micros <= end_by {
+                    self.take_back(id, attempt);
                 }
             }
             Note::WaitsForMemory | Note::WaitsForLoad => charge.waited = true,
@@ -774,39 +741,17 @@
         }
     }
 
-    /// Far slower than its own estimate on an engine that runs others well: the plan is drawn anew elsewhere.
-    fn leave_bad_plan(&mut self, id: RequestId, attempt: usize, fresh: f64) {
-        let Some(held) = self.requests.get_mut(&id) else { return };
-        let class = &self.set.classes[held.req.class];
-        let in_time = self.now + fresh as Micros <= held.end_by;
-        let again = class.effect == Effect::Safe && held.attempts.len() < self.set.max_attempts;
-        if !self.set.may_cancel || held.streaming || !again || !in_time || held.attempts[attempt].cancelled {
-            return;
-        }
-        held.attempts[attempt].cancelled = true;
-        self.actions.push(Action::Cancel { request: id, attempt });
-    }
-
     /// Another attempt where rules, time and the fleet's health allow one; else the end.
     fn further_or_end(&mut self, id: RequestId) {
         let Some(held) = self.requests.get(&id) else { return };
         if held.attempts.iter().any(|a| a.state == State::Out) {
             return;
         }
-        let class = &self.set.classes[held.req.class];
-        let own_cancels = held.attempts.iter().filter(|a| a.cancelled).count();
-        let tried = held.attempts.len() - own_cancels;
-        let sick = if self.fleet_bad > 2.0 * SICK_FLEET {
-            1
-        } else if self.fleet_bad > SICK_FLEET {
-            2
-        } else {
-            99
-        };
-        let ran = held.attempts.iter().any(|a| a.state == State::MayHaveRun);
-        let may_repeat = class.effect != Effect::Unsafe || !ran;
-        let left = held.attempts.len() < self.set.max_attempts.min(sick + own_cancels) && tried < sick;
-        if may_repeat && left && self.now < held.end_by && self.budget_allows_further() {
+        // No retry storm: the sicker the fleet, the fewer further attempts; own cancels don't count.
+        let tried = held.attempts.iter().filter(|a| !a.cancelled).count();
+        let most = if self.fleet_bad > SICK_FLEET { (1.0 / self.fleet_bad) as usize } else { usize::MAX };
+        let left = held.attempts.len() < self.set.max_attempts && tried <= most;
+        if left && self.may_repeat(held) && self.now < held.end_by && self.budget_allows_further() {
             self.queue.insert((held.due, id));
         } else {
             self.end(id, 0);
@@ -859,25 +804,23 @@
         }
         let Some(held) = self.requests.remove(&id) else { return };
         let Some(key) = held.req.key.filter(|_| self.set.classes[held.req.class].ordered) else { return };
-        if let Some(line) = self.keys.get_mut(&key) {
+        if let Some((line, _)) = self.keys.get_mut(&key) {
             line.retain(|&other| other != id);
-            if line.is_empty() {
-                self.keys.remove(&key);
-            }
         }
     }
 
     fn rest_key(&mut self, id: RequestId) {
         let Some(held) = self.requests.get(&id) else { return };
-        if let (true, Some(key)) = (self.set.classes[held.req.class].ordered, &held.req.key) {
-            self.key_rest.insert(key.clone(), self.now + self.set.order_pause + self.set.tick);
-        }
+        let Some((_, rests_until)) = held.req.key.as_ref().and_then(|key| self.keys.get_mut(key)) else {
+            return;
+        };
+        *rests_until = self.now + self.set.order_pause + self.set.tick;
     }
 
     // ---- Health -----------------------------------------------------------------------------------------------
 
     fn healthy_enough(&self, held: &Held, engine: &Engine) -> bool {
-        if self.now < engine.quarantined_until || engine.silent {
+        if self.now < engine.quarantined_until {
             return false;
         }
         // On probation an engine gets one safe request at a time.
@@ -889,8 +832,7 @@
         let now = self.now;
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
         engine.last_heard = now;
-        if engine.silent {
-            engine.silent = false;
+        if engine.quarantined_until == UNTIL_HEARD {
             engine.quarantined_until = now;
             self.log(format!("engine {engine_id} speaks again"));
         }
@@ -947,7 +889,7 @@
     }
 
     fn quarantine(&mut self, engine_id: EngineId, symptom: &str) {
-        let away = |e: &&Engine| e.listed && (self.now < e.quarantined_until || e.silent || e.probation > 0);
+        let away = |e: &&Engine| e.listed && (self.now < e.quarantined_until || e.probation > 0);
         let (all, gone) =
             (self.engines.values().filter(|e| e.listed).count(), self.engines.values().filter(away).count());
         let now = self.now;
@@ -985,35 +927,29 @@
         if mute as f64 > MOST_QUARANTINED * all as f64 {
             return;
         }
-        let hung: Vec<EngineId> = self
-            .engines
-            .iter()
-            .filter(|(_, e)| busy(e) && quiet(e) && !e.silent)
-            .map(|(&id, _)| id)
-            .collect();
+        let hung = |(&id, e): (&EngineId, &Engine)| {
+            (busy(&e) && quiet(e) && e.quarantined_until != UNTIL_HEARD).then_some(id)
+        };
+        let hung: Vec<EngineId> = self.engines.iter().filter_map(hung).collect();
         for engine_id in hung {
-            if let Some(engine) = self.engines.get_mut(&engine_id) {
-                engine.silent = true;
-                engine.probation = PROBATION;
-            }
             self.log(format!("engine {engine_id} quarantined: silent"));
-            self.rescue(engine_id);
+            let Some(engine) = self.engines.get_mut(&engine_id) else { continue };
+            engine.quarantined_until = UNTIL_HEARD;
+            engine.probation = PROBATION;
+            // What it holds is taken back, where cancels are allowed and a repeat is safe.
+            let held_there: Vec<(RequestId, usize)> = engine.out.keys().copied().collect();
+            held_there.into_iter().for_each(|(id, attempt)| self.take_back(id, attempt));
         }
     }
 
-    /// Takes back what a silent engine holds, where cancels are allowed and a repeat is safe.
-    fn rescue(&mut self, engine_id: EngineId) {
-        let Some(engine) = self.engines.get(&engine_id) else { return };
-        if !self.set.may_cancel {
-            return;
-        }
-        for &(id, attempt) in engine.out.keys() {
-            let Some(held) = self.requests.get_mut(&id) else { continue };
-            let repeat = self.set.classes[held.req.class].effect != Effect::Unsafe;
-            if repeat && !held.streaming && !held.attempts[attempt].cancelled {
-                held.attempts[attempt].cancelled = true;
-                self.actions.push(Action::Cancel { request: id, attempt });
-            }
+    /// Cancels an attempt so that its request can go elsewhere.
+    fn take_back(&mut self, id: RequestId, attempt: usize) {
+        let Some(held) = self.requests.get(&id) else { return };
+        let again = self.may_repeat(held) && held.attempts.len() < self.set.max_attempts && !held.streaming;
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        if self.set.may_cancel && again && !held.attempts[attempt].cancelled {
+            held.attempts[attempt].cancelled = true;
+            self.actions.push(Action::Cancel { request: id, attempt });
         }
     }
 
@@ -1048,9 +984,10 @@
 
     /// Work a microsecond that this gateway's share of the usable engines gets done.
     fn service_rate(&self) -> f64 {
-        let usable = self.engines.values().filter(|e| {
-            e.listed && e.entry.phase == Phase::Ready && self.now >= e.quarantined_until && !e.silent
-        });
+        let usable = self
+            .engines
+            .values()
+            .filter(|e| e.listed && e.entry.phase == Phase::Ready && self.now >= e.quarantined_until);
         let rate: f64 = usable
             .map(|e| match e.under_pressure(self.now) {
                 true => e.threads / e.stretch,
@@ -1074,24 +1011,16 @@
         self.beating = false;
         self.watch_silence();
         self.shed();
-        let span = self.set.attempt_budget.map_or(0, |b| b.span);
-        let since = self.now.saturating_sub(span);
-        while self.taken.front().is_some_and(|&at| at < since) {
-            self.taken.pop_front();
-        }
-        while self.further.front().is_some_and(|&at| at < since) {
-            self.further.pop_front();
-        }
-        let now = self.now;
-        self.key_rest.retain(|_, until| *until > now);
-        let window = self.now.saturating_sub(self.set.fall_window);
-        let memory = self.latency_memory();
+        let (now, memory) = (self.now, self.latency_memory());
+        self.keys.retain(|_, (line, rests_until)| !line.is_empty() || *rests_until > now);
+        let since = now.saturating_sub(self.set.attempt_budget.map_or(0, |budget| budget.span));
+        self.taken.retain(|&at| at >= since);
+        self.further.retain(|&at| at >= since);
+        let since = now.saturating_sub(self.set.fall_window);
         for engine in self.engines.values_mut() {
             engine.observe(now, memory, None);
             engine.tally(now);
-            while engine.cold_sends.front().is_some_and(|(at, _)| *at < window) {
-                engine.cold_sends.pop_front();
-            }
+            engine.cold_sends.retain(|(at, _)| *at >= since);
         }
         self.engines.retain(|_, engine| engine.listed || !engine.out.is_empty());
     }
@@ -1120,7 +1049,6 @@
             // A restart: what was learned of the process before it is void, what it is charged with is not.
             engine.warm.clear();
             engine.bad = 0.0;
-            engine.silent = false;
             engine.quarantined_until = 0;
             engine.probation = 0;
             engine.strikes = 0;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -210,6 +210,19 @@
     pub disks_busy: Option<f64>,
 }
 
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub request: RequestId,
+    pub attempt: usize,
+    pub outcome: Outcome,
+    pub spent: Micros,
+    /// The request has had its final answer.
+    pub complete: bool,
+    pub bill: Option<Bill>,
+    pub report: Option<LoadReport>,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The complete list: an engine that it lacks is gone.
@@ -225,16 +238,7 @@
         attempt: usize,
         note: Note,
     },
-    Ended {
-        request: RequestId,
-        attempt: usize,
-        outcome: Outcome,
-        spent: Micros,
-        /// The request has had its final answer.
-        complete: bool,
-        bill: Option<Bill>,
-        report: Option<LoadReport>,
-    },
+    Ended(Ended),
     ClientLeft {
         request: RequestId,
     },
