--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -8,7 +8,8 @@
 /// The gateways of this process and the batch being read.
 #[derive(Default)]
 pub struct Host {
-    gateways: BTreeMap<u64, Gateway>,
+    /// Each with the number of classes that its settings name.
+    gateways: BTreeMap<u64, (Gateway, usize)>,
     lists: HashMap<u64, Vec<Entry>>,
     /// The list whose items are being read, and how many are still to come.
     open_list: Option<(u64, u64)>,
@@ -85,7 +86,9 @@
             "ENLIST" => {
                 let who = fields.required("who")?;
                 let settings = settings(&fields)?;
-                self.gateways.insert(who, Gateway::new(settings, fields.required("init-seed")?, now));
+                let classes = settings.classes.len();
+                let gateway = Gateway::new(settings, fields.required("init-seed")?, now);
+                self.gateways.insert(who, (gateway, classes));
             }
             "TEARDOWN" => {
                 let who: u64 = fields.required("who")?;
@@ -143,7 +146,12 @@
             return Err(format!("{}: no instance {who}", fields.verb));
         }
         let Some(event) = self.event(fields)? else { return Ok(()) };
-        let Some(gateway) = self.gateways.get_mut(&who) else { return Ok(()) };
+        let Some((gateway, classes)) = self.gateways.get_mut(&who) else { return Ok(()) };
+        if let Event::Arrived(request) = &event {
+            if request.class >= *classes {
+                return Err(format!("CALL: class {} is unknown to instance {who}", request.class));
+            }
+        }
         gateway.handle(now, event, &mut self.actions);
         for action in self.actions.drain(..) {
             write_action(&mut self.reply, who, action);
@@ -233,7 +241,7 @@
 
 /// Milliseconds of work x 4096, plus memory in units of 4 MB.
 fn bill(stats: u64) -> Option<Bill> {
-    (stats > 0).then(|| Bill { work: (stats / 4096) as f64 * 1e3, memory_mb: (stats % 4096) as f64 * 4.0 })
+    (stats > 0).then_some(Bill { work: (stats / 4096) as f64 * 1e3, memory_mb: (stats % 4096) as f64 * 4.0 })
 }
 
 fn report(fields: &Fields) -> Result<Option<LoadReport>, String> {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,8 @@
 //! Every decision of one gateway. The types, events and actions are in `src/interface.rs`.
 //!
-//! A request passes through the parts of this file in order: take, admit, choose engine, grant and rank, send,
-//! outcome, end. After them come health, shedding and the list of engines. The mechanism is that of the BI Batch
-//! Manager paper carried to many gateways and engines; docs/design.md says what was kept and what was changed.
+//! A request passes through the parts of this file in order: take, admit, choose engine, grant and rank,
+//! send, outcome, end. Then come health, overload and the list of engines. The mechanism is that of the
+//! BI Batch Manager paper for many gateways and engines; docs/design.md says what was kept and what changed.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -16,7 +16,7 @@
 /// Thread bound at the start, threads a core of this gateway's share: where engines commonly stop gaining.
 const START_BOUND: f64 = 2.0;
 /// How far pressure may cut either bound, as a part of its start: a bound must not choke an engine.
-const LEAST_BOUND: f64 = 0.6;
+const LEAST_BOUND: f64 = 0.8;
 /// How far calm may widen either bound, in multiples of its start.
 const MOST_BOUND: f64 = 2.0;
 /// Drift of an engine's best latency upward over one latency memory: what was best once may not return.
@@ -47,7 +47,7 @@
 const BAD_SHARE: f64 = 0.35;
 /// Good answers in a row that end the probation after a quarantine.
 const PROBATION: u32 = 6;
-/// First quarantine and its longest, in parts of the time an engine takes to warm up: doubled at each relapse.
+/// First quarantine and its longest, in parts of the time an engine takes to warm up; doubles at a relapse.
 const QUARANTINE: f64 = 0.07;
 const LONGEST_QUARANTINE: f64 = 0.5;
 /// Note periods without a word from an engine that should speak, after which it counts as silent.
@@ -60,14 +60,12 @@
 const COLD_MARGIN: f64 = 0.6;
 /// Capacity is counted at this part of busy cores.
 const CAPACITY_BUSY: f64 = 0.85;
-/// What reading a warm group saves, as part of the cost of a query: on its home engines, or where last read.
+/// What reading a warm group saves, as part of the cost of a query, on the engines that are home to it.
 const HOME_GAIN: f64 = 0.25;
-const WARM_GAIN: f64 = 0.15;
-/// Engines that are home to a group, and groups an engine is held to keep warm.
+/// Engines that are home to a group.
 const HOMES: usize = 2;
-const WARM_GROUPS: usize = 4;
 /// Cost of crossing zones in multiples of its tariff.
-const CROSSING: f64 = 4.0;
+const CROSSING: f64 = 10.0;
 /// Extra cost of a query per share of its engine's memory that it lacks.
 const SPILL_COST: f64 = 3.0;
 /// Part of the aim by which a queue may run late before something is shed.
@@ -82,8 +80,6 @@
 const MOST_LOG_LINES: u32 = 200;
 /// Timer tag of the beat; a request's own timer bears its id plus one.
 const BEAT: u64 = 0;
-/// A silent engine stays in quarantine until it speaks.
-const UNTIL_HEARD: Micros = Micros::MAX;
 
 #[derive(Clone, Copy, PartialEq)]
 enum State {
@@ -93,9 +89,8 @@
 }
 
 struct Attempt {
-    engine: EngineId,
-    zone: u32,
-    cell: u32,
+    /// The engine as it was listed then.
+    entry: Entry,
     sent_at: Micros,
     state: State,
     cancelled: bool,
@@ -142,9 +137,8 @@
     out: BTreeMap<(RequestId, usize), Charge>,
     threads: f64,
     memory: f64,
-    /// Factors on the starting room and bound.
-    room: f64,
-    bound: f64,
+    /// Factor on the starting room and thread bound.
+    width: f64,
     /// Decaying sums of time spent and of ideal time: their ratio is the stretch.
     spent: f64,
     ideal: f64,
@@ -160,22 +154,27 @@
     quarantined_until: Micros,
     strikes: i32,
     probation: u32,
+    silent: bool,
     lost_connection: bool,
     last_heard: Micros,
-    warm: VecDeque<u64>,
 }
 
 impl Engine {
     fn new(entry: Entry) -> Self {
-        Engine { entry, listed: true, room: 1.0, bound: 1.0, best: 1.0, stretch: 1.0, ..Default::default() }
+        Engine { entry, listed: true, width: 1.0, best: 1.0, stretch: 1.0, ..Default::default() }
+    }
+
+    /// Listed and neither draining nor gone.
+    fn open(&self) -> bool {
+        self.listed && self.entry.phase == Phase::Ready
     }
 
     fn under_pressure(&self, now: Micros) -> bool {
         now < self.full_until || now < self.busy_until || self.stretch > PRESSURE * self.best
     }
 
-    /// Stretch is time spent over ideal time, of what ended lately and of what is out: a jam shows in what does
-    /// not end. What no note tells of is held to have run at its ideal pace so far.
+    /// Stretch is time spent over ideal time, of what ended lately and of what is out: a jam shows in what
+    /// does not end. What no note tells of is held to have run at its ideal pace so far.
     fn observe(&mut self, now: Micros, memory: f64, ended: Option<(f64, f64)>) {
         let kept = (-((now - self.stretch_at) as f64) / memory).exp();
         self.stretch_at = now;
@@ -189,13 +188,17 @@
             spent += elapsed.min(CLIP * done * self.stretch);
             ideal += done;
         }
-        if ideal > 0.0 {
-            self.stretch = spent / ideal;
-        }
+        // Without evidence a bad figure fades: it must not outlive its cause.
+        self.stretch =
+            if ideal > 1.0 { spent / ideal } else { self.best + (self.stretch - self.best) * kept };
         let drift = (1.0 - kept) * BEST_DRIFT;
         self.best = (self.best * (1.0 + drift)).min(self.stretch);
     }
 
+    fn narrow(&mut self) {
+        self.width = (self.width * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
+    }
+
     fn tally(&mut self, now: Micros) {
         self.ghosts.retain(|(until, _, _)| *until > now);
         let ghosts = |pick: fn(&(Micros, f64, f64)) -> f64| self.ghosts.iter().map(pick).sum::<f64>();
@@ -268,15 +271,14 @@
             Event::Arrived(request) => self.take(request),
             Event::Ended(ended) => self.outcome(ended),
             Event::Noted { request, attempt, note } => self.noted(request, attempt, note),
-            Event::StreamBegan { request } => {
-                if let Some(held) = self.requests.get_mut(&request) {
-                    held.streaming = true;
-                }
+            Event::StreamBegan { request: id } => {
+                _ = self.requests.get_mut(&id).map(|held| held.streaming = true)
             }
             Event::ClientLeft { request } => self.close(request),
             Event::Timer { tag: BEAT } => self.beat(),
-            Event::Timer { tag } => self.time_up(tag - 1),
-            Event::Probed { engine, answered, report } => self.probed(engine, answered, report),
+            Event::Timer { tag } => self.end(tag - 1, 0),
+            Event::Probed { engine, report: Some(report), .. } => self.heed_report(engine, report),
+            Event::Probed { .. } => {}
             Event::FullList(entries) => self.full_list(entries),
             Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
             Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
@@ -287,10 +289,10 @@
         actions.append(&mut self.actions);
     }
 
-    // ---- Take -------------------------------------------------------------------------------------------------
+    // ---- Take ----
 
     fn take(&mut self, req: Request) {
-        let class = &self.set.classes[req.class];
+        let class = self.set.classes[req.class].clone();
         let known = &mut self.learned[req.class];
         let work = match req.work {
             Some(estimate) => estimate * known.work_ratio,
@@ -307,9 +309,8 @@
         // Two ticks early, so that the answer is in the client's hands before it gives up.
         let end_by = req.deadline.saturating_sub(2 * self.set.tick).max(self.now);
         let due = self.now + class.aim + (class.aim_stretch * ideal) as Micros;
-        let worth = class.worth;
-        let share = if self.within_share(req.tenant) { 1.0 } else { self.set.over_share_worth };
-        if let (true, Some(key)) = (self.set.classes[req.class].ordered, &req.key) {
+        let worth = class.worth * if self.within_share(req.tenant) { 1.0 } else { self.set.over_share_worth };
+        if let Some(key) = req.key.as_ref().filter(|_| class.ordered) {
             self.keys.entry(key.clone()).or_default().0.push_back(req.id);
         }
         self.taken.push_back(self.now);
@@ -321,7 +322,7 @@
             memory,
             due,
             end_by,
-            worth: worth * share,
+            worth,
             attempts: Vec::new(),
             streaming: false,
             ended: false,
@@ -334,16 +335,13 @@
 
     /// A tenant's own bucket on this gateway, filled at its quota over the gateways, one second deep.
     fn within_share(&mut self, tenant: usize) -> bool {
-        let Some(quota) = self.set.tenants.get(tenant).map(|t| t.quota_per_s / self.set.peers) else {
-            return true;
-        };
+        let Some(set) = self.set.tenants.get(tenant) else { return true };
+        let quota = set.quota_per_s / self.set.peers;
         let (tokens, filled) = &mut self.tokens[tenant];
-        *tokens = (*tokens + quota * (self.now - *filled) as f64 / 1e6).min(quota);
+        *tokens = (*tokens + quota * (self.now - *filled) as f64 / 1e6).min(quota.max(1.0));
         *filled = self.now;
         let within = *tokens >= 1.0;
-        if within {
-            *tokens -= 1.0;
-        }
+        *tokens -= if within { 1.0 } else { 0.0 };
         within
     }
 
@@ -351,7 +349,7 @@
         !self.set.classes[class].is_load && self.learned[class].work < DASHBOARD_WORK * self.mean_work
     }
 
-    // ---- Admit ------------------------------------------------------------------------------------------------
+    // ---- Admit ----
 
     /// Held requests leave earliest due first; one that can't leave doesn't block others that can.
     fn release(&mut self) {
@@ -378,29 +376,33 @@
         }
     }
 
-    /// Both bounds, which bind only while the engine shows pressure; an idle gateway may send one of any size.
+    /// Both bounds, binding only while the engine shows pressure; an idle gateway may send one of any size.
     fn has_room(&self, held: &Held, engine: &Engine) -> bool {
-        let kind = self.kind(engine);
-        let share = 1.0 / self.set.peers;
-        let cores = kind.cores * self.warmth(engine) * share;
+        let cores = self.kind(engine).cores * self.warmth(engine) / self.set.peers;
         let threads = engine.threads + self.set.classes[held.req.class].threads;
         // Latency shows seconds after the sends that cause it; threads over cores imply it at once.
         let pressure = engine.under_pressure(self.now) || threads > PRESSURE * cores;
         if engine.out.is_empty() || !pressure {
             return true;
         }
-        if threads > START_BOUND * engine.bound * cores {
+        if threads > START_BOUND * engine.width * cores {
             return false;
         }
-        let room = START_ROOM * engine.room * kind.memory_mb * share;
-        self.is_dashboard(held.req.class) || engine.memory + self.charged_memory(held, engine) <= room
+        let fits = engine.memory + self.charged_memory(held, engine) <= self.room(engine);
+        self.is_dashboard(held.req.class) || fits
+    }
+
+    fn room(&self, engine: &Engine) -> f64 {
+        START_ROOM * engine.width * self.kind(engine).memory_mb / self.set.peers
     }
 
     fn charged_memory(&self, held: &Held, engine: &Engine) -> f64 {
-        if held.memory > 0.0 {
-            return held.memory;
+        let known = held.memory > 0.0;
+        if known {
+            held.memory
+        } else {
+            UNKNOWN_MEMORY * self.room(engine)
         }
-        UNKNOWN_MEMORY * START_ROOM * engine.room * self.kind(engine).memory_mb / self.set.peers
     }
 
     fn kind(&self, engine: &Engine) -> &Kind {
@@ -413,35 +415,26 @@
         1.0 - (1.0 - self.set.start_capacity) * left.min(1.0)
     }
 
-    // ---- Choose engine ----------------------------------------------------------------------------------------
+    // ---- Choose engine ----
 
     /// The engine with the least expected cost among those that may take the request now.
     fn choose(&self, id: RequestId) -> Option<EngineId> {
         let held = &self.requests[&id];
         let homes = self.homes(held.req.group);
-        let mut best: Option<(f64, EngineId)> = None;
-        for (&engine_id, engine) in &self.engines {
-            if !self.rules_allow(held, engine)
-                || !self.healthy_enough(held, engine)
-                || !self.has_room(held, engine)
-            {
-                continue;
-            }
-            let cost = self.cost(held, engine, &homes);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, engine_id));
-            }
-        }
-        best.map(|(_, engine)| engine)
+        let may_take =
+            |e: &Engine| self.rules_allow(held, e) && self.healthy_enough(held, e) && self.has_room(held, e);
+        let able = self.engines.iter().filter(|(_, e)| may_take(e));
+        let priced = able.map(|(&id, e)| (self.cost(held, e, &homes), id));
+        priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, id)| id)
     }
 
     /// Every gateway finds the same few engines for a group without talking: highest hash of both ids first.
     fn homes(&self, group: u64) -> Vec<EngineId> {
-        let usable = self.engines.iter().filter(|(_, e)| e.listed && e.entry.phase == Phase::Ready);
+        let open = self.engines.iter().filter(|(_, e)| e.open());
         let mut order: Vec<(u64, EngineId)> =
-            usable.map(|(&id, _)| (mix(group ^ mix(id as u64)), id)).collect();
+            open.map(|(&id, _)| (mix(group ^ mix(id as u64)), id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().map(|(_, id)| id).collect()
+        order.into_iter().take(HOMES).map(|(_, id)| id).collect()
     }
 
     fn cost(&self, held: &Held, engine: &Engine, homes: &[EngineId]) -> f64 {
@@ -451,11 +444,9 @@
         let crowd = (engine.threads + engine.others + class.threads) / cores;
         let mut cost = held.ideal * (0.5 + crowd);
         // Loads hold their group where they run, so they keep away from the homes where it is read.
-        let at_home = homes.iter().take(HOMES).any(|&home| home == engine.entry.engine);
+        let at_home = homes.contains(&engine.entry.engine);
         if at_home != class.is_load {
             cost *= 1.0 - HOME_GAIN;
-        } else if engine.warm.contains(&held.req.group) && !class.is_load {
-            cost *= 1.0 - WARM_GAIN;
         }
         if class.is_load || class.waits_for_load {
             cost += self.load_ahead(held.req.group, engine);
@@ -466,7 +457,9 @@
         if engine.entry.zone != self.set.zone {
             cost *= 1.0 + CROSSING * self.set.cross_zone_tariff;
         }
-        cost / (1.0 - engine.bad).max(LEARN)
+        // An engine on probation is tried at once: nothing else would tell that it is well again.
+        let price = if engine.probation > 0 { 0.0 } else { 1.0 / (1.0 - engine.bad).max(LEARN) };
+        cost * price
     }
 
     /// How long this gateway's loads on the group will still hold it there.
@@ -475,7 +468,7 @@
         loads.map(|c| (c.ideal * engine.stretch - (self.now - c.sent_at) as f64).max(c.ideal / 4.0)).sum()
     }
 
-    // ---- Grant and rank ---------------------------------------------------------------------------------------
+    // ---- Grant and rank ----
 
     /// A quarter over the corrected estimate, never under the engine's default, within the largest grant.
     fn grant(&self, held: &Held, engine: &Engine) -> f64 {
@@ -483,7 +476,7 @@
         (GRANT_MARGIN * estimate).min(self.set.largest_share * self.kind(engine).memory_mb)
     }
 
-    /// Largest report or load on the engine at 2, next at 1, others 0; dashboards at 3. Told where it changes.
+    /// Largest report or load on the engine at 2, next 1, others 0; dashboards at 3. Told where it changes.
     fn rerank(&mut self, engine_id: EngineId) {
         let Some(engine) = self.engines.get(&engine_id) else { return };
         let mut sized: Vec<(f64, RequestId, usize)> =
@@ -502,13 +495,13 @@
         }
     }
 
-    // ---- Send -------------------------------------------------------------------------------------------------
+    // ---- Send ----
 
     /// All rules on sending, in one place.
     fn rules_allow(&self, held: &Held, engine: &Engine) -> bool {
         let class = &self.set.classes[held.req.class];
         // Drains: from the moment this gateway is told, whatever the grace.
-        let open = engine.listed && engine.entry.phase == Phase::Ready;
+        let open = engine.open();
         // Placement, also when all allowed engines are down or full.
         let zone_ok = class.zones_only.as_ref().is_none_or(|zones| zones.contains(&engine.entry.zone));
         let kind_ok = class.kinds_only.as_ref().is_none_or(|kinds| kinds.contains(&engine.entry.kind));
@@ -542,8 +535,8 @@
         }
         let same = |a: &Attempt| match class.scope {
             Scope::All => true,
-            Scope::Zone => a.zone == engine.entry.zone,
-            Scope::Cell => a.cell == engine.entry.cell,
+            Scope::Zone => a.entry.zone == engine.entry.zone,
+            Scope::Cell => a.entry.cell == engine.entry.cell,
         };
         let mut ran = held.attempts.iter().filter(|a| a.state != State::NeverRan);
         self.may_repeat(held) && (class.effect != Effect::Keyed || ran.all(same))
@@ -604,10 +597,7 @@
         }
         engine.out.insert((id, held.attempts.len()), charge);
         engine.tally(self.now);
-        remember(&mut engine.warm, group);
-        let Entry { zone, cell, .. } = engine.entry;
-        let state = State::Out;
-        held.attempts.push(Attempt { engine: engine_id, zone, cell, sent_at, state, cancelled: false });
+        held.attempts.push(Attempt { entry: engine.entry, sent_at, state: State::Out, cancelled: false });
         self.queue.remove(&(held.due, id));
         (held.grant, held.rank) = (grant, None);
         let give_up_at = held.end_by;
@@ -615,20 +605,20 @@
         self.actions.push(Action::Send { request: id, engine: engine_id, give_up_at });
     }
 
-    // ---- Outcome ----------------------------------------------------------------------------------------------
+    // ---- Outcome ----
 
     fn outcome(&mut self, end: Ended) {
         let Some(held) = self.requests.get_mut(&end.request) else { return };
         let Some(tried) = held.attempts.get_mut(end.attempt) else { return };
         let never_ran = matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
         tried.state = if never_ran { State::NeverRan } else { State::MayHaveRun };
-        let engine_id = tried.engine;
+        let engine_id = tried.entry.engine;
         held.ended |= end.complete;
         let (ended, class) = (held.ended, held.req.class);
         let estimate = (held.req.work, held.req.memory_mb);
         if let Some(charge) = self.uncharge(engine_id, end.request, end.attempt, end.outcome) {
             if end.outcome == Outcome::Answered {
-                self.learn(class, estimate, end.bill);
+                end.bill.into_iter().for_each(|bill| self.learn(class, estimate, bill));
                 self.learn_stretch(engine_id, &charge, end.spent, end.bill);
             }
         }
@@ -640,10 +630,9 @@
             self.rest_key(end.request);
         }
         self.rerank(engine_id);
-        if ended {
-            self.close(end.request);
-        } else {
-            self.further_or_end(end.request);
+        match ended {
+            true => self.close(end.request),
+            false => self.further_or_end(end.request),
         }
     }
 
@@ -666,15 +655,10 @@
     }
 
     /// Estimates are scaled by the class's mean true-to-estimated ratio, where answers tell the truth.
-    fn learn(&mut self, class: usize, estimate: (Option<f64>, Option<f64>), bill: Option<Bill>) {
-        let Some(bill) = bill else { return };
+    fn learn(&mut self, class: usize, estimate: (Option<f64>, Option<f64>), bill: Bill) {
         let known = &mut self.learned[class];
-        if let Some(work) = estimate.0 {
-            known.work_ratio = nudged(known.work_ratio, bill.work / work);
-        }
-        if let Some(memory) = estimate.1 {
-            known.memory_ratio = nudged(known.memory_ratio, bill.memory_mb / memory);
-        }
+        known.work_ratio = nudged(known.work_ratio, estimate.0.map(|work| bill.work / work));
+        known.memory_ratio = nudged(known.memory_ratio, estimate.1.map(|memory| bill.memory_mb / memory));
         let mean = known.memory.unwrap_or(bill.memory_mb);
         known.memory = Some(mean + LEARN * (bill.memory_mb - mean));
     }
@@ -689,11 +673,9 @@
         let Some(engine) = self.engines.get_mut(&engine) else { return };
         engine.observe(now, memory, (!charge.waited).then_some((spent as f64, ideal)));
         if engine.under_pressure(now) {
-            engine.room = (engine.room * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
-            engine.bound = (engine.bound * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
+            engine.narrow();
         } else if engine.stretch < NEAR_BEST * engine.best {
-            engine.room = (engine.room * (1.0 + BOUND_STEP)).min(MOST_BOUND);
-            engine.bound = (engine.bound * (1.0 + BOUND_STEP)).min(MOST_BOUND);
+            engine.width = (engine.width * (1.0 + BOUND_STEP)).min(MOST_BOUND);
         }
     }
 
@@ -701,9 +683,8 @@
         let lasting = self.now + BEAT_TICKS * self.set.tick;
         let busy = [report.cores_busy, report.disks_busy, report.memory_granted];
         let Some(engine) = self.engines.get_mut(&engine) else { return };
-        if busy.iter().flatten().any(|&share| share > BUSY_REPORT)
-            || report.waiting_for_memory.is_some_and(|waiting| waiting > 1.0)
-        {
+        let waiting = report.waiting_for_memory.is_some_and(|waiting| waiting > 1.0);
+        if waiting || busy.iter().flatten().any(|&share| share > BUSY_REPORT) {
             engine.busy_until = lasting;
         }
         if let Some(in_flight) = report.in_flight {
@@ -716,7 +697,7 @@
     /// A word on an attempt that is out: the engine lives, and a plan may prove bad.
     fn noted(&mut self, id: RequestId, attempt: usize, note: Note) {
         let Some(held) = self.requests.get(&id) else { return };
-        let Some(engine_id) = held.attempts.get(attempt).map(|a| a.engine) else { return };
+        let Some(engine_id) = held.attempts.get(attempt).map(|a| a.entry.engine) else { return };
         let end_by = held.end_by;
         self.heard(engine_id);
         let memory = self.latency_memory();
@@ -751,24 +732,19 @@
         let tried = held.attempts.iter().filter(|a| !a.cancelled).count();
         let most = if self.fleet_bad > SICK_FLEET { (1.0 / self.fleet_bad) as usize } else { usize::MAX };
         let left = held.attempts.len() < self.set.max_attempts && tried <= most;
-        if left && self.may_repeat(held) && self.now < held.end_by && self.budget_allows_further() {
-            self.queue.insert((held.due, id));
-        } else {
-            self.end(id, 0);
+        match left && self.may_repeat(held) && self.now < held.end_by && self.budget_allows_further() {
+            true => _ = self.queue.insert((held.due, id)),
+            false => self.end(id, 0),
         }
     }
 
-    // ---- End --------------------------------------------------------------------------------------------------
-
-    fn time_up(&mut self, id: RequestId) {
-        if self.requests.get(&id).is_some_and(|held| !held.streaming && !held.ended) {
-            self.end(id, 0);
-        }
-    }
+    // ---- End ----
 
     /// The only place that ends a request: refused where that is allowed, else failed.
     fn end(&mut self, id: RequestId, retry_after: Micros) {
-        let Some(held) = self.requests.get_mut(&id).filter(|held| !held.ended) else { return };
+        let Some(held) = self.requests.get_mut(&id).filter(|held| !held.ended && !held.streaming) else {
+            return;
+        };
         held.ended = true;
         let class = &self.set.classes[held.req.class];
         let ran = held.attempts.iter().any(|a| a.state != State::NeverRan);
@@ -777,12 +753,11 @@
             Effect::Keyed => !ran || class.scope == Scope::All,
             Effect::Unsafe => !ran,
         };
-        if may_refuse {
-            let retry_after = if self.set.may_advise { retry_after.min(self.set.max_advice) } else { 0 };
-            self.actions.push(Action::Refuse { request: id, retry_after });
-        } else {
-            self.actions.push(Action::Fail { request: id });
-        }
+        let retry_after = if self.set.may_advise { retry_after.min(self.set.max_advice) } else { 0 };
+        self.actions.push(match may_refuse {
+            true => Action::Refuse { request: id, retry_after },
+            false => Action::Fail { request: id },
+        });
         self.close(id);
     }
 
@@ -791,49 +766,44 @@
         let Some(held) = self.requests.get_mut(&id) else { return };
         held.ended = true;
         self.queue.remove(&(held.due, id));
-        let mut out = false;
-        for (attempt, tried) in held.attempts.iter_mut().enumerate().filter(|(_, a)| a.state == State::Out) {
-            out = true;
-            if self.set.may_cancel && !tried.cancelled && !held.streaming {
-                tried.cancelled = true;
+        let running = |(_, a): &(usize, &mut Attempt)| a.state == State::Out;
+        let heeded = self.set.may_cancel && !held.streaming;
+        for (attempt, tried) in held.attempts.iter_mut().enumerate().filter(running) {
+            if heeded && !std::mem::replace(&mut tried.cancelled, true) {
                 self.actions.push(Action::Cancel { request: id, attempt });
             }
         }
-        if out {
+        if held.attempts.iter().any(|a| a.state == State::Out) {
             return;
         }
         let Some(held) = self.requests.remove(&id) else { return };
-        let Some(key) = held.req.key.filter(|_| self.set.classes[held.req.class].ordered) else { return };
-        if let Some((line, _)) = self.keys.get_mut(&key) {
+        if let Some((line, _)) = held.req.key.and_then(|key| self.keys.get_mut(&key)) {
             line.retain(|&other| other != id);
         }
     }
 
+    /// What may still run holds its key back a while longer.
     fn rest_key(&mut self, id: RequestId) {
         let Some(held) = self.requests.get(&id) else { return };
-        let Some((_, rests_until)) = held.req.key.as_ref().and_then(|key| self.keys.get_mut(key)) else {
-            return;
-        };
-        *rests_until = self.now + self.set.order_pause + self.set.tick;
+        let line = held.req.key.as_ref().and_then(|key| self.keys.get_mut(key));
+        let rests_until = self.now + self.set.order_pause + self.set.tick;
+        line.into_iter().for_each(|line| line.1 = rests_until);
     }
 
-    // ---- Health -----------------------------------------------------------------------------------------------
+    // ---- Health ----
 
+    /// Not in quarantine; on probation an engine gets one safe request at a time.
     fn healthy_enough(&self, held: &Held, engine: &Engine) -> bool {
-        if self.now < engine.quarantined_until {
-            return false;
-        }
-        // On probation an engine gets one safe request at a time.
-        engine.probation == 0
-            || engine.out.is_empty() && self.set.classes[held.req.class].effect == Effect::Safe
+        let safe = self.set.classes[held.req.class].effect == Effect::Safe;
+        self.now >= engine.quarantined_until && (engine.probation == 0 || safe && engine.out.is_empty())
     }
 
     fn heard(&mut self, engine_id: EngineId) {
         let now = self.now;
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
         engine.last_heard = now;
-        if engine.quarantined_until == UNTIL_HEARD {
-            engine.quarantined_until = now;
+        if std::mem::take(&mut engine.silent) {
+            (engine.quarantined_until, engine.probation, engine.strikes) = (now, 0, 0);
             self.log(format!("engine {engine_id} speaks again"));
         }
     }
@@ -850,6 +820,7 @@
             self.heard(engine_id);
         }
         self.fleet_bad += LEARN * (bad - self.fleet_bad);
+        let warm_at = self.now + self.set.warm_within;
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
         engine.bad += BAD_WEIGHT * (bad - engine.bad);
         engine.lost_connection |= matches!(outcome, Outcome::NoConnection | Outcome::Broken);
@@ -857,54 +828,41 @@
             if engine.bad > BAD_SHARE || engine.probation > 0 {
                 self.quarantine(engine_id, "bad outcomes");
             }
-        } else if engine.probation > 0 {
-            engine.probation -= 1;
-            if engine.probation == 0 {
-                engine.bad = 0.0;
-                engine.strikes = 0;
-                self.log(format!("engine {engine_id} is back from probation"));
-            }
+            return;
         }
-        self.suspect_restart(engine_id, bad);
-    }
-
-    /// An engine that lost its connections and answers again may have restarted, though nobody told.
-    fn suspect_restart(&mut self, engine_id: EngineId, bad: f64) {
-        let until = self.now + self.set.warm_within;
-        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        if bad == 0.0 && engine.lost_connection {
-            engine.lost_connection = false;
-            if engine.probation > 0 {
-                engine.cold_until = engine.cold_until.max(until);
-                engine.warm.clear();
-            }
+        // It lost its connections and answers again: a restart that nobody told of, maybe, so it is cold.
+        if engine.probation > 0 && std::mem::take(&mut engine.lost_connection) {
+            engine.cold_until = engine.cold_until.max(warm_at);
         }
+        if engine.probation == 1 {
+            (engine.bad, engine.strikes) = (0.0, 0);
+            self.log(format!("engine {engine_id} is back from probation"));
+        }
+        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
+        engine.probation = engine.probation.saturating_sub(1);
     }
 
     fn refused_as_full(&mut self, engine_id: EngineId) {
-        let until = self.now + (STRETCH_MEMORY * self.set.warm_within as f64) as Micros / 3;
+        let until = self.now + self.latency_memory() as Micros / 3;
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
         engine.full_until = until;
-        engine.bound = (engine.bound * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
+        engine.narrow();
     }
 
+    /// Shuts an engine out for a while, longer at each relapse; then it is on probation.
     fn quarantine(&mut self, engine_id: EngineId, symptom: &str) {
-        let away = |e: &&Engine| e.listed && (self.now < e.quarantined_until || e.probation > 0);
-        let (all, gone) =
-            (self.engines.values().filter(|e| e.listed).count(), self.engines.values().filter(away).count());
+        let listed = self.engines.values().filter(|e| e.listed);
+        let away = listed.clone().filter(|e| e.probation > 0).count();
+        // When most engines look bad at once the cause is shared: shutting them out would leave nothing.
+        let shared = (away + 1) as f64 > MOST_QUARANTINED * listed.count() as f64;
         let now = self.now;
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        if now < engine.quarantined_until {
-            return;
-        }
-        // When all engines look bad at once the cause is shared: shutting them out would leave nothing.
-        if engine.probation == 0 && (gone + 1) as f64 > MOST_QUARANTINED * all as f64 {
+        if now < engine.quarantined_until || engine.probation == 0 && shared {
             return;
         }
         let part = (QUARANTINE * 2f64.powi(engine.strikes)).min(LONGEST_QUARANTINE);
-        let away = (part * self.set.warm_within as f64) as Micros;
+        engine.quarantined_until = now + (part * self.set.warm_within as f64) as Micros;
         engine.strikes += 1;
-        engine.quarantined_until = now + away;
         engine.probation = PROBATION;
         if engine.strikes == 1 {
             self.log(format!("engine {engine_id} quarantined: {symptom}"));
@@ -913,29 +871,16 @@
 
     /// Silence: attempts are out, yet no note and no outcome comes while other engines speak.
     fn watch_silence(&mut self) {
-        if self.set.note_period == 0 {
-            return;
-        }
         let limit = (SILENCE * self.set.note_period as f64) as Micros;
-        let busy = |e: &&Engine| !e.out.is_empty();
-        let quiet = |e: &Engine| e.last_heard + limit < self.now;
-        let (all, mute) = self
-            .engines
-            .values()
-            .filter(busy)
-            .fold((0, 0), |(all, mute), e| (all + 1, mute + quiet(e) as usize));
-        if mute as f64 > MOST_QUARANTINED * all as f64 {
+        let busy = self.engines.iter().filter(|(_, e)| !e.out.is_empty());
+        let mute = busy.clone().filter(|(_, e)| e.last_heard + limit < self.now);
+        if self.set.note_period == 0 || mute.clone().count() as f64 > MOST_QUARANTINED * busy.count() as f64 {
             return;
         }
-        let hung = |(&id, e): (&EngineId, &Engine)| {
-            (busy(&e) && quiet(e) && e.quarantined_until != UNTIL_HEARD).then_some(id)
-        };
-        let hung: Vec<EngineId> = self.engines.iter().filter_map(hung).collect();
-        for engine_id in hung {
-            self.log(format!("engine {engine_id} quarantined: silent"));
-            let Some(engine) = self.engines.get_mut(&engine_id) else { continue };
-            engine.quarantined_until = UNTIL_HEARD;
-            engine.probation = PROBATION;
+        for engine_id in mute.map(|(&id, _)| id).collect::<Vec<_>>() {
+            self.quarantine(engine_id, "silent");
+            let Some(engine) = self.engines.get_mut(&engine_id).filter(|e| e.probation > 0) else { continue };
+            engine.silent = true;
             // What it holds is taken back, where cancels are allowed and a repeat is safe.
             let held_there: Vec<(RequestId, usize)> = engine.out.keys().copied().collect();
             held_there.into_iter().for_each(|(id, attempt)| self.take_back(id, attempt));
@@ -953,7 +898,7 @@
         }
     }
 
-    // ---- Overload ---------------------------------------------------------------------------------------------
+    // ---- Overload ----
 
     /// What can't meet its aim gives way: when a request would be late, the one worth least per work goes.
     fn shed(&mut self) {
@@ -984,20 +929,15 @@
 
     /// Work a microsecond that this gateway's share of the usable engines gets done.
     fn service_rate(&self) -> f64 {
-        let usable = self
-            .engines
-            .values()
-            .filter(|e| e.listed && e.entry.phase == Phase::Ready && self.now >= e.quarantined_until);
-        let rate: f64 = usable
-            .map(|e| match e.under_pressure(self.now) {
-                true => e.threads / e.stretch,
-                false => self.kind(e).cores * self.warmth(e) / self.set.peers / e.best.clamp(0.5, 2.0),
-            })
-            .sum();
-        rate.max(LEARN)
+        let usable = self.engines.values().filter(|e| e.open() && self.now >= e.quarantined_until);
+        let rates = usable.map(|e| {
+            let cores = self.kind(e).cores * self.warmth(e) / self.set.peers;
+            e.threads.max(cores) / e.stretch.max(0.5)
+        });
+        rates.sum::<f64>().max(LEARN)
     }
 
-    // ---- Beat -------------------------------------------------------------------------------------------------
+    // ---- Beat ----
 
     fn keep_beating(&mut self) {
         let awake = !self.requests.is_empty() || self.subscribe_at.is_some();
@@ -1010,6 +950,7 @@
     fn beat(&mut self) {
         self.beating = false;
         self.watch_silence();
+        self.release();
         self.shed();
         let (now, memory) = (self.now, self.latency_memory());
         self.keys.retain(|_, (line, rests_until)| !line.is_empty() || *rests_until > now);
@@ -1025,7 +966,7 @@
         self.engines.retain(|_, engine| engine.listed || !engine.out.is_empty());
     }
 
-    // ---- List of engines --------------------------------------------------------------------------------------
+    // ---- List of engines ----
 
     fn subscribe(&mut self) {
         if self.subscribe_at.is_some_and(|at| self.now >= at) {
@@ -1047,12 +988,8 @@
         let engine = self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry));
         if entry.booted_at > engine.entry.booted_at {
             // A restart: what was learned of the process before it is void, what it is charged with is not.
-            engine.warm.clear();
-            engine.bad = 0.0;
-            engine.quarantined_until = 0;
-            engine.probation = 0;
-            engine.strikes = 0;
-            engine.lost_connection = false;
+            let out = std::mem::take(&mut engine.out);
+            *engine = Engine { out, threads: engine.threads, memory: engine.memory, ..Engine::new(entry) };
         }
         if cold {
             engine.cold_until = engine.cold_until.max(warm_at);
@@ -1061,12 +998,6 @@
         engine.listed = entry.phase != Phase::Gone;
     }
 
-    fn probed(&mut self, engine: EngineId, answered: bool, report: Option<LoadReport>) {
-        if let (true, Some(report)) = (answered, report) {
-            self.heed_report(engine, report);
-        }
-    }
-
     fn log(&mut self, text: String) {
         if self.log_lines < MOST_LOG_LINES {
             self.log_lines += 1;
@@ -1076,14 +1007,8 @@
 }
 
 /// A ratio moved toward an observation, which counts as at most `CLIP` times off.
-fn nudged(ratio: f64, seen: f64) -> f64 {
-    ratio + LEARN * (seen.clamp(ratio / CLIP, ratio * CLIP) - ratio)
-}
-
-fn remember(warm: &mut VecDeque<u64>, group: u64) {
-    warm.retain(|&other| other != group);
-    warm.push_front(group);
-    warm.truncate(WARM_GROUPS);
+fn nudged(ratio: f64, seen: Option<f64>) -> f64 {
+    seen.map_or(ratio, |seen| ratio + LEARN * (seen.clamp(ratio / CLIP, ratio * CLIP) - ratio))
 }
 
 /// A fixed mixing of bits, the same on every gateway.
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,222 @@
+//! A gateway with small settings, and shorthands to drive it and to look at what it did.
+#![allow(dead_code)] // each test file uses its own part
+
+use eideryard::decide::Gateway;
+use eideryard::interface::*;
+
+pub const MS: Micros = 1_000;
+pub const S: Micros = 1_000_000;
+/// The classes of `settings()`, by position.
+pub const LOOKUP: usize = 0;
+pub const REPORT: usize = 1;
+pub const LOAD: usize = 2;
+
+pub fn class(effect: Effect, aim: Micros, threads: f64) -> Class {
+    Class {
+        aim,
+        aim_stretch: 2.0,
+        worth: 1.0,
+        late_worth: 0.0,
+        effect,
+        scope: Scope::All,
+        window: 10 * S,
+        ordered: false,
+        zones_only: None,
+        kinds_only: None,
+        threads,
+        is_load: false,
+        waits_for_load: false,
+    }
+}
+
+pub fn settings() -> Settings {
+    let mut load = class(Effect::Keyed, 3 * S, 2.0);
+    load.is_load = true;
+    Settings {
+        classes: vec![class(Effect::Safe, S, 1.0), class(Effect::Safe, 3 * S, 2.0), load],
+        tenants: Vec::new(),
+        kinds: vec![Kind { cores: 8.0, memory_mb: 8_000.0 }, Kind { cores: 8.0, memory_mb: 8_000.0 }],
+        peers: 1.0,
+        zone: 0,
+        tick: 5 * MS,
+        discovery: Discovery::Push,
+        report_source: ReportSource::Off,
+        note_period: 500 * MS,
+        ranks_heeded: true,
+        grants_heeded: true,
+        shortage: Shortage::Shrink,
+        largest_share: 0.4,
+        max_attempts: 4,
+        may_cancel: true,
+        may_duplicate: false,
+        may_probe: false,
+        may_advise: true,
+        max_advice: S,
+        drain_grace: 500 * MS,
+        fall_multiple: 2.0,
+        fall_window: S,
+        start_capacity: 0.3,
+        warm_within: 15 * S,
+        order_pause: S,
+        attempt_budget: None,
+        ask_every: 10 * S,
+        over_share_worth: 0.2,
+        probe_tariff: 0.0,
+        cross_zone_tariff: 0.0,
+        waste_tariff: 0.0,
+    }
+}
+
+pub fn ready(engine: EngineId) -> Entry {
+    Entry { engine, ..Entry::default() }
+}
+
+pub fn lookup(id: RequestId, deadline: Micros) -> Request {
+    Request {
+        id,
+        class: LOOKUP,
+        tenant: 0,
+        key: None,
+        deadline,
+        work: Some(100.0 * MS as f64),
+        memory_mb: Some(10.0),
+        group: 1,
+    }
+}
+
+pub fn report(id: RequestId, deadline: Micros, memory_mb: f64) -> Request {
+    Request { class: REPORT, work: Some(2.0 * S as f64), memory_mb: Some(memory_mb), ..lookup(id, deadline) }
+}
+
+pub fn load(id: RequestId, deadline: Micros) -> Request {
+    Request { class: LOAD, work: Some(2.0 * S as f64), memory_mb: Some(100.0), ..lookup(id, deadline) }
+}
+
+/// A gateway, its clock, the actions of the last event and its timers, which fire as time passes.
+pub struct Bench {
+    pub gateway: Gateway,
+    pub now: Micros,
+    pub last: Vec<Action>,
+    timers: Vec<(Micros, u64)>,
+}
+
+impl Bench {
+    pub fn new(set: Settings, engines: &[Entry]) -> Self {
+        let mut bench = Bench {
+            gateway: Gateway::new(set, 7, 1_000 * S),
+            now: 1_000 * S,
+            last: Vec::new(),
+            timers: Vec::new(),
+        };
+        bench.tell(Event::FullList(engines.to_vec()));
+        bench
+    }
+
+    pub fn tell(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.gateway.handle(self.now, event, &mut actions);
+        for action in &actions {
+            if let Action::SetTimer { after, tag } = action {
+                self.timers.push((self.now + (*after).max(1), *tag));
+            }
+        }
+        self.last = actions.clone();
+        actions
+    }
+
+    pub fn take(&mut self, request: Request) -> Vec<Action> {
+        self.tell(Event::Arrived(request))
+    }
+
+    pub fn end(
+        &mut self,
+        request: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        spent: Micros,
+    ) -> Vec<Action> {
+        let complete = outcome == Outcome::Answered;
+        self.tell(Event::Ended(Ended {
+            request,
+            attempt,
+            outcome,
+            spent,
+            complete,
+            bill: None,
+            report: None,
+        }))
+    }
+
+    pub fn answer_with(&mut self, request: RequestId, spent: Micros, bill: Bill) -> Vec<Action> {
+        let (outcome, bill) = (Outcome::Answered, Some(bill));
+        self.tell(Event::Ended(Ended {
+            request,
+            attempt: 0,
+            outcome,
+            spent,
+            complete: true,
+            bill,
+            report: None,
+        }))
+    }
+
+    pub fn note(&mut self, request: RequestId, attempt: usize, note: Note) -> Vec<Action> {
+        self.tell(Event::Noted { request, attempt, note })
+    }
+
+    /// Lets time pass; gives all that the timers brought about.
+    pub fn pass(&mut self, time: Micros) -> Vec<Action> {
+        let until = self.now + time;
+        let mut all = Vec::new();
+        while let Some(next) = self.timers.iter().enumerate().min_by_key(|(_, t)| **t).map(|(i, _)| i) {
+            if self.timers[next].0 > until {
+                break;
+            }
+            let (at, tag) = self.timers.swap_remove(next);
+            self.now = self.now.max(at);
+            all.extend(self.tell(Event::Timer { tag }));
+        }
+        self.now = self.now.max(until);
+        all
+    }
+}
+
+pub fn sent(actions: &[Action]) -> Vec<(RequestId, EngineId)> {
+    let pick = |action: &Action| match action {
+        Action::Send { request, engine, .. } => Some((*request, *engine)),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
+
+pub fn terms(actions: &[Action]) -> Vec<(RequestId, f64, u8)> {
+    let pick = |action: &Action| match action {
+        Action::Terms { request, grant_mb, rank } => Some((*request, *grant_mb, *rank)),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
+
+pub fn refused(actions: &[Action]) -> Vec<RequestId> {
+    let pick = |action: &Action| match action {
+        Action::Refuse { request, .. } => Some(*request),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
+
+pub fn failed(actions: &[Action]) -> Vec<RequestId> {
+    let pick = |action: &Action| match action {
+        Action::Fail { request } => Some(*request),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
+
+pub fn cancelled(actions: &[Action]) -> Vec<(RequestId, usize)> {
+    let pick = |action: &Action| match action {
+        Action::Cancel { request, attempt } => Some((*request, *attempt)),
+        _ => None,
+    };
+    actions.iter().filter_map(pick).collect()
+}
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,166 @@
+//! The ordinary path: admission, correction, grants, ranks, due order, choice of engine.
+
+mod common;
+use common::*;
+use eideryard::interface::*;
+
+/// Sends reports of `memory_mb` until one is held; gives how many left.
+fn reports_out(bench: &mut Bench, memory_mb: f64, most: u64) -> usize {
+    let deadline = bench.now + 20 * S;
+    (0..most).filter(|id| !sent(&bench.take(report(100 + id, deadline, memory_mb))).is_empty()).count()
+}
+
+#[test]
+fn without_pressure_the_memory_room_does_not_bind() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    assert_eq!(reports_out(&mut bench, 8_000.0, 6), 6, "12 threads on 8 cores, six times the memory");
+}
+
+#[test]
+fn under_pressure_the_memory_room_binds_reports_but_not_dashboards() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    for id in 0..20 {
+        bench.take(lookup(id, bench.now + 4 * S));
+        bench.end(id, 0, Outcome::Answered, 100 * MS);
+    }
+    bench.take(report(50, bench.now + 20 * S, 100.0));
+    let busy = LoadReport { cores_busy: Some(1.0), ..LoadReport::default() };
+    bench.take(lookup(51, bench.now + 4 * S));
+    bench.tell(Event::Ended(Ended {
+        request: 51,
+        attempt: 0,
+        outcome: Outcome::Answered,
+        spent: 100 * MS,
+        complete: true,
+        bill: None,
+        report: Some(busy),
+    }));
+    let out = reports_out(&mut bench, 8_000.0, 6);
+    assert!((2..=3).contains(&out), "{out}: the room is three times the memory, a little widened by calm");
+    assert_eq!(sent(&bench.take(lookup(60, bench.now + 4 * S))).len(), 1);
+}
+
+#[test]
+fn threads_over_the_cores_imply_pressure_and_the_thread_bound_binds() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    let out = reports_out(&mut bench, 10.0, 40);
+    assert!((8..=16).contains(&out), "{out} reports of two threads on 8 cores");
+    let mut bench = Bench::new(Settings { peers: 2.0, ..settings() }, &[ready(1)]);
+    assert!(reports_out(&mut bench, 10.0, 40) <= 8, "half the cores are another gateway's");
+}
+
+#[test]
+fn an_idle_gateway_may_send_an_engine_one_query_of_any_size() {
+    let mut bench = Bench::new(Settings { peers: 50.0, ..settings() }, &[ready(1)]);
+    assert_eq!(sent(&bench.take(report(1, bench.now + 20 * S, 1e6))).len(), 1);
+    assert!(sent(&bench.take(report(2, bench.now + 20 * S, 1e6))).is_empty());
+}
+
+#[test]
+fn an_engine_that_says_full_is_given_less() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    let before = reports_out(&mut bench, 3_000.0, 6);
+    assert_eq!(before, 6);
+    bench.end(105, 0, Outcome::Full, MS);
+    assert!(
+        sent(&bench.take(report(200, bench.now + 20 * S, 12_000.0))).is_empty(),
+        "pressure: the room binds"
+    );
+}
+
+#[test]
+fn a_grant_is_a_quarter_over_the_corrected_estimate_within_the_largest_share() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    let first = bench.take(report(1, bench.now + 20 * S, 400.0));
+    assert_eq!(terms(&first)[0].1, 500.0);
+    let large = bench.take(report(2, bench.now + 20 * S, 8_000.0));
+    let own = terms(&large).into_iter().find(|t| t.0 == 2).map(|t| t.1);
+    assert_eq!(own, Some(0.4 * 8_000.0));
+}
+
+#[test]
+fn grants_follow_the_learned_ratio_and_one_runaway_does_not_bend_it() {
+    let grant_after = |bills: &[f64]| {
+        let mut bench = Bench::new(settings(), &[ready(1)]);
+        for (id, &memory_mb) in bills.iter().enumerate() {
+            bench.take(report(id as u64, bench.now + 20 * S, 100.0));
+            bench.answer_with(id as u64, S, Bill { work: 2.0 * S as f64, memory_mb });
+        }
+        terms(&bench.take(report(99, bench.now + 20 * S, 100.0)))[0].1
+    };
+    let doubled = grant_after(&[200.0; 200]);
+    assert!((doubled - 250.0).abs() < 5.0, "{doubled}");
+    let mut one_runaway = vec![100.0; 50];
+    one_runaway.push(100_000.0);
+    assert!(grant_after(&one_runaway) < 1.15 * 125.0);
+}
+
+#[test]
+fn the_largest_run_highest_and_are_ranked_anew_as_each_ends() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    let deadline = bench.now + 20 * S;
+    for id in 0..10 {
+        bench.take(lookup(1000 + id, bench.now + 4 * S));
+        bench.end(1000 + id, 0, Outcome::Answered, 100 * MS);
+    }
+    assert_eq!(terms(&bench.take(report(1, deadline, 100.0))), [(1, 125.0, 2)]);
+    assert_eq!(terms(&bench.take(report(2, deadline, 300.0))), [(2, 375.0, 2), (1, 125.0, 1)]);
+    assert_eq!(terms(&bench.take(report(3, deadline, 200.0))), [(3, 250.0, 1), (1, 125.0, 0)]);
+    assert_eq!(terms(&bench.take(lookup(4, deadline)))[0].2, 3, "dashboards above all");
+    let ended = bench.end(2, 0, Outcome::Answered, S);
+    assert_eq!(terms(&ended), [(3, 250.0, 2), (1, 125.0, 1)], "told only where it changes");
+}
+
+#[test]
+fn held_queries_leave_earliest_due_first() {
+    let mut bench = Bench::new(settings(), &[]);
+    let deadline = bench.now + 20 * S;
+    for id in [3, 1, 2] {
+        let work = id as f64 * 1e5;
+        bench.take(Request { work: Some(work), ..report(id, deadline, 10.0) });
+    }
+    let left = sent(&bench.tell(Event::FullList(vec![ready(1)])));
+    assert_eq!(left.iter().map(|s| s.0).collect::<Vec<_>>(), [1, 2, 3]);
+}
+
+#[test]
+fn one_that_cannot_leave_does_not_block_a_later_one_that_can() {
+    let mut set = settings();
+    set.classes[REPORT].kinds_only = Some(vec![1]);
+    let mut bench = Bench::new(set, &[ready(1)]);
+    bench.take(Request { work: Some(1.0), ..report(1, bench.now + 20 * S, 10.0) });
+    assert_eq!(sent(&bench.take(lookup(2, bench.now + 4 * S))).len(), 1);
+}
+
+#[test]
+fn a_group_is_read_at_its_home_by_every_gateway_until_load_speaks_against_it() {
+    let engines: Vec<Entry> = (1..=6).map(ready).collect();
+    let home_seen_by = |seed: u64| {
+        let mut bench = Bench::new(settings(), &engines);
+        bench.gateway = eideryard::decide::Gateway::new(settings(), seed, bench.now);
+        bench.tell(Event::FullList(engines.clone()));
+        sent(&bench.take(lookup(1, bench.now + 4 * S)))[0].1
+    };
+    assert_eq!(home_seen_by(1), home_seen_by(2));
+    let mut bench = Bench::new(settings(), &engines);
+    let used: std::collections::BTreeSet<EngineId> =
+        (0..60).flat_map(|id| sent(&bench.take(report(id, bench.now + 20 * S, 10.0)))).map(|s| s.1).collect();
+    assert!(used.len() > 3, "{used:?}");
+}
+
+#[test]
+fn equal_events_give_equal_actions() {
+    let run = || {
+        let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3)]);
+        let mut all = Vec::new();
+        for id in 0..200 {
+            all.extend(bench.take(report(id, bench.now + 8 * S, 50.0 * (id % 7) as f64)));
+            if id % 3 == 0 {
+                all.extend(bench.end(id, 0, Outcome::Answered, S));
+            }
+            all.extend(bench.pass(30 * MS));
+        }
+        all
+    };
+    assert_eq!(run(), run());
+}
--- /dev/null
+++ b/tests/trouble.rs
@@ -0,0 +1,208 @@
+//! What the gateway does when things fail.
+
+mod common;
+use common::*;
+use eideryard::interface::*;
+
+/// Lets engines answer `count` lookups quickly, so that the gateway knows them well.
+fn settle(bench: &mut Bench, from: RequestId, count: u64) {
+    for id in from..from + count {
+        bench.take(Request { group: id, ..lookup(id, bench.now + 4 * S) });
+        bench.end(id, 0, Outcome::Answered, 100 * MS);
+    }
+}
+
+#[test]
+fn a_silent_engine_gives_back_what_it_holds_and_gets_nothing_until_it_speaks() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3)]);
+    let deadline = bench.now + 20 * S;
+    let mut at = Vec::new();
+    for id in 0..6 {
+        let request = Request { group: id, ..report(id, deadline, 10.0) };
+        at.extend(sent(&bench.take(request)));
+    }
+    let hung = at[0].1;
+    assert!(at.iter().any(|a| a.1 != hung));
+    let mut cancels = Vec::new();
+    for step in 1..=6 {
+        cancels.extend(cancelled(&bench.pass(500 * MS)));
+        for &(id, _) in at.iter().filter(|a| a.1 != hung) {
+            bench.note(id, 0, Note::Progress(0.15 * step as f64));
+        }
+    }
+    let expected: Vec<(RequestId, usize)> = at.iter().filter(|a| a.1 == hung).map(|a| (a.0, 0)).collect();
+    assert_eq!(cancels, expected);
+    for &(id, _) in &expected {
+        assert!(sent(&bench.end(id, 0, Outcome::Cancelled, 2 * S)).iter().all(|s| s.1 != hung));
+    }
+    for id in 100..110 {
+        assert!(sent(&bench.take(Request { group: id, ..lookup(id, deadline) })).iter().all(|s| s.1 != hung));
+    }
+}
+
+#[test]
+fn when_every_engine_is_silent_none_is_shut_out() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2)]);
+    for id in 0..4 {
+        bench.take(Request { group: id, ..report(id, bench.now + 20 * S, 10.0) });
+    }
+    assert!(cancelled(&bench.pass(4 * S)).is_empty());
+}
+
+/// How many of the next `count` lookups go first to `engine`.
+fn share_of(bench: &mut Bench, engine: EngineId, from: RequestId, count: u64) -> usize {
+    let mut hits = 0;
+    for id in from..from + count {
+        let first = sent(&bench.take(Request { group: id, ..lookup(id, bench.now + 4 * S) }));
+        hits += first.iter().filter(|s| s.1 == engine).count();
+        bench.end(id, 0, Outcome::Answered, 100 * MS);
+    }
+    hits
+}
+
+#[test]
+fn a_fast_failing_engine_is_quarantined_then_tried_gently() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3), ready(4)]);
+    settle(&mut bench, 0, 40);
+    let deadline = bench.now + 4 * S;
+    let mut out = Vec::new();
+    for id in 100..140 {
+        out.extend(sent(&bench.take(Request { group: id, ..lookup(id, deadline) })));
+    }
+    let failing = out.iter().filter(|s| s.1 == 1).count();
+    let mut again = 0;
+    for (id, _) in out.into_iter().filter(|s| s.1 == 1) {
+        again += sent(&bench.end(id, 0, Outcome::Error, MS)).iter().filter(|s| s.1 == 1).count();
+    }
+    assert!(failing > 4 && again <= 3, "{again} of {failing} sent there again");
+    assert_eq!(share_of(&mut bench, 1, 200, 40), 0, "in quarantine");
+    bench.pass(2 * S);
+    assert!(share_of(&mut bench, 1, 300, 40) > 0, "it is tried again and returns");
+}
+
+#[test]
+fn when_all_engines_fail_none_is_shut_out_and_further_attempts_fall() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3)]);
+    let mut attempts = Vec::new();
+    for id in 0..200 {
+        let mut count = 0;
+        let mut next = sent(&bench.take(Request { group: id, ..lookup(id, bench.now + 4 * S) }));
+        while !next.is_empty() {
+            next = sent(&bench.end(id, count, Outcome::Error, MS));
+            count += 1;
+        }
+        attempts.push(count);
+        bench.now += MS;
+    }
+    assert!(attempts[190..].iter().all(|&count| count == 1 || count == 2), "{:?}", &attempts[190..]);
+}
+
+#[test]
+fn a_bad_plan_is_taken_back_and_drawn_anew_but_not_when_it_waits() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2)]);
+    let deadline = bench.now + 20 * S;
+    bench.take(report(1, deadline, 10.0));
+    bench.take(report(2, deadline, 10.0));
+    bench.pass(500 * MS);
+    bench.note(2, 0, Note::WaitsForLoad);
+    assert_eq!(cancelled(&bench.note(1, 0, Note::Progress(0.04))), [(1, 0)]);
+    assert!(cancelled(&bench.note(2, 0, Note::Progress(0.04))).is_empty());
+    assert_eq!(sent(&bench.end(1, 0, Outcome::Cancelled, 500 * MS)).len(), 1);
+}
+
+#[test]
+fn where_cancels_are_not_allowed_nothing_is_taken_back() {
+    let mut bench = Bench::new(Settings { may_cancel: false, ..settings() }, &[ready(1), ready(2)]);
+    bench.take(report(1, bench.now + 20 * S, 10.0));
+    bench.pass(500 * MS);
+    assert!(cancelled(&bench.note(1, 0, Note::Progress(0.01))).is_empty());
+}
+
+#[test]
+fn work_that_goes_on_after_a_time_out_stays_charged() {
+    let mut bench = Bench::new(Settings { may_cancel: false, ..settings() }, &[ready(1)]);
+    let deadline = bench.now + S;
+    let out = (0..40).filter(|&id| !sent(&bench.take(report(id, deadline, 10.0))).is_empty()).count() as u64;
+    bench.now += S;
+    for id in 0..out {
+        bench.end(id, 0, Outcome::TimedOut, S);
+    }
+    let again = (100..140).filter(|&id| !sent(&bench.take(report(id, bench.now + 20 * S, 10.0))).is_empty());
+    assert!(again.count() < out as usize / 2);
+}
+
+#[test]
+fn an_engine_that_lost_its_connections_and_answers_again_counts_as_cold() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3)]);
+    settle(&mut bench, 0, 40);
+    for id in 100..200 {
+        let first = sent(&bench.take(Request { group: id, ..lookup(id, bench.now + 4 * S) }));
+        let outcome = if first[0].1 == 1 { Outcome::Broken } else { Outcome::Answered };
+        let next = sent(&bench.end(id, 0, outcome, MS));
+        if !next.is_empty() {
+            bench.end(id, 1, Outcome::Answered, MS);
+        }
+    }
+    bench.pass(2 * S);
+    settle(&mut bench, 300, 60);
+    // Back, but within its cold budget: two times 0.3 of 8 cores for a second, in lookups of 0.1.
+    let deadline = bench.now + 4 * S;
+    let to_it = (500..700).flat_map(|id| sent(&bench.take(Request { group: id, ..lookup(id, deadline) })));
+    let to_it = to_it.filter(|s| s.1 == 1).count();
+    assert!(to_it <= 48, "{to_it}");
+}
+
+#[test]
+fn a_restarted_gateway_works_from_its_cached_list_and_a_failed_list_changes_nothing() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2)]);
+    assert_eq!(sent(&bench.take(lookup(1, bench.now + 4 * S))).len(), 1);
+    bench.tell(Event::ListFailed);
+    assert_eq!(sent(&bench.take(lookup(2, bench.now + 4 * S))).len(), 1);
+}
+
+#[test]
+fn where_the_list_must_be_asked_for_it_is_subscribed_to_again_after_a_failure() {
+    let set = Settings { discovery: Discovery::Ask, ..settings() };
+    let mut bench = Bench::new(set, &[ready(1)]);
+    assert!(bench.last.contains(&Action::Subscribe));
+    assert!(!bench.tell(Event::ListFailed).contains(&Action::Subscribe));
+    assert!(bench.pass(5 * S).contains(&Action::Subscribe));
+}
+
+#[test]
+fn overload_refuses_early_what_is_worth_least_for_its_work() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    let deadline = bench.now + 20 * S;
+    let mut actions = Vec::new();
+    for id in 0..60 {
+        let work = if id % 2 == 0 { 1.0 } else { 8.0 } * S as f64;
+        actions.extend(bench.take(Request { work: Some(work), ..report(id, deadline, 10.0) }));
+    }
+    actions.extend(bench.pass(S));
+    let gone = refused(&actions);
+    assert!(gone.len() > 10, "refused within a second, not at the deadline");
+    assert!(gone.iter().filter(|&&id| id % 2 == 1).count() > gone.len() / 2, "{gone:?}");
+    let advice = actions.iter().filter_map(|a| match a {
+        Action::Refuse { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    let advice: std::collections::BTreeSet<Micros> = advice.collect();
+    assert!(advice.len() > 5 && advice.iter().all(|&a| a > 0 && a <= S), "spread: {advice:?}");
+}
+
+#[test]
+fn a_tenant_over_its_quota_gives_way_first() {
+    let mut set = settings();
+    set.tenants = vec![Tenant { quota_per_s: 10.0 }, Tenant { quota_per_s: 1_000.0 }];
+    let mut bench = Bench::new(set, &[ready(1)]);
+    let deadline = bench.now + 20 * S;
+    let mut actions = Vec::new();
+    for id in 0..80 {
+        let request = Request { tenant: (id % 2) as usize, ..report(id, deadline, 10.0) };
+        actions.extend(bench.take(request));
+    }
+    actions.extend(bench.pass(S));
+    let gone = refused(&actions);
+    let flooding = gone.iter().filter(|&&id| id % 2 == 0).count();
+    assert!(!gone.is_empty() && flooding * 10 >= gone.len() * 6, "{flooding} of {}", gone.len());
+}
