--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,7 @@
 /// Thread bound at the start, threads a core of this gateway's share: where engines commonly stop gaining.
 const START_BOUND: f64 = 2.0;
 /// How far pressure may cut either bound, as a part of its start: a bound must not choke an engine.
-const LEAST_BOUND: f64 = 0.8;
+const LEAST_BOUND: f64 = 0.7;
 /// How far calm may widen either bound, in multiples of its start.
 const MOST_BOUND: f64 = 2.0;
 /// Drift of an engine's best latency upward over one latency memory: what was best once may not return.
@@ -24,9 +24,9 @@
 /// Step by which an outcome near best latency widens the bounds; one under pressure cuts by four times it.
 const BOUND_STEP: f64 = 0.01;
 /// Stretch over the engine's best at which it counts as under pressure.
-const PRESSURE: f64 = 1.6;
-/// Stretch over the engine's best up to which it counts as near best.
-const NEAR_BEST: f64 = 1.25;
+const PRESSURE: f64 = 1.2;
+/// Threads a core of this gateway's share that imply pressure before latency can show it.
+const IMPLIED: f64 = 1.6;
 /// Share of busy cores, disks or granted memory in a report that counts as pressure.
 const BUSY_REPORT: f64 = 0.95;
 /// Before a class's memory is known, a query without estimate counts as this part of the room.
@@ -381,11 +381,12 @@
         let cores = self.kind(engine).cores * self.warmth(engine) / self.set.peers;
         let threads = engine.threads + self.set.classes[held.req.class].threads;
         // Latency shows seconds after the sends that cause it; threads over cores imply it at once.
-        let pressure = engine.under_pressure(self.now) || threads > PRESSURE * cores;
+        let pressure = engine.under_pressure(self.now) || threads > IMPLIED * cores;
         if engine.out.is_empty() || !pressure {
             return true;
         }
-        if threads > START_BOUND * engine.width * cores {
+        // The last one in may pass the bound: a small share would else stay partly unused.
+        if engine.threads >= START_BOUND * engine.width * cores {
             return false;
         }
         let fits = engine.memory + self.charged_memory(held, engine) <= self.room(engine);
@@ -397,11 +398,9 @@
     }
 
     fn charged_memory(&self, held: &Held, engine: &Engine) -> f64 {
-        let known = held.memory > 0.0;
-        if known {
-            held.memory
-        } else {
-            UNKNOWN_MEMORY * self.room(engine)
+        match held.memory > 0.0 {
+            true => held.memory,
+            false => UNKNOWN_MEMORY * self.room(engine),
         }
     }
 
@@ -674,7 +673,7 @@
         engine.observe(now, memory, (!charge.waited).then_some((spent as f64, ideal)));
         if engine.under_pressure(now) {
             engine.narrow();
-        } else if engine.stretch < NEAR_BEST * engine.best {
+        } else {
             engine.width = (engine.width * (1.0 + BOUND_STEP)).min(MOST_BOUND);
         }
     }
