--- a/src/decide.rs
+++ b/src/decide.rs
@@ -700,8 +700,10 @@
         let end_by = held.end_by;
         self.heard(engine_id);
         let memory = self.latency_memory();
+        let warmth = self.engines.get(&engine_id).map_or(1.0, |engine| self.warmth(engine));
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        let stretch = engine.stretch.max(1.0);
+        // A cold engine is slow for all: that is no bad plan.
+        let stretch = engine.stretch.max(1.0) / warmth;
         let Some(charge) = engine.out.get_mut(&(id, attempt)) else { return };
         match note {
             Note::Progress(share) => {
