--- a/src/decide.rs
+++ b/src/decide.rs
@@ -308,7 +308,8 @@
         let ideal = work / class.threads;
         // Two ticks early, so that the answer is in the client's hands before it gives up.
         let end_by = req.deadline.saturating_sub(2 * self.set.tick).max(self.now);
-        let due = self.now + class.aim + (class.aim_stretch * ideal) as Micros;
+        // A client may be less patient than its class: after it has gone, the aim is worth nothing.
+        let due = (self.now + class.aim + (class.aim_stretch * ideal) as Micros).min(end_by);
         let worth = class.worth * if self.within_share(req.tenant) { 1.0 } else { self.set.over_share_worth };
         if let Some(key) = req.key.as_ref().filter(|_| class.ordered) {
             self.keys.entry(key.clone()).or_default().0.push_back(req.id);
