What waits for a load moves to another engine; hangs show without notes too

A note that an attempt waits for a load comes as soon as it starts, so nothing is lost by moving it, and the group is kept off that engine for one latency memory. It may hurt where every engine loads the group: one attempt is kept for worse.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -156,6 +156,8 @@
     probation: u32,
     silent: bool,
     lost_connection: bool,
+    /// Groups that somebody's load was last told to hold there, and when.
+    loading: BTreeMap<u64, Micros>,
     last_heard: Micros,
 }
 
@@ -283,7 +285,9 @@
             Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
             Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
         }
-        self.subscribe();
+        if self.subscribe_at.take_if(|at| *at <= now).is_some() {
+            self.actions.push(Action::Subscribe);
+        }
         self.release();
         self.keep_beating();
         actions.append(&mut self.actions);
@@ -399,10 +403,7 @@
     }
 
     fn charged_memory(&self, held: &Held, engine: &Engine) -> f64 {
-        match held.memory > 0.0 {
-            true => held.memory,
-            false => UNKNOWN_MEMORY * self.room(engine),
-        }
+        Some(held.memory).filter(|&known| known > 0.0).unwrap_or(UNKNOWN_MEMORY * self.room(engine))
     }
 
     fn kind(&self, engine: &Engine) -> &Kind {
@@ -462,10 +463,13 @@
         cost * price
     }
 
-    /// How long this gateway's loads on the group will still hold it there.
+    /// How long loads will still hold the group there: this gateway's own, or one that a note told of.
     fn load_ahead(&self, group: u64, engine: &Engine) -> f64 {
+        let told =
+            engine.loading.get(&group).map_or(0.0, |&at| self.latency_memory() - (self.now - at) as f64);
         let loads = engine.out.values().filter(|c| c.group == group && self.set.classes[c.class].is_load);
-        loads.map(|c| (c.ideal * engine.stretch - (self.now - c.sent_at) as f64).max(c.ideal / 4.0)).sum()
+        let left = |c: &Charge| (c.ideal * engine.stretch - (self.now - c.sent_at) as f64).max(c.ideal / 4.0);
+        loads.map(left).sum::<f64>().max(told)
     }
 
     // ---- Grant and rank ----
@@ -579,8 +583,8 @@
         let class = held.req.class;
         let dashboard = self.is_dashboard(class);
         let memory = if dashboard { held.memory } else { self.charged_memory(held, engine) };
-        let threads = self.set.classes[class].threads;
-        let (group, ideal, sent_at) = (held.req.group, held.ideal, self.now);
+        let (threads, group) = (self.set.classes[class].threads, held.req.group);
+        let (ideal, sent_at) = (held.ideal, self.now);
         let charge = Charge { class, group, memory, threads, ideal, sent_at, waited: false, noted: None };
         let grant = self.grant(held, engine);
         let usual = self.learned[class].work;
@@ -615,8 +619,9 @@
         let engine_id = tried.entry.engine;
         held.ended |= end.complete;
         let (ended, class) = (held.ended, held.req.class);
-        let estimate = (held.req.work, held.req.memory_mb);
-        if let Some(charge) = self.uncharge(engine_id, end.request, end.attempt, end.outcome) {
+        let (estimate, key) = ((held.req.work, held.req.memory_mb), held.req.key.clone());
+        let rests_until = self.now + self.set.order_pause + self.set.tick;
+        if let Some(charge) = self.uncharge(engine_id, &end) {
             if end.outcome == Outcome::Answered {
                 end.bill.into_iter().for_each(|bill| self.learn(class, estimate, bill));
                 self.learn_stretch(engine_id, &charge, end.spent, end.bill);
@@ -627,7 +632,9 @@
             self.heed_report(engine_id, report);
         }
         if matches!(end.outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
-            self.rest_key(end.request);
+            // What may still run holds its key back a while longer.
+            let line = key.and_then(|key| self.keys.get_mut(&key));
+            line.into_iter().for_each(|line| line.1 = rests_until);
         }
         self.rerank(engine_id);
         match ended {
@@ -637,16 +644,15 @@
     }
 
     /// Takes the charge off, unless the engine goes on working where nobody waits any more.
-    fn uncharge(
-        &mut self,
-        engine: EngineId,
-        id: RequestId,
-        attempt: usize,
-        outcome: Outcome,
-    ) -> Option<Charge> {
+    fn uncharge(&mut self, engine: EngineId, end: &Ended) -> Option<Charge> {
+        let refused_until = self.now + self.latency_memory() as Micros / 3;
         let engine = self.engines.get_mut(&engine)?;
-        let charge = engine.out.remove(&(id, attempt))?;
-        if !self.set.may_cancel && matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
+        let charge = engine.out.remove(&(end.request, end.attempt))?;
+        if end.outcome == Outcome::Full {
+            engine.full_until = refused_until;
+            engine.narrow();
+        }
+        if !self.set.may_cancel && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled) {
             let left = charge.ideal * engine.stretch.max(1.0);
             engine.ghosts.push((self.now + left as Micros, charge.threads, charge.memory));
         }
@@ -719,7 +725,15 @@
                     self.take_back(id, attempt);
                 }
             }
-            Note::WaitsForMemory | Note::WaitsForLoad => charge.waited = true,
+            Note::WaitsForMemory => charge.waited = true,
+            // Nothing is done yet, so nothing is lost elsewhere; one attempt is kept for worse.
+            Note::WaitsForLoad => {
+                charge.waited = true;
+                engine.loading.insert(charge.group, self.now);
+                if attempt + 2 < self.set.max_attempts {
+                    self.take_back(id, attempt);
+                }
+            }
             Note::Spilling(_) => {}
         }
     }
@@ -784,14 +798,6 @@
         }
     }
 
-    /// What may still run holds its key back a while longer.
-    fn rest_key(&mut self, id: RequestId) {
-        let Some(held) = self.requests.get(&id) else { return };
-        let line = held.req.key.as_ref().and_then(|key| self.keys.get_mut(key));
-        let rests_until = self.now + self.set.order_pause + self.set.tick;
-        line.into_iter().for_each(|line| line.1 = rests_until);
-    }
-
     // ---- Health ----
 
     /// Not in quarantine; on probation an engine gets one safe request at a time.
@@ -815,8 +821,7 @@
         let bad = match outcome {
             Outcome::Answered => 0.0,
             Outcome::Error | Outcome::NoConnection | Outcome::Broken => 1.0,
-            Outcome::Full => return self.refused_as_full(engine_id),
-            Outcome::TimedOut | Outcome::Cancelled | Outcome::Unsent => return,
+            Outcome::Full | Outcome::TimedOut | Outcome::Cancelled | Outcome::Unsent => return,
         };
         if bad == 0.0 || outcome == Outcome::Error {
             self.heard(engine_id);
@@ -844,13 +849,6 @@
         engine.probation = engine.probation.saturating_sub(1);
     }
 
-    fn refused_as_full(&mut self, engine_id: EngineId) {
-        let until = self.now + self.latency_memory() as Micros / 3;
-        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        engine.full_until = until;
-        engine.narrow();
-    }
-
     /// Shuts an engine out for a while, longer at each relapse; then it is on probation.
     fn quarantine(&mut self, engine_id: EngineId, symptom: &str) {
         let listed = self.engines.values().filter(|e| e.listed);
@@ -873,10 +871,14 @@
 
     /// Silence: attempts are out, yet no note and no outcome comes while other engines speak.
     fn watch_silence(&mut self) {
-        let limit = (SILENCE * self.set.note_period as f64) as Micros;
+        let limit = |e: &Engine| match self.set.note_period {
+            0 => e.out.values().map(|c| c.ideal).fold(0.0, f64::max) * e.stretch,
+            period => period as f64,
+        };
         let busy = self.engines.iter().filter(|(_, e)| !e.out.is_empty());
-        let mute = busy.clone().filter(|(_, e)| e.last_heard + limit < self.now);
-        if self.set.note_period == 0 || mute.clone().count() as f64 > MOST_QUARANTINED * busy.count() as f64 {
+        let quiet = |e: &Engine| (self.now - e.last_heard) as f64 > SILENCE * limit(e);
+        let mute = busy.clone().filter(|(_, e)| quiet(e));
+        if mute.clone().count() as f64 > MOST_QUARANTINED * busy.count() as f64 {
             return;
         }
         for engine_id in mute.map(|(&id, _)| id).collect::<Vec<_>>() {
@@ -963,6 +965,7 @@
         for engine in self.engines.values_mut() {
             engine.observe(now, memory, None);
             engine.tally(now);
+            engine.loading.retain(|_, at| *at + memory as Micros > now);
             engine.cold_sends.retain(|(at, _)| *at >= since);
         }
         self.engines.retain(|_, engine| engine.listed || !engine.out.is_empty());
@@ -970,13 +973,6 @@
 
     // ---- List of engines ----
 
-    fn subscribe(&mut self) {
-        if self.subscribe_at.is_some_and(|at| self.now >= at) {
-            self.subscribe_at = None;
-            self.actions.push(Action::Subscribe);
-        }
-    }
-
     fn full_list(&mut self, entries: Vec<Entry>) {
         for engine in self.engines.values_mut() {
             engine.listed = entries.iter().any(|entry| entry.engine == engine.entry.engine);
@@ -986,14 +982,13 @@
 
     fn listed(&mut self, entry: Entry) {
         let warm_at = entry.booted_at + self.set.warm_within;
-        let cold = entry.booted_at > 0 && warm_at > self.now;
         let engine = self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry));
         if entry.booted_at > engine.entry.booted_at {
             // A restart: what was learned of the process before it is void, what it is charged with is not.
             let out = std::mem::take(&mut engine.out);
             *engine = Engine { out, threads: engine.threads, memory: engine.memory, ..Engine::new(entry) };
         }
-        if cold {
+        if entry.booted_at > 0 {
             engine.cold_until = engine.cold_until.max(warm_at);
         }
         engine.entry = entry;
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -206,3 +206,46 @@
     let flooding = gone.iter().filter(|&&id| id % 2 == 0).count();
     assert!(!gone.is_empty() && flooding * 10 >= gone.len() * 6, "{flooding} of {}", gone.len());
 }
+
+#[test]
+fn an_impatient_client_is_served_before_a_patient_one() {
+    let mut bench = Bench::new(settings(), &[]);
+    let (now, work) = (bench.now, Some(100.0 * MS as f64));
+    bench.take(Request { work, ..report(1, now + 20 * S, 10.0) });
+    bench.take(Request { work, ..report(2, now + 500 * MS, 10.0) });
+    let left = sent(&bench.tell(Event::FullList(vec![ready(1)])));
+    assert_eq!(left.iter().map(|s| s.0).collect::<Vec<_>>(), [2, 1]);
+}
+
+#[test]
+fn what_waits_for_a_load_is_moved_and_the_group_is_kept_away_from_there() {
+    let mut set = settings();
+    set.classes[LOOKUP].waits_for_load = true;
+    let mut bench = Bench::new(set, &[ready(1), ready(2)]);
+    let first = sent(&bench.take(lookup(1, bench.now + 4 * S)))[0].1;
+    assert_eq!(cancelled(&bench.note(1, 0, Note::WaitsForLoad)), [(1, 0)]);
+    let second = sent(&bench.end(1, 0, Outcome::Cancelled, 10 * MS))[0].1;
+    assert_ne!(first, second);
+    assert_eq!(sent(&bench.take(lookup(2, bench.now + 4 * S)))[0].1, second);
+    bench.pass(5 * S);
+    let other_group = Request { group: 9, ..lookup(3, bench.now + 4 * S) };
+    assert_eq!(sent(&bench.take(other_group)).len(), 1);
+}
+
+#[test]
+fn a_hang_shows_without_progress_notes_too() {
+    let mut bench = Bench::new(Settings { note_period: 0, ..settings() }, &[ready(1), ready(2), ready(3)]);
+    let mut hung = None;
+    let mut cancels = Vec::new();
+    for id in 0..200 {
+        let at = sent(&bench.take(Request { group: id, ..lookup(id, bench.now + 4 * S) }));
+        let Some(&(_, engine)) = at.first() else { continue };
+        let hung = *hung.get_or_insert(engine);
+        if engine != hung {
+            bench.end(id, 0, Outcome::Answered, 100 * MS);
+        }
+        cancels.extend(cancelled(&bench.pass(50 * MS)));
+    }
+    assert!(cancels.contains(&(0, 0)), "{cancels:?}");
+    assert!(cancels.len() < 20, "{cancels:?}");
+}
