--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,6 +25,8 @@
 const BOUND_STEP: f64 = 0.01;
 /// Stretch over the engine's best at which it counts as under pressure.
 const PRESSURE: f64 = 1.2;
+/// Pause after an engine refused as full, in parts of the latency memory.
+const FULL_PAUSE: f64 = 0.1;
 /// Threads a core of this gateway's share that imply pressure before latency can show it.
 const IMPLIED: f64 = 1.6;
 /// Share of busy cores, disks or granted memory in a report that counts as pressure.
@@ -148,6 +150,7 @@
     /// Work that goes on after this gateway stopped waiting for it: until when, threads, memory.
     ghosts: Vec<(Micros, f64, f64)>,
     full_until: Micros,
+    closed_until: Micros,
     busy_until: Micros,
     others: f64,
     bad: f64,
@@ -358,23 +361,22 @@
 
     /// Held requests leave earliest due first; one that can't leave doesn't block others that can.
     fn release(&mut self) {
-        let mut no_room = vec![f64::INFINITY; self.set.classes.len()];
+        // The least memory that found no room, for each class and, where loads hold it back, group.
+        let mut no_room: BTreeMap<(usize, u64), f64> = BTreeMap::new();
         let mut last = (0, 0);
         while let Some(&next) = self.queue.range((Excluded(last), Unbounded)).next() {
             last = next;
             let held = &self.requests[&next.1];
             let (class, memory) = (held.req.class, held.memory);
-            if memory >= no_room[class] {
+            let like = (class, if self.concerned(class) { held.req.group } else { 0 });
+            if no_room.get(&like).is_some_and(|&least| memory >= least) {
                 continue;
             }
             let plain = held.attempts.is_empty() && held.req.key.is_none();
             match self.choose(next.1) {
                 Some(engine) => self.send(next.1, engine),
                 None if plain => {
-                    no_room[class] = if self.is_dashboard(class) { 0.0 } else { memory };
-                    if no_room.iter().all(|&least| least <= 0.0) {
-                        break;
-                    }
+                    _ = no_room.insert(like, if self.is_dashboard(class) { 0.0 } else { memory })
                 }
                 None => {}
             }
@@ -388,10 +390,10 @@
         // Latency shows seconds after the sends that cause it; threads over cores imply it at once.
         let pressure = engine.under_pressure(self.now) || threads > IMPLIED * cores;
         if engine.out.is_empty() || !pressure {
-            return true;
+            return self.now >= engine.closed_until;
         }
         // The last one in may pass the bound: a small share would else stay partly unused.
-        if engine.threads >= START_BOUND * engine.width * cores {
+        if engine.threads >= START_BOUND * engine.width * cores || self.now < engine.closed_until {
             return false;
         }
         let fits = engine.memory + self.charged_memory(held, engine) <= self.room(engine);
@@ -422,8 +424,12 @@
     fn choose(&self, id: RequestId) -> Option<EngineId> {
         let held = &self.requests[&id];
         let homes = self.homes(held.req.group);
-        let may_take =
-            |e: &Engine| self.rules_allow(held, e) && self.healthy_enough(held, e) && self.has_room(held, e);
+        let may_take = |e: &Engine| {
+            self.rules_allow(held, e)
+                && self.healthy_enough(held, e)
+                && !self.load_holds(held.req.class, held.req.group, e)
+                && self.has_room(held, e)
+        };
         let able = self.engines.iter().filter(|(_, e)| may_take(e));
         let priced = able.map(|(&id, e)| (self.cost(held, e, &homes), id));
         priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, id)| id)
@@ -449,9 +455,6 @@
         if at_home != class.is_load {
             cost *= 1.0 - HOME_GAIN;
         }
-        if class.is_load || class.waits_for_load {
-            cost += self.load_ahead(held.req.group, engine);
-        }
         let share = kind.memory_mb / self.set.peers;
         let lacking = (engine.memory + held.memory - share).max(0.0) / share;
         cost *= 1.0 + SPILL_COST * lacking;
@@ -463,13 +466,16 @@
         cost * price
     }
 
-    /// How long loads will still hold the group there: this gateway's own, or one that a note told of.
-    fn load_ahead(&self, group: u64, engine: &Engine) -> f64 {
-        let told =
-            engine.loading.get(&group).map_or(0.0, |&at| self.latency_memory() - (self.now - at) as f64);
-        let loads = engine.out.values().filter(|c| c.group == group && self.set.classes[c.class].is_load);
-        let left = |c: &Charge| (c.ideal * engine.stretch - (self.now - c.sent_at) as f64).max(c.ideal / 4.0);
-        loads.map(left).sum::<f64>().max(told)
+    /// Whether a load holds the group there, this gateway's own or one that a note told of lately: what would
+    /// only stand still there, keeping its memory, may as well leave later or go elsewhere.
+    fn load_holds(&self, class: usize, group: u64, engine: &Engine) -> bool {
+        let own = |c: &Charge| c.group == group && self.set.classes[c.class].is_load;
+        self.concerned(class) && (engine.loading.contains_key(&group) || engine.out.values().any(own))
+    }
+
+    /// Whether loads of its group make it stand still.
+    fn concerned(&self, class: usize) -> bool {
+        self.set.classes[class].is_load || self.set.classes[class].waits_for_load
     }
 
     // ---- Grant and rank ----
@@ -645,11 +651,13 @@
 
     /// Takes the charge off, unless the engine goes on working where nobody waits any more.
     fn uncharge(&mut self, engine: EngineId, end: &Ended) -> Option<Charge> {
-        let refused_until = self.now + self.latency_memory() as Micros / 3;
+        let memory = self.latency_memory();
         let engine = self.engines.get_mut(&engine)?;
         let charge = engine.out.remove(&(end.request, end.attempt))?;
         if end.outcome == Outcome::Full {
-            engine.full_until = refused_until;
+            // What refuses at once frees its charges at once, and would draw the whole queue: it is left alone.
+            engine.closed_until = self.now + (FULL_PAUSE * memory) as Micros;
+            engine.full_until = engine.closed_until + memory as Micros / 3;
             engine.narrow();
         }
         if !self.set.may_cancel && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled) {
