Loads keep their group's other loads and waiting queries off their engine

Nine of ten were told at once that they wait for another load, and went back to the same engine up to four times. An engine where a load holds the group, own or told of lately by a note, now takes none of what would stand still there. It should also hold against long loads after a burst and hot groups; it may hurt where every engine loads one group, as all wait at the gateway then.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -150,7 +150,6 @@
     /// Work that goes on after this gateway stopped waiting for it: until when, threads, memory.
     ghosts: Vec<(Micros, f64, f64)>,
     full_until: Micros,
-    closed_until: Micros,
     busy_until: Micros,
     others: f64,
     bad: f64,
@@ -169,7 +168,6 @@
         Engine { entry, listed: true, width: 1.0, best: 1.0, stretch: 1.0, ..Default::default() }
     }
 
-    /// Listed and neither draining nor gone.
     fn open(&self) -> bool {
         self.listed && self.entry.phase == Phase::Ready
     }
@@ -282,8 +280,9 @@
             Event::ClientLeft { request } => self.close(request),
             Event::Timer { tag: BEAT } => self.beat(),
             Event::Timer { tag } => self.end(tag - 1, 0),
-            Event::Probed { engine, report: Some(report), .. } => self.heed_report(engine, report),
-            Event::Probed { .. } => {}
+            Event::Probed { engine, report, .. } => {
+                report.into_iter().for_each(|r| self.heed_report(engine, r))
+            }
             Event::FullList(entries) => self.full_list(entries),
             Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
             Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
@@ -385,15 +384,18 @@
 
     /// Both bounds, binding only while the engine shows pressure; an idle gateway may send one of any size.
     fn has_room(&self, held: &Held, engine: &Engine) -> bool {
+        if !self.healthy_enough(held, engine) || self.load_holds(held, engine) {
+            return false;
+        }
         let cores = self.kind(engine).cores * self.warmth(engine) / self.set.peers;
         let threads = engine.threads + self.set.classes[held.req.class].threads;
         // Latency shows seconds after the sends that cause it; threads over cores imply it at once.
         let pressure = engine.under_pressure(self.now) || threads > IMPLIED * cores;
         if engine.out.is_empty() || !pressure {
-            return self.now >= engine.closed_until;
+            return true;
         }
         // The last one in may pass the bound: a small share would else stay partly unused.
-        if engine.threads >= START_BOUND * engine.width * cores || self.now < engine.closed_until {
+        if engine.threads >= START_BOUND * engine.width * cores {
             return false;
         }
         let fits = engine.memory + self.charged_memory(held, engine) <= self.room(engine);
@@ -424,13 +426,7 @@
     fn choose(&self, id: RequestId) -> Option<EngineId> {
         let held = &self.requests[&id];
         let homes = self.homes(held.req.group);
-        let may_take = |e: &Engine| {
-            self.rules_allow(held, e)
-                && self.healthy_enough(held, e)
-                && !self.load_holds(held.req.class, held.req.group, e)
-                && self.has_room(held, e)
-        };
-        let able = self.engines.iter().filter(|(_, e)| may_take(e));
+        let able = self.engines.iter().filter(|(_, e)| self.rules_allow(held, e) && self.has_room(held, e));
         let priced = able.map(|(&id, e)| (self.cost(held, e, &homes), id));
         priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, id)| id)
     }
@@ -468,12 +464,12 @@
 
     /// Whether a load holds the group there, this gateway's own or one that a note told of lately: what would
     /// only stand still there, keeping its memory, may as well leave later or go elsewhere.
-    fn load_holds(&self, class: usize, group: u64, engine: &Engine) -> bool {
-        let own = |c: &Charge| c.group == group && self.set.classes[c.class].is_load;
-        self.concerned(class) && (engine.loading.contains_key(&group) || engine.out.values().any(own))
+    fn load_holds(&self, held: &Held, engine: &Engine) -> bool {
+        let own = |c: &Charge| c.group == held.req.group && self.set.classes[c.class].is_load;
+        let held_back = engine.loading.contains_key(&held.req.group) || engine.out.values().any(own);
+        held_back && self.concerned(held.req.class)
     }
 
-    /// Whether loads of its group make it stand still.
     fn concerned(&self, class: usize) -> bool {
         self.set.classes[class].is_load || self.set.classes[class].waits_for_load
     }
@@ -634,9 +630,7 @@
             }
         }
         self.judge(engine_id, end.outcome);
-        if let Some(report) = end.report {
-            self.heed_report(engine_id, report);
-        }
+        end.report.into_iter().for_each(|report| self.heed_report(engine_id, report));
         if matches!(end.outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
             // What may still run holds its key back a while longer.
             let line = key.and_then(|key| self.keys.get_mut(&key));
@@ -655,9 +649,10 @@
         let engine = self.engines.get_mut(&engine)?;
         let charge = engine.out.remove(&(end.request, end.attempt))?;
         if end.outcome == Outcome::Full {
-            // What refuses at once frees its charges at once, and would draw the whole queue: it is left alone.
-            engine.closed_until = self.now + (FULL_PAUSE * memory) as Micros;
-            engine.full_until = engine.closed_until + memory as Micros / 3;
+            // What refuses at once frees its charges at once and would draw the whole queue.
+            let pause_ends = self.now + (FULL_PAUSE * memory) as Micros;
+            engine.quarantined_until = engine.quarantined_until.max(pause_ends);
+            engine.full_until = pause_ends + memory as Micros / 3;
             engine.narrow();
         }
         if !self.set.may_cancel && matches!(end.outcome, Outcome::TimedOut | Outcome::Cancelled) {
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -249,3 +249,32 @@
     assert!(cancels.contains(&(0, 0)), "{cancels:?}");
     assert!(cancels.len() < 20, "{cancels:?}");
 }
+
+#[test]
+fn loads_of_one_group_never_share_an_engine_and_other_groups_are_not_held_back() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2)]);
+    let deadline = bench.now + 20 * S;
+    let first = sent(&bench.take(load(1, deadline)))[0].1;
+    let second = sent(&bench.take(load(2, deadline)))[0].1;
+    assert_ne!(first, second);
+    assert!(sent(&bench.take(load(3, deadline))).is_empty(), "it would only stand still there");
+    assert_eq!(sent(&bench.take(Request { group: 2, ..load(4, deadline) })).len(), 1);
+    assert_eq!(sent(&bench.end(1, 0, Outcome::Answered, S)), [(3, first)]);
+}
+
+#[test]
+fn an_engine_that_refuses_as_full_does_not_draw_the_queue() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2)]);
+    let mut refusals = 0;
+    for id in 0..100 {
+        let mut next = sent(&bench.take(Request { group: id, ..lookup(id, bench.now + 4 * S) }));
+        for attempt in 0.. {
+            let Some(&(_, engine)) = next.first() else { break };
+            let outcome = if engine == 1 { Outcome::Full } else { Outcome::Answered };
+            refusals += (engine == 1) as u32;
+            next = sent(&bench.end(id, attempt, outcome, MS));
+        }
+        bench.now += 5 * MS;
+    }
+    assert!((1..=4).contains(&refusals), "{refusals} in half a second");
+}
