--- a/src/decide.rs
+++ b/src/decide.rs
@@ -280,8 +280,8 @@
             Event::ClientLeft { request } => self.close(request),
             Event::Timer { tag: BEAT } => self.beat(),
             Event::Timer { tag } => self.end(tag - 1, 0),
-            Event::Probed { engine, report, .. } => {
-                report.into_iter().for_each(|r| self.heed_report(engine, r))
+            Event::Probed { engine: id, report, .. } => {
+                report.into_iter().for_each(|r| self.heed_report(id, r))
             }
             Event::FullList(entries) => self.full_list(entries),
             Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
