--- a/src/decide.rs
+++ b/src/decide.rs
@@ -17,11 +17,9 @@
 const START_BOUND: f64 = 2.0;
 /// How far pressure may cut either bound, as a part of its start: a bound must not choke an engine.
 const LEAST_BOUND: f64 = 0.7;
-/// How far calm may widen either bound, in multiples of its start.
-const MOST_BOUND: f64 = 2.0;
 /// Drift of an engine's best latency upward over one latency memory: what was best once may not return.
 const BEST_DRIFT: f64 = 0.02;
-/// Step by which an outcome near best latency widens the bounds; one under pressure cuts by four times it.
+/// Step by which calm widens the bounds back to their start; an outcome under pressure cuts four times it.
 const BOUND_STEP: f64 = 0.01;
 /// Stretch over the engine's best at which it counts as under pressure.
 const PRESSURE: f64 = 1.2;
@@ -68,8 +66,6 @@
 const HOMES: usize = 2;
 /// Cost of crossing zones in multiples of its tariff.
 const CROSSING: f64 = 10.0;
-/// Extra cost of a query per share of its engine's memory that it lacks.
-const SPILL_COST: f64 = 3.0;
 /// Part of the aim by which a queue may run late before something is shed.
 const SHED_SLACK: f64 = 0.1;
 /// Bad share of all outcomes from which a request gets one further attempt only; twice that: none.
@@ -451,9 +447,6 @@
         if at_home != class.is_load {
             cost *= 1.0 - HOME_GAIN;
         }
-        let share = kind.memory_mb / self.set.peers;
-        let lacking = (engine.memory + held.memory - share).max(0.0) / share;
-        cost *= 1.0 + SPILL_COST * lacking;
         if engine.entry.zone != self.set.zone {
             cost *= 1.0 + CROSSING * self.set.cross_zone_tariff;
         }
@@ -684,7 +677,7 @@
         if engine.under_pressure(now) {
             engine.narrow();
         } else {
-            engine.width = (engine.width * (1.0 + BOUND_STEP)).min(MOST_BOUND);
+            engine.width = (engine.width * (1.0 + BOUND_STEP)).min(1.0);
         }
     }
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -35,8 +35,7 @@
         bill: None,
         report: Some(busy),
     }));
-    let out = reports_out(&mut bench, 8_000.0, 6);
-    assert!((2..=3).contains(&out), "{out}: the room is three times the memory, a little widened by calm");
+    assert_eq!(reports_out(&mut bench, 8_000.0, 6), 2, "three times the memory");
     assert_eq!(sent(&bench.take(lookup(60, bench.now + 4 * S))).len(), 1);
 }
 
