An engine that fails a part stays in use at its price; one that fails all is paused

Quarantine starts at half bad outcomes now, and where too many are away an engine that answers next to nothing is paused. Should also hold against partly failing engines of any cause; an engine that fails 40% of long work wastes more than before.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,5 +1,4 @@
 //! Every decision of one gateway. The types, events and actions are in `src/interface.rs`.
-//!
 //! A request passes through the parts of this file in order: take, admit, choose engine, grant and rank,
 //! send, outcome, end. Then come health, overload and the list of engines. The mechanism is that of the
 //! BI Batch Manager paper for many gateways and engines; docs/design.md says what was kept and what changed.
@@ -23,7 +22,7 @@
 const BOUND_STEP: f64 = 0.01;
 /// Stretch over the engine's best at which it counts as under pressure.
 const PRESSURE: f64 = 1.2;
-/// Pause after an engine refused as full, in parts of the latency memory.
+/// Pause after an engine refused as full or failed all, in parts of the latency memory.
 const FULL_PAUSE: f64 = 0.1;
 /// Threads a core of this gateway's share that imply pressure before latency can show it.
 const IMPLIED: f64 = 1.6;
@@ -41,10 +40,10 @@
 const LEARN: f64 = 0.05;
 /// One observation moves a ratio as if it were at most this many times off: a runaway must not bend it.
 const CLIP: f64 = 3.0;
-/// Weight of a bad outcome in an engine's bad share: three bad ones in a row are enough to act on.
+/// Weight of a bad outcome in an engine's bad share: five bad ones in a row are enough to act on.
 const BAD_WEIGHT: f64 = 0.15;
-/// Bad share from which an engine is quarantined.
-const BAD_SHARE: f64 = 0.35;
+/// Bad share from which an engine is quarantined: below, it is worth its price, as most tries succeed.
+const BAD_SHARE: f64 = 0.5;
 /// Good answers in a row that end the probation after a quarantine.
 const PROBATION: u32 = 6;
 /// First quarantine and its longest, in parts of the time an engine takes to warm up; doubles at a relapse.
@@ -851,9 +850,15 @@
         let away = listed.clone().filter(|e| e.probation > 0).count();
         // When most engines look bad at once the cause is shared: shutting them out would leave nothing.
         let shared = (away + 1) as f64 > MOST_QUARANTINED * listed.count() as f64;
-        let now = self.now;
+        let (now, memory) = (self.now, self.latency_memory());
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        if now < engine.quarantined_until || engine.probation == 0 && shared {
+        if now < engine.quarantined_until {
+            return;
+        }
+        if engine.probation == 0 && shared {
+            // Yet what answers next to nothing must not draw the queue by failing fast.
+            let pause = if engine.bad > (1.0 + BAD_SHARE) / 2.0 { FULL_PAUSE * memory } else { 0.0 };
+            engine.quarantined_until = now + pause as Micros;
             return;
         }
         let part = (QUARANTINE * 2f64.powi(engine.strikes)).min(LONGEST_QUARANTINE);
