--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -199,11 +199,6 @@
             }),
             "TIMED_OUT_CLIENT" => Event::ClientLeft { request: request()? },
             "ELAPSED" => Event::Timer { tag: fields.required("tag")? },
-            "PROBE_DONE" => Event::Probed {
-                engine: fields.required("engine")?,
-                answered: outcome(fields)? == Outcome::Answered,
-                report: report(fields)?,
-            },
             _ => return Ok(None),
         }))
     }
@@ -324,27 +319,13 @@
             Some("ask") => Discovery::Ask,
             _ => Discovery::Push,
         },
-        report_source: match env.text("report.source") {
-            Some("inline") => ReportSource::Answers,
-            Some("on_probe") => ReportSource::Probes,
-            _ => ReportSource::Off,
-        },
         note_period: env.or("extra.note-period-us", 0)?,
-        ranks_heeded: env.flag("extra.ranks-heeded"),
-        grants_heeded: env.flag("extra.grants"),
-        shortage: match env.text("extra.on-shortage") {
-            Some("wait") => Shortage::Wait,
-            Some("shrink") => Shortage::Shrink,
-            _ => Shortage::Page,
-        },
         largest_share: env.or("extra.largest-share", 1.0)?,
         max_attempts: env.or("limits.max-attempts", usize::MAX)?,
         may_cancel: env.flag("limits.may-cancel"),
         may_duplicate: env.flag("limits.may-duplicate"),
-        may_probe: env.flag("limits.probes"),
         may_advise: env.flag("limits.retry-after"),
         max_advice: env.or("limits.max-retry-after-us", 0)?,
-        drain_grace: env.or("rules.drain-grace-us", 0)?,
         fall_multiple: env.or("rules.fall-multiple", f64::INFINITY)?,
         fall_window: env.or("rules.fall-us", 0)?,
         start_capacity: env.or("rules.start-capacity", 1.0)?,
@@ -353,9 +334,7 @@
         attempt_budget: budget,
         ask_every: env.or("rules.ask-every-us", 0)?,
         over_share_worth: env.or("over-share-worth", 1.0)?,
-        probe_tariff: env.or("tariffs.probe", 0.0)?,
         cross_zone_tariff: env.or("tariffs.cross-zone", 0.0)?,
-        waste_tariff: env.or("tariffs.waste", 0.0)?,
     })
 }
 
@@ -421,7 +400,6 @@
         }
         Action::Fail { request } => writeln!(reply, "FAIL who={who} call={request}"),
         Action::SetTimer { after, tag } => writeln!(reply, "SLEEP who={who} after-us={after} tag={tag}"),
-        Action::Probe { engine } => writeln!(reply, "PING who={who} engine={engine}"),
         Action::Subscribe => writeln!(reply, "STREAM_CHANGES who={who} want=1"),
         Action::Log(text) => {
             writeln!(reply, "JOURNAL_LINE who={who} reason-text={}", text.replace('\n', " "))
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,8 +16,6 @@
 const START_BOUND: f64 = 2.0;
 /// How far pressure may cut either bound, as a part of its start: a bound must not choke an engine.
 const LEAST_BOUND: f64 = 0.7;
-/// Drift of an engine's best latency upward over one latency memory: what was best once may not return.
-const BEST_DRIFT: f64 = 0.02;
 /// Step by which calm widens the bounds back to their start; an outcome under pressure cuts four times it.
 const BOUND_STEP: f64 = 0.01;
 /// Stretch over the engine's best at which it counts as under pressure.
@@ -189,8 +187,7 @@
         // Without evidence a bad figure fades: it must not outlive its cause.
         self.stretch =
             if ideal > 1.0 { spent / ideal } else { self.best + (self.stretch - self.best) * kept };
-        let drift = (1.0 - kept) * BEST_DRIFT;
-        self.best = (self.best * (1.0 + drift)).min(self.stretch);
+        self.best = self.best.min(self.stretch);
     }
 
     fn narrow(&mut self) {
@@ -265,6 +262,8 @@
 
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
+        let frees_room =
+            !matches!(event, Event::Arrived(_) | Event::Noted { .. } | Event::StreamBegan { .. });
         match event {
             Event::Arrived(request) => self.take(request),
             Event::Ended(ended) => self.outcome(ended),
@@ -275,9 +274,6 @@
             Event::ClientLeft { request } => self.close(request),
             Event::Timer { tag: BEAT } => self.beat(),
             Event::Timer { tag } => self.end(tag - 1, 0),
-            Event::Probed { engine: id, report, .. } => {
-                report.into_iter().for_each(|r| self.heed_report(id, r))
-            }
             Event::FullList(entries) => self.full_list(entries),
             Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
             Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
@@ -285,7 +281,10 @@
         if self.subscribe_at.take_if(|at| *at <= now).is_some() {
             self.actions.push(Action::Subscribe);
         }
-        self.release();
+        // A note or an arrival frees no room, so only what else happens is worth a look at the whole queue.
+        if frees_room {
+            self.release();
+        }
         self.keep_beating();
         actions.append(&mut self.actions);
     }
@@ -306,7 +305,7 @@
             Some(estimate) => estimate * known.memory_ratio,
             None => known.memory.unwrap_or(0.0),
         };
-        let ideal = work / class.threads;
+        let (id, ideal) = (req.id, work / class.threads);
         // Two ticks early, so that the answer is in the client's hands before it gives up.
         let end_by = req.deadline.saturating_sub(2 * self.set.tick).max(self.now);
         // A client may be less patient than its class: after it has gone, the aim is worth nothing.
@@ -332,7 +331,8 @@
             rank: None,
             req,
         };
-        self.requests.insert(held.req.id, held);
+        self.requests.insert(id, held);
+        self.choose(id).into_iter().for_each(|engine| self.send(id, engine));
     }
 
     /// A tenant's own bucket on this gateway, filled at its quota over the gateways, one second deep.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -35,21 +35,6 @@
     Ask,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReportSource {
-    Off,
-    Answers,
-    Probes,
-}
-
-/// What an engine does when the grants it is asked for pass its memory.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Shortage {
-    Wait,
-    Shrink,
-    Page,
-}
-
 #[derive(Clone, Debug)]
 pub struct Class {
     /// Answers within `aim` plus `aim_stretch` times the true work per thread earn the full worth.
@@ -104,21 +89,15 @@
     pub zone: u32,
     pub tick: Micros,
     pub discovery: Discovery,
-    pub report_source: ReportSource,
     /// Time between progress notes; 0 where there are none.
     pub note_period: Micros,
-    pub ranks_heeded: bool,
-    pub grants_heeded: bool,
-    pub shortage: Shortage,
     /// Share of an engine's memory that one query gets at most.
     pub largest_share: f64,
     pub max_attempts: usize,
     pub may_cancel: bool,
     pub may_duplicate: bool,
-    pub may_probe: bool,
     pub may_advise: bool,
     pub max_advice: Micros,
-    pub drain_grace: Micros,
     /// A cold engine sent more than `fall_multiple` times its present capacity for `fall_window` falls over.
     pub fall_multiple: f64,
     pub fall_window: Micros,
@@ -128,9 +107,7 @@
     pub attempt_budget: Option<AttemptBudget>,
     pub ask_every: Micros,
     pub over_share_worth: f64,
-    pub probe_tariff: f64,
     pub cross_zone_tariff: f64,
-    pub waste_tariff: f64,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -242,11 +219,6 @@
     ClientLeft {
         request: RequestId,
     },
-    Probed {
-        engine: EngineId,
-        answered: bool,
-        report: Option<LoadReport>,
-    },
     Timer {
         tag: u64,
     },
@@ -260,7 +232,6 @@
     Refuse { request: RequestId, retry_after: Micros },
     Fail { request: RequestId },
     SetTimer { after: Micros, tag: u64 },
-    Probe { engine: EngineId },
     Subscribe,
     Log(String),
 }
