--- a/src/decide.rs
+++ b/src/decide.rs
@@ -366,7 +366,7 @@
             if no_room.get(&like).is_some_and(|&least| memory >= least) {
                 continue;
             }
-            let plain = held.attempts.is_empty() && held.req.key.is_none();
+            let plain = held.attempts.is_empty() && !self.set.classes[class].ordered;
             match self.choose(next.1) {
                 Some(engine) => self.send(next.1, engine),
                 None if plain => {
@@ -909,16 +909,16 @@
     fn shed(&mut self) {
         let rate = self.service_rate();
         let mut ahead = 0.0;
-        let mut kept: Vec<(f64, f64, RequestId)> = Vec::new();
+        // Worth per work, a positive figure: its bits sort as it does.
+        let mut kept: BTreeMap<(u64, RequestId), f64> = BTreeMap::new();
         let mut gone = Vec::new();
         for &(due, id) in &self.queue {
             let held = &self.requests[&id];
-            let slack = SHED_SLACK * (due.saturating_sub(held.end_by.min(self.now))) as f64;
+            let latest = due as f64 + SHED_SLACK * due.saturating_sub(self.now) as f64;
             ahead += held.work;
-            kept.push((held.worth / held.work.max(1.0), held.work, id));
-            while self.now as f64 + ahead / rate + held.ideal > due as f64 + slack && !kept.is_empty() {
-                let least = (0..kept.len()).min_by(|&a, &b| kept[a].0.total_cmp(&kept[b].0)).unwrap_or(0);
-                let (_, work, victim) = kept.swap_remove(least);
+            kept.insert(((held.worth / held.work.max(1.0)).to_bits(), id), held.work);
+            while self.now as f64 + ahead / rate + held.ideal > latest {
+                let Some(((_, victim), work)) = kept.pop_first() else { break };
                 ahead -= work;
                 gone.push(victim);
                 if victim == id {
