--- a/src/decide.rs
+++ b/src/decide.rs
@@ -65,7 +65,7 @@
 const CROSSING: f64 = 10.0;
 /// Part of the aim by which a queue may run late before something is shed.
 const SHED_SLACK: f64 = 0.1;
-/// Bad share of all outcomes from which a request gets one further attempt only; twice that: none.
+/// Bad share of all outcomes from which further attempts fall: to its inverse, three at this share.
 const SICK_FLEET: f64 = 0.3;
 /// Ticks between two beats, at which held requests, silent engines and overload are looked at.
 const BEAT_TICKS: u64 = 10;
