--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -269,7 +269,6 @@
             aim: env.or(&at("aim-us"), env.or(&at("deadline-us"), 0)?)?,
             aim_stretch: env.or(&at("aim-stretch"), 0.0)?,
             worth: env.or(&at("value"), 1.0)?,
-            late_worth: env.or(&at("late-worth"), 0.0)?,
             effect: match env.text(&at("repeat")) {
                 Some("pure") => Effect::Safe,
                 Some("token") => Effect::Keyed,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -437,8 +437,7 @@
 
     fn cost(&self, held: &Held, engine: &Engine, homes: &[EngineId]) -> f64 {
         let class = &self.set.classes[held.req.class];
-        let kind = self.kind(engine);
-        let cores = kind.cores * self.warmth(engine);
+        let cores = self.kind(engine).cores * self.warmth(engine);
         let crowd = (engine.threads + engine.others + class.threads) / cores;
         let mut cost = held.ideal * (0.5 + crowd);
         // Loads hold their group where they run, so they keep away from the homes where it is read.
@@ -498,12 +497,12 @@
     /// All rules on sending, in one place.
     fn rules_allow(&self, held: &Held, engine: &Engine) -> bool {
         let class = &self.set.classes[held.req.class];
-        // Drains: from the moment this gateway is told, whatever the grace.
-        let open = engine.open();
+        // Drains are kept by `open`: from the moment this gateway is told, whatever the grace.
         // Placement, also when all allowed engines are down or full.
         let zone_ok = class.zones_only.as_ref().is_none_or(|zones| zones.contains(&engine.entry.zone));
         let kind_ok = class.kinds_only.as_ref().is_none_or(|kinds| kinds.contains(&engine.entry.kind));
-        open && zone_ok
+        engine.open()
+            && zone_ok
             && kind_ok
             && !held.ended
             && self.now < held.end_by
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -41,8 +41,6 @@
     pub aim: Micros,
     pub aim_stretch: f64,
     pub worth: f64,
-    /// Share of the worth that a later answer earns, up to the client's deadline.
-    pub late_worth: f64,
     pub effect: Effect,
     pub scope: Scope,
     /// How long engines of the scope remember a keyed request.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -16,7 +16,6 @@
         aim,
         aim_stretch: 2.0,
         worth: 1.0,
-        late_worth: 0.0,
         effect,
         scope: Scope::All,
         window: 10 * S,
