Jams at size: pooled share of all engines, and idle cores don't draw where queries aren't counted

Some engines held ten threads a core while they reported 0.2 of their cores busy: waiting for disks and memory leaves cores idle, so a jam looked like room and drew everybody. Told from loads that hold a group by the notes (few waits), and from a dead engine by notes that went on. Change: a report that doesn't count queries shows no engine emptier than usual; latency over the best tells threads held; what a gateway has out on all engines is held against its pooled share, so nobody adds to what does not come back. Should also hold against any report that lies low. Might hurt: a gateway that alone has a burst waits for its own pool.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -54,6 +54,7 @@
 const PROBE_SPEND: f64 = 0.02; // Part of all worth that probes may cost where shares are thin
 const ASKED: usize = 2; // Engines drawn for a query: two choices spread well even by reports that are late
 const REDRAWS: f64 = 0.5; // Draws for held requests that each arrival pays for
+const POOL: f64 = 3.0; // Threads a core of its share of all engines that a gateway may have out there
 const SAVED: f64 = 6.0; // Draws or probes that may be saved up
 const FRESH: f64 = 0.1; // Age of a fresh report, and the wait for one, in parts of latency memory
 const MOST_LOG_LINES: u32 = 200; // Log lines that one gateway writes at most
@@ -85,8 +86,8 @@
         self.best = self.best.min(self.stretch);
     }
 
-    fn narrow(&mut self) {
-        self.width = (self.width * (1.0 - 4.0 * BOUND_STEP)).max(LEAST_BOUND);
+    fn widen(&mut self, steps: f64) {
+        self.width = (self.width * (1.0 + steps * BOUND_STEP)).clamp(LEAST_BOUND, 1.0);
     }
 }
 
@@ -145,15 +146,12 @@
 
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
-        let frees_room =
-            !matches!(event, Event::Arrived(_) | Event::Noted { .. } | Event::StreamBegan { .. });
+        let quiet = matches!(event, Event::Arrived(_) | Event::Noted { .. } | Event::StreamBegan { .. });
         match event {
             Event::Arrived(request) => self.take(request),
             Event::Ended(ended) => self.outcome(ended),
             Event::Noted { request, attempt, note } => self.noted(request, attempt, note),
-            Event::StreamBegan { request: id } => {
-                _ = self.requests.get_mut(&id).map(|held| held.streaming = true)
-            }
+            Event::StreamBegan { request } => _ = self.requests.get_mut(&request).map(|h| h.streaming = true),
             Event::Probed(probed) => self.probed(probed),
             Event::ClientLeft { request } => self.close(request),
             Event::Timer { tag: BEAT } => self.beat(),
@@ -166,7 +164,7 @@
             self.actions.push(Action::Subscribe);
         }
         // A note or an arrival frees no room, so only what else happens is worth a look at the whole queue.
-        if frees_room {
+        if !quiet {
             self.release();
         }
         self.keep_beating();
@@ -307,6 +305,18 @@
         dashboard || memory + charge <= room || engine.out.is_empty() && charge > room
     }
 
+    /// Where shares are thin they are pooled: what this gateway has out on all engines is held against its
+    /// share of them all. In a jam nothing comes back, so the pool stays taken and no gateway adds to it.
+    fn pool_has_room(&self, held: &Held) -> bool {
+        let (mut threads, mut memory, mut cores, mut room) = (0.0, held.memory, 0.0, 0.0);
+        for engine in self.engines.values().filter(|engine| engine.open()) {
+            (threads, memory) = (threads + engine.threads, memory + engine.memory);
+            cores += POOL * self.kind(engine).cores / self.set.peers;
+            room += START_ROOM * self.kind(engine).memory_mb / self.set.peers;
+        }
+        threads == 0.0 || threads < cores && (memory <= room || self.is_dashboard(held.req.class))
+    }
+
     /// Held requests are drawn for again, earliest due first, at a rate that follows arrivals: reports are
     /// late, and a backlog that looks at every one would rush as one into the first engine that shows room.
     fn draw_again(&mut self) {
@@ -323,10 +333,12 @@
         let kept = (-((self.now - engine.reported_at) as f64) / self.latency).exp();
         let usual = self.traffic.level * self.kind(engine).cores;
         let told = usual + (engine.others - usual) * kept;
-        // A jammed engine reports idle cores. Where reports don't count queries, latency tells what it holds.
-        let jam =
-            self.thin && engine.stretch > if self.traffic.counted { CLIP } else { PRESSURE } * engine.best;
-        told.max(if jam { engine.stretch * self.kind(engine).cores } else { 0.0 })
+        // A jammed engine has idle cores: a report that doesn't count queries shows none emptier than usual,
+        // and latency far over the best tells what an engine holds.
+        let counted = self.traffic.counted;
+        let jam = engine.stretch > if counted { CLIP } else { PRESSURE } * engine.best;
+        let held = if jam { engine.stretch * self.kind(engine).cores } else { usual };
+        told.max(if self.thin && (jam || !counted) { held } else { 0.0 })
     }
 
     fn room(&self, engine: &Engine) -> f64 {
@@ -352,6 +364,9 @@
     /// The engine with the least expected cost among those that may take the request now.
     fn choose(&self, id: RequestId) -> Option<EngineId> {
         let held = Some(&self.requests[&id]).filter(|held| !self.waits_for_reports(held))?;
+        if self.thin && !self.pool_has_room(held) {
+            return None;
+        }
         let (order, homes) = self.homes(held.req.group);
         let among = |id: &EngineId| !self.thin || held.asked.contains(id);
         let able = |e: &Engine| self.rules_allow(held, e) && self.has_room(held, e);
@@ -361,7 +376,7 @@
     }
 
     fn is_fresh(&self, engine: &Engine) -> bool {
-        engine.reported_at > 0 && (self.now - engine.reported_at) as f64 <= FRESH * self.latency
+        (self.now - engine.reported_at) as f64 <= FRESH * self.latency
     }
 
     fn waits_for_reports(&self, held: &Held) -> bool {
@@ -573,8 +588,7 @@
             return;
         }
         let class = held.req.class;
-        let dashboard = self.is_dashboard(class);
-        let memory = if dashboard { held.memory } else { self.charged_memory(held, engine) };
+        let memory = if self.is_dashboard(class) { held.memory } else { self.charged_memory(held, engine) };
         let (threads, group) = (self.set.classes[class].threads, held.req.group);
         let (ideal, sent_at) = (held.ideal, self.now);
         let charge = Charge { class, group, memory, threads, ideal, sent_at, waited: false, noted: None };
@@ -643,7 +657,7 @@
             let pause_ends = self.now + pause as Micros;
             engine.quarantined_until = engine.quarantined_until.max(pause_ends);
             engine.pressed_until = pause_ends + self.latency as Micros / 3;
-            engine.narrow();
+            engine.widen(-4.0);
         }
         engine.tally();
         Some(charge)
@@ -662,11 +676,7 @@
         let ideal = bill.map_or(charge.ideal, |bill| bill.work / charge.threads);
         let Some(engine) = self.engines.get_mut(&engine) else { return };
         engine.observe(self.now, self.latency, (!charge.waited).then_some((spent as f64, ideal)));
-        if engine.under_pressure(self.now) {
-            engine.narrow();
-        } else {
-            engine.width = (engine.width * (1.0 + BOUND_STEP)).min(1.0);
-        }
+        engine.widen(if engine.under_pressure(self.now) { -4.0 } else { 1.0 });
     }
 
     /// Cores, disks or memory that are all in use are held to be at the thread bound.
@@ -839,12 +849,11 @@
         if engine.probation > 0 && std::mem::take(&mut engine.lost_connection) {
             engine.cold_until = engine.cold_until.max(warm_at);
         }
-        if engine.probation == 1 {
+        engine.probation = engine.probation.saturating_sub(1);
+        if engine.probation == 0 && engine.strikes > 0 {
             (engine.bad, engine.strikes) = (0.0, 0);
             self.log(format!("engine {engine_id} is back from probation"));
         }
-        let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        engine.probation = engine.probation.saturating_sub(1);
     }
 
     /// Shuts an engine out for a while, longer at each relapse; then it is on probation.
@@ -919,14 +928,12 @@
             let held = &self.requests[&id];
             let latest = due as f64 + SHED_SLACK * due.saturating_sub(self.now) as f64;
             ahead += held.work;
-            kept.insert(((held.worth / held.work.max(1.0)).to_bits(), id), held.work);
-            while self.now as f64 + ahead / rate + held.ideal > latest {
+            let place = ((held.worth / held.work.max(1.0)).to_bits(), id);
+            kept.insert(place, held.work);
+            while kept.contains_key(&place) && self.now as f64 + ahead / rate + held.ideal > latest {
                 let Some(((_, victim), work)) = kept.pop_first() else { break };
                 ahead -= work;
                 gone.push(victim);
-                if victim == id {
-                    break;
-                }
             }
         }
         for id in gone {
@@ -975,9 +982,7 @@
     // ---- List of engines ----
 
     fn full_list(&mut self, entries: Vec<Entry>) {
-        for engine in self.engines.values_mut() {
-            engine.listed = entries.iter().any(|entry| entry.engine == engine.entry.engine);
-        }
+        self.engines.values_mut().for_each(|e| e.listed = entries.iter().any(|n| n.engine == e.entry.engine));
         entries.into_iter().for_each(|entry| self.listed(entry));
     }
 
