--- a/src/decide.rs
+++ b/src/decide.rs
@@ -367,7 +367,7 @@
         if self.thin && !self.pool_has_room(held) {
             return None;
         }
-        let (order, homes) = self.homes(held.req.group);
+        let (order, homes) = self.homes(held);
         let among = |id: &EngineId| !self.thin || held.asked.contains(id);
         let able = |e: &Engine| self.rules_allow(held, e) && self.has_room(held, e);
         let able = self.engines.iter().filter(|(id, e)| among(id) && able(e));
@@ -392,23 +392,17 @@
         }
         let lots = [(); ASKED].map(|_| self.rng.f64());
         let held = &self.requests[&id];
-        let (mut order, homes) = self.homes(held.req.group);
-        // A load would stop all reading of its group where that is read, so it keeps away from the homes.
-        let is_load = self.set.classes[held.req.class].is_load;
-        order.drain(..if is_load && order.len() > homes { homes } else { 0 });
-        let able = |e: &Engine| self.rules_allow(held, e) && self.may_take(held, e);
+        let (mut order, homes) = self.homes(held);
+        let away = self.keeps_away(held.req.class);
+        order.drain(..if away && order.len() > homes { homes } else { 0 });
+        order
+            .retain(|id| self.rules_allow(held, &self.engines[id]) && self.may_take(held, &self.engines[id]));
         let (mut asked, first) = (Vec::new(), held.asked_at == 0);
-        for (turn, lot) in lots.into_iter().enumerate() {
+        for (turn, lot) in lots.into_iter().enumerate().take(order.len()) {
             // Once the homes had no room the last one is any engine.
-            let near = !is_load && (first || turn + 1 < ASKED);
-            let among: Vec<EngineId> = order[..if near { homes } else { order.len() }]
-                .iter()
-                .copied()
-                .filter(|id| !asked.contains(id) && able(&self.engines[id]))
-                .collect();
-            if !among.is_empty() {
-                asked.push(among[(lot * among.len() as f64) as usize]);
-            }
+            let near = !away && (first || turn + 1 < ASKED);
+            let among = if near { (homes - turn.min(homes - 1)).min(order.len()) } else { order.len() };
+            asked.push(order.remove((lot * among as f64) as usize));
         }
         for id in &asked {
             let fresh = self.is_fresh(&self.engines[id]);
@@ -427,8 +421,9 @@
 
     /// All open engines, highest hash of group and engine first, and how many of them are home to the group:
     /// every gateway finds the same without talking. Where shares are thin, a hot group has more homes.
-    fn homes(&self, group: u64) -> (Vec<EngineId>, usize) {
-        let open = self.engines.iter().filter(|(_, e)| e.open());
+    fn homes(&self, held: &Held) -> (Vec<EngineId>, usize) {
+        let (group, class) = (held.req.group, &self.set.classes[held.req.class]);
+        let open = self.engines.iter().filter(|(_, e)| e.open() && may_place(class, &e.entry));
         let mut order: Vec<_> = open.map(|(&id, _)| (mix(group ^ mix(id as u64)), id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
         let part = self.traffic.groups.get(&group).map_or(0.0, |(count, _)| count / GROUP_MEMORY);
@@ -442,9 +437,7 @@
         let cores = self.kind(engine).cores * self.warmth(engine);
         let crowd = (engine.threads + self.others(engine) + class.threads) / cores;
         let mut cost = held.ideal * (0.5 + crowd);
-        // Loads hold their group where they run, so they keep away from the homes where it is read.
-        let at_home = homes.contains(&engine.entry.engine);
-        if at_home != class.is_load {
+        if homes.contains(&engine.entry.engine) != self.keeps_away(held.req.class) {
             cost *= 1.0 - HOME_GAIN;
         }
         if engine.entry.zone != self.set.zone {
@@ -467,6 +460,11 @@
         held_back && self.concerned(held.req.class)
     }
 
+    /// A load would stop the reading of its group where that is read, so it keeps away from the homes.
+    fn keeps_away(&self, class: usize) -> bool {
+        self.set.classes[class].is_load && self.set.classes.iter().any(|c| c.waits_for_load && !c.is_load)
+    }
+
     fn concerned(&self, class: usize) -> bool {
         self.set.classes[class].is_load || self.set.classes[class].waits_for_load
     }
@@ -504,12 +502,8 @@
     fn rules_allow(&self, held: &Held, engine: &Engine) -> bool {
         let class = &self.set.classes[held.req.class];
         // Drains are kept by `open`: from the moment this gateway is told, whatever the grace.
-        // Placement, also when all allowed engines are down or full.
-        let zone_ok = class.zones_only.as_ref().is_none_or(|zones| zones.contains(&engine.entry.zone));
-        let kind_ok = class.kinds_only.as_ref().is_none_or(|kinds| kinds.contains(&engine.entry.kind));
         engine.open()
-            && zone_ok
-            && kind_ok
+            && may_place(class, &engine.entry)
             && !held.ended
             && self.now < held.end_by
             && held.attempts.len() < self.set.max_attempts
@@ -1009,6 +1003,12 @@
     }
 }
 
+/// Placement, also when all allowed engines are down or full.
+fn may_place(class: &Class, entry: &Entry) -> bool {
+    class.zones_only.as_ref().is_none_or(|zones| zones.contains(&entry.zone))
+        && class.kinds_only.as_ref().is_none_or(|kinds| kinds.contains(&entry.kind))
+}
+
 /// A ratio moved toward an observation, which counts as at most `CLIP` times off.
 fn nudged(ratio: f64, seen: Option<f64>) -> f64 {
     seen.map_or(ratio, |seen| ratio + LEARN * (seen.clamp(ratio / CLIP, ratio * CLIP) - ratio))
