--- a/src/decide.rs
+++ b/src/decide.rs
@@ -53,7 +53,7 @@
 const THIN_BOUND: f64 = 1.2;
 const PROBE_SPEND: f64 = 0.02; // Part of all worth that probes may cost where shares are thin
 const ASKED: usize = 2; // Engines drawn for a query: two choices spread well even by reports that are late
-const REDRAWS: f64 = 0.5; // Draws for held requests that each arrival pays for
+const REDRAWS: f64 = 1.0; // Draws for held requests that each arrival pays for
 const POOL: f64 = 3.0; // Threads a core of its share of all engines that a gateway may have out there
 const SAVED: f64 = 6.0; // Draws or probes that may be saved up
 const FRESH: f64 = 0.1; // Age of a fresh report, and the wait for one, in parts of latency memory
@@ -369,7 +369,7 @@
         }
         let (order, homes) = self.homes(held);
         let among = |id: &EngineId| !self.thin || held.asked.contains(id);
-        let able = |e: &Engine| self.rules_allow(held, e) && self.has_room(held, e);
+        let able = |e: &Engine| e.asked_at == 0 && self.rules_allow(held, e) && self.has_room(held, e);
         let able = self.engines.iter().filter(|(id, e)| among(id) && able(e));
         let priced = able.map(|(&id, e)| (self.cost(held, e, &order[..homes]), id));
         priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, id)| id)
@@ -381,7 +381,7 @@
 
     fn waits_for_reports(&self, held: &Held) -> bool {
         let asked = |id| self.engines.get(id).is_some_and(|e| e.asked_at > 0);
-        (self.now - held.asked_at) as f64 <= FRESH * self.latency && held.asked.iter().any(asked)
+        self.now <= held.asked_at + BEAT_TICKS * self.set.tick && held.asked.iter().any(asked)
     }
 
     /// Draws the few engines that a request is placed among, and probes those with no fresh report. Reports
@@ -680,8 +680,7 @@
         let Some(engine) = self.engines.get_mut(&engine) else { return };
         let shares = [report.cores_busy, report.disks_busy, report.memory_granted];
         let busy = shares.into_iter().flatten().reduce(f64::max);
-        let waiting = report.waiting_for_memory.is_some_and(|waiting| waiting > 1.0);
-        if waiting || busy.is_some_and(|share| share > BUSY_REPORT) {
+        if report.waiting_for_memory > Some(1.0) || busy.is_some_and(|share| share > BUSY_REPORT) {
             engine.pressed_until = engine.pressed_until.max(self.now + BEAT_TICKS * self.set.tick);
         }
         let counted = report.in_flight.map(|in_flight| in_flight * threads_each);
@@ -698,6 +697,9 @@
     fn probed(&mut self, probed: Probed) {
         let Some(engine) = self.engines.get_mut(&probed.engine) else { return };
         engine.asked_at = 0;
+        if matches!(probed.outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut) {
+            engine.quarantined_until = engine.quarantined_until.max(self.now + self.latency as Micros);
+        }
         probed.report.into_iter().for_each(|report| self.heed_report(probed.engine, report));
     }
 
