A group's part is reckoned from what was seen so far; loads' waiting asked of the class

Cause: a gateway counts a hot group's part over its last hundred requests, but divided by a hundred from the start, so hot groups had two homes for the first twenty seconds.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -255,7 +255,7 @@
             last = next;
             let held = &self.requests[&next.1];
             let (class, memory) = (held.req.class, held.memory);
-            let like = (class, if self.concerned(class) { held.req.group } else { 0 });
+            let like = (class, if self.set.classes[class].waits() { held.req.group } else { 0 });
             if no_room.get(&like).is_some_and(|&least| memory >= least) {
                 continue;
             }
@@ -426,7 +426,8 @@
         let open = self.engines.iter().filter(|(_, e)| e.open() && may_place(class, &e.entry));
         let mut order: Vec<_> = open.map(|(&id, _)| (mix(group ^ mix(id as u64)), id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
-        let part = self.traffic.groups.get(&group).map_or(0.0, |(count, _)| count / GROUP_MEMORY);
+        let seen = GROUP_MEMORY * (1.2 - (-self.traffic.arrivals / GROUP_MEMORY).exp());
+        let part = self.traffic.groups.get(&group).map_or(0.0, |(count, _)| count / seen);
         let hot = if self.thin { part * order.len() as f64 * HOT_SPREAD } else { 0.0 };
         let homes = (hot as usize).max(HOMES).min(order.len());
         (order.into_iter().map(|(_, id)| id).collect(), homes)
@@ -457,7 +458,7 @@
     fn load_holds(&self, held: &Held, engine: &Engine) -> bool {
         let own = |c: &Charge| c.group == held.req.group && self.set.classes[c.class].is_load;
         let held_back = engine.loading.contains_key(&held.req.group) || engine.out.values().any(own);
-        held_back && self.concerned(held.req.class)
+        held_back && self.set.classes[held.req.class].waits()
     }
 
     /// A load would stop the reading of its group where that is read, so it keeps away from the homes.
@@ -465,10 +466,6 @@
         self.set.classes[class].is_load && self.set.classes.iter().any(|c| c.waits_for_load && !c.is_load)
     }
 
-    fn concerned(&self, class: usize) -> bool {
-        self.set.classes[class].is_load || self.set.classes[class].waits_for_load
-    }
-
     // ---- Grant and rank ----
 
     /// A quarter over the corrected estimate, never under the engine's default, within the largest grant.
