--- a/crates/wirehost/tests/wire.rs
+++ b/crates/wirehost/tests/wire.rs
@@ -130,3 +130,27 @@
     let text = reply(&format!("FRAME wall-us=1000000 turn=1\n{}WEATHER who=3 rain=1\nGO\n", enlist(3)));
     assert!(text.ends_with("READY turn=1\n"));
 }
+
+#[test]
+fn probes_are_asked_for_where_shares_are_thin_and_what_is_malformed_in_their_answers_is_told() {
+    let wide = enlist(3).replace("peers-total=1", "peers-total=200 limits.probes=true tariffs.probe=0.01");
+    let asked = reply(&format!("FRAME wall-us=1000000 turn=1\n{wide}{}GO\n", call(3, 7)));
+    assert!(asked.contains("PING who=3 engine=11\n") && !asked.contains("TRANSMIT"), "{asked}");
+    let answer = |line: &str| {
+        format!(
+            "FRAME wall-us=1000000 turn=1\n{wide}{}GO\nFRAME wall-us=1005000 turn=2\n{line}\nGO\n",
+            call(3, 7)
+        )
+    };
+    let sent =
+        reply(&answer("PROBE_DONE who=3 engine=11 rc=delivered spent-us=700 report=concurrent:2,mood:1"));
+    assert!(sent.contains("TRANSMIT who=3 call=7 engine=11"), "{sent}");
+    // An engine that nobody knows any more is passed over.
+    let unknown = reply(&answer("PROBE_DONE who=3 engine=99 rc=delivered spent-us=700"));
+    assert!(!unknown.contains("TRANSMIT"), "{unknown}");
+    assert!(complaint(&answer("PROBE_DONE who=3 engine=11 rc=marvellous")).contains("marvellous"));
+    assert!(complaint(&answer("PROBE_DONE who=3 rc=delivered")).contains("engine"));
+    assert!(complaint(&answer("PROBE_DONE who=3 engine=11 rc=delivered report=concurrent"))
+        .contains("concurrent"));
+    assert!(complaint(&answer("PROBE_DONE who=3 engine=11 rc=delivered report=concurrent:x")).contains("'x'"));
+}
