--- a/tests/size.rs
+++ b/tests/size.rs
@@ -210,7 +210,7 @@
             let now = start + window * set.fall_window + tick * set.fall_window / 20;
             for (number, gateway) in gateways.iter_mut().enumerate() {
                 // Two requests a second each, at times of their own.
-                if (number as u64 + tick) % 10 != 0 {
+                if !(number as u64 + tick).is_multiple_of(10) {
                     continue;
                 }
                 id += 1;
