A beat releases before it draws again, so an unanswered probe costs no draw

The test of an unanswered probe now fails without its line; the others of this size were seen to fail as well, one mutation each.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -955,8 +955,8 @@
     fn beat(&mut self) {
         self.beating = false;
         self.watch_silence();
-        self.draw_again();
         self.release();
+        self.draw_again();
         self.shed();
         let (now, memory) = (self.now, self.latency);
         self.keys.retain(|_, (line, rests_until)| !line.is_empty() || *rests_until > now);
