--- a/src/decide.rs
+++ b/src/decide.rs
@@ -56,7 +56,7 @@
 const REDRAWS: f64 = 1.0; // Draws for held requests that each arrival pays for
 const POOL: f64 = 3.0; // Threads a core of its share of all engines that a gateway may have out there
 const SAVED: f64 = 6.0; // Draws or probes that may be saved up
-const FRESH: f64 = 0.1; // Age of a fresh report, and the wait for one, in parts of latency memory
+const FRESH: f64 = 0.1; // Age up to which a report is fresh, in parts of latency memory
 const MOST_LOG_LINES: u32 = 200; // Log lines that one gateway writes at most
 const BEAT: u64 = 0; // Timer tag of the beat; a request's own timer bears its id plus one
 
