Clean-up: one pause, one test of what is drawn, two tuned values named, a predicate back in the module

The pause after a refusal as full and after a failed probe is one field; release and choose ask one function whether a request may be placed, so held requests without drawn engines no longer sort all engines at every event; the prior of a hot group's part and the cut of a bound are named; what waits for loads is asked in decide.rs again, not in the interface; the cold test of hundreds of gateways drives the same bench as the others.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,7 +16,8 @@
 const START_ROOM: f64 = 3.0;
 const START_BOUND: f64 = 2.0; // Threads a core of this gateway's share at the start: gains end there
 const LEAST_BOUND: f64 = 0.7; // Part of its start that pressure leaves of a bound: it must not choke
-const BOUND_STEP: f64 = 0.01; // Step by which calm widens the bounds; an outcome under pressure cuts four
+const BOUND_STEP: f64 = 0.01; // Step by which calm widens the bounds
+const BOUND_CUT: f64 = 4.0; // Such steps that an outcome under pressure cuts
 const PRESSURE: f64 = 1.2; // Stretch over the engine's best at which it counts as under pressure
 const IMPLIED: f64 = 1.6; // Threads a core that imply pressure before latency can show it
 const BUSY_REPORT: f64 = 0.95; // Share of busy cores, disks or granted memory in a report that is pressure
@@ -42,6 +43,7 @@
 const HOMES: usize = 2; // Engines that are home to a group
 const HOME_GAIN: f64 = 0.25; // Part of a query's cost that reading its group warm saves, at the homes
 const GROUP_MEMORY: f64 = 100.0; // Requests over which a group's part of all is counted
+const GROUP_PRIOR: f64 = 0.2; // Of these, how many count as other groups' before any was seen
 const HOT_SPREAD: f64 = 2.0; // Homes of a hot group, in multiples of the engines that its part would fill
 const CROSSING: f64 = 10.0; // Cost of crossing zones in multiples of its tariff
 const SHED_SLACK: f64 = 0.1; // Part of the aim by which a queue may run late before something is shed
@@ -110,7 +112,8 @@
     further: VecDeque<Micros>,
     beating: bool,
     subscribe_at: Option<Micros>,
-    latency: f64, // Time constant of latency memory
+    latency: f64,  // Time constant of latency memory
+    pause: Micros, // For which an engine that refused as full or failed a probe is closed
     log_lines: u32,
     actions: Vec<Action>,
 }
@@ -120,6 +123,7 @@
         let cores = set.kinds.iter().map(|kind| kind.cores).fold(0.0, f64::max);
         let widest = set.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
         let thin = START_BOUND * cores / set.peers < widest;
+        let latency = (STRETCH_MEMORY * set.warm_within as f64).max(1.0);
         let fresh = Learned { work_ratio: 1.0, memory_ratio: 1.0, work: 0.0, memory: None };
         Gateway {
             rng: fastrand::Rng::with_seed(seed),
@@ -137,7 +141,8 @@
             further: VecDeque::new(),
             beating: false,
             subscribe_at: (set.discovery == Discovery::Ask).then_some(now),
-            latency: (STRETCH_MEMORY * set.warm_within as f64).max(1.0),
+            latency,
+            pause: (latency * if thin { 1.0 } else { FULL_PAUSE }) as Micros,
             log_lines: 0,
             actions: Vec::new(),
             set,
@@ -224,8 +229,8 @@
         *count = 1.0 + *count * ((*at - seen.arrivals) / GROUP_MEMORY).exp();
         *at = seen.arrivals;
         let probes = (PROBE_SPEND / self.set.probe_tariff).min(2.0 * ASKED as f64);
-        self.traffic.probes = (self.traffic.probes + probes).min(SAVED);
-        self.traffic.redraws = (self.traffic.redraws + REDRAWS).min(SAVED);
+        seen.probes = (seen.probes + probes).min(SAVED);
+        seen.redraws = (seen.redraws + REDRAWS).min(SAVED);
     }
 
     /// A tenant's own bucket on this gateway, filled at its quota over the gateways, one second deep.
@@ -255,17 +260,15 @@
             last = next;
             let held = &self.requests[&next.1];
             let (class, memory) = (held.req.class, held.memory);
-            let like = (class, if self.set.classes[class].waits() { held.req.group } else { 0 });
-            if no_room.get(&like).is_some_and(|&least| memory >= least) {
+            let like = (class, if self.concerned(class) { held.req.group } else { 0 });
+            if !self.is_drawn(held) || no_room.get(&like).is_some_and(|&least| memory >= least) {
                 continue;
             }
             let plain = held.attempts.is_empty() && !self.set.classes[class].ordered;
             let least = if self.is_dashboard(class) { 0.0 } else { memory };
-            let waits = self.waits_for_reports(held);
             match self.choose(next.1) {
                 Some(engine) => self.send(next.1, engine),
                 // Without room among the engines drawn, it waits to be drawn for again.
-                None if self.thin && waits => {}
                 None if self.thin => _ = self.requests.entry(next.1).and_modify(|held| held.asked.clear()),
                 None if plain => _ = no_room.insert(like, least),
                 None => {}
@@ -290,13 +293,8 @@
         }
         // The last one in may pass the bound: a small share would else stay partly unused.
         let dashboard = self.is_dashboard(held.req.class);
-        let bound = if !self.thin {
-            START_BOUND
-        } else if dashboard {
-            IMPLIED
-        } else {
-            THIN_BOUND
-        };
+        let thin_bound = if dashboard { IMPLIED } else { THIN_BOUND };
+        let bound = if self.thin { thin_bound } else { START_BOUND };
         if before >= bound * engine.width * cores {
             return false;
         }
@@ -363,7 +361,7 @@
 
     /// The engine with the least expected cost among those that may take the request now.
     fn choose(&self, id: RequestId) -> Option<EngineId> {
-        let held = Some(&self.requests[&id]).filter(|held| !self.waits_for_reports(held))?;
+        let held = Some(&self.requests[&id]).filter(|held| self.is_drawn(held))?;
         if self.thin && !self.pool_has_room(held) {
             return None;
         }
@@ -384,6 +382,11 @@
         self.now <= held.asked_at + BEAT_TICKS * self.set.tick && held.asked.iter().any(asked)
     }
 
+    /// Whether a request may be placed now; where shares are thin it has its engines, and they were heard.
+    fn is_drawn(&self, held: &Held) -> bool {
+        !self.thin || !held.asked.is_empty() && !self.waits_for_reports(held)
+    }
+
     /// Draws the few engines that a request is placed among, and probes those with no fresh report. Reports
     /// are late, so the best engine by them would draw every gateway at once: choice among few bounds that.
     fn draw(&mut self, id: RequestId) {
@@ -405,15 +408,12 @@
             asked.push(order.remove((lot * among as f64) as usize));
         }
         for id in &asked {
-            let fresh = self.is_fresh(&self.engines[id]);
-            let Some(engine) = self.engines.get_mut(id).filter(|e| !fresh && e.asked_at == 0) else {
-                continue;
-            };
-            if self.set.may_probe && self.traffic.probes >= 1.0 {
-                self.traffic.probes -= 1.0;
-                engine.asked_at = self.now;
-                self.actions.push(Action::Probe { engine: *id });
-            }
+            let wanted = !self.is_fresh(&self.engines[id]) && self.traffic.probes >= 1.0;
+            let may_ask = |e: &&mut Engine| self.set.may_probe && wanted && e.asked_at == 0;
+            let Some(engine) = self.engines.get_mut(id).filter(may_ask) else { continue };
+            engine.asked_at = self.now;
+            self.traffic.probes -= 1.0;
+            self.actions.push(Action::Probe { engine: *id });
         }
         let Some(held) = self.requests.get_mut(&id) else { return };
         (held.asked, held.asked_at) = (asked, self.now);
@@ -426,7 +426,7 @@
         let open = self.engines.iter().filter(|(_, e)| e.open() && may_place(class, &e.entry));
         let mut order: Vec<_> = open.map(|(&id, _)| (mix(group ^ mix(id as u64)), id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
-        let seen = GROUP_MEMORY * (1.2 - (-self.traffic.arrivals / GROUP_MEMORY).exp());
+        let seen = GROUP_MEMORY * (1.0 + GROUP_PRIOR - (-self.traffic.arrivals / GROUP_MEMORY).exp());
         let part = self.traffic.groups.get(&group).map_or(0.0, |(count, _)| count / seen);
         let hot = if self.thin { part * order.len() as f64 * HOT_SPREAD } else { 0.0 };
         let homes = (hot as usize).max(HOMES).min(order.len());
@@ -458,7 +458,11 @@
     fn load_holds(&self, held: &Held, engine: &Engine) -> bool {
         let own = |c: &Charge| c.group == held.req.group && self.set.classes[c.class].is_load;
         let held_back = engine.loading.contains_key(&held.req.group) || engine.out.values().any(own);
-        held_back && self.set.classes[held.req.class].waits()
+        held_back && self.concerned(held.req.class)
+    }
+
+    fn concerned(&self, class: usize) -> bool {
+        self.set.classes[class].is_load || self.set.classes[class].waits_for_load
     }
 
     /// A load would stop the reading of its group where that is read, so it keeps away from the homes.
@@ -644,11 +648,10 @@
         let charge = engine.out.remove(&(end.request, end.attempt))?;
         if end.outcome == Outcome::Full {
             // What refuses at once frees its charges at once and would draw the whole queue.
-            let pause = self.latency * if self.thin { 1.0 } else { FULL_PAUSE };
-            let pause_ends = self.now + pause as Micros;
+            let pause_ends = self.now + self.pause;
             engine.quarantined_until = engine.quarantined_until.max(pause_ends);
             engine.pressed_until = pause_ends + self.latency as Micros / 3;
-            engine.widen(-4.0);
+            engine.widen(-BOUND_CUT);
         }
         engine.tally();
         Some(charge)
@@ -667,7 +670,7 @@
         let ideal = bill.map_or(charge.ideal, |bill| bill.work / charge.threads);
         let Some(engine) = self.engines.get_mut(&engine) else { return };
         engine.observe(self.now, self.latency, (!charge.waited).then_some((spent as f64, ideal)));
-        engine.widen(if engine.under_pressure(self.now) { -4.0 } else { 1.0 });
+        engine.widen(if engine.under_pressure(self.now) { -BOUND_CUT } else { 1.0 });
     }
 
     /// Cores, disks or memory that are all in use are held to be at the thread bound.
@@ -689,13 +692,13 @@
         self.traffic.level += LEARN * (engine.others / cores - self.traffic.level);
     }
 
-    /// A probe's answer: the report in it, or a symptom as good as an outcome's. That the process runs proves
-    /// nothing of what it makes of queries, so it is no good outcome.
+    /// A probe's answer: the report in it counts, a failure closes the engine for a while. That the process
+    /// runs proves nothing of what it makes of queries, so it is no good outcome.
     fn probed(&mut self, probed: Probed) {
         let Some(engine) = self.engines.get_mut(&probed.engine) else { return };
         engine.asked_at = 0;
         if matches!(probed.outcome, Outcome::NoConnection | Outcome::Broken | Outcome::TimedOut) {
-            engine.quarantined_until = engine.quarantined_until.max(self.now + self.latency as Micros);
+            engine.quarantined_until = engine.quarantined_until.max(self.now + self.pause);
         }
         probed.report.into_iter().for_each(|report| self.heed_report(probed.engine, report));
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -58,13 +58,6 @@
     pub waits_for_load: bool,
 }
 
-impl Class {
-    /// Whether a load that holds its group makes it stand still: a reading class that waits, or another load.
-    pub fn waits(&self) -> bool {
-        self.is_load || self.waits_for_load
-    }
-}
-
 #[derive(Clone, Debug)]
 pub struct Tenant {
     /// Requests a second, over all gateways, that count as within its share.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -95,8 +95,12 @@
 
 impl Bench {
     pub fn new(set: Settings, engines: &[Entry]) -> Self {
+        Self::seeded(set, 7, engines)
+    }
+
+    pub fn seeded(set: Settings, seed: u64, engines: &[Entry]) -> Self {
         let mut bench = Bench {
-            gateway: Gateway::new(set, 7, 1_000 * S),
+            gateway: Gateway::new(set, seed, 1_000 * S),
             now: 1_000 * S,
             last: Vec::new(),
             timers: Vec::new(),
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -2,7 +2,6 @@
 
 mod common;
 use common::*;
-use eideryard::decide::Gateway;
 use eideryard::interface::*;
 use std::collections::BTreeMap;
 
@@ -196,13 +195,8 @@
     let start = 1_000 * S;
     let cold = Entry { booted_at: start, ..ready(1) };
     let mut most: f64 = 0.0;
-    let mut gateways: Vec<Gateway> = (0..set.peers as u64)
-        .map(|seed| {
-            let mut gateway = Gateway::new(set.clone(), seed, start);
-            gateway.handle(start, Event::FullList(vec![cold, ready(2)]), &mut Vec::new());
-            gateway
-        })
-        .collect();
+    let mut gateways: Vec<Bench> =
+        (0..set.peers as u64).map(|seed| Bench::seeded(set.clone(), seed, &[cold, ready(2)])).collect();
     let mut id = 0;
     for window in 0..4 {
         let mut work = 0.0;
@@ -214,25 +208,12 @@
                     continue;
                 }
                 id += 1;
-                let mut actions = Vec::new();
-                let request = Request { group: id, ..lookup(id, now + 4 * S) };
-                gateway.handle(now, Event::Arrived(request), &mut actions);
-                for engine in probed(&actions) {
-                    // The warm one has no room: all that the rule allows may go to the cold one.
-                    gateway.handle(now, reported(engine, if engine == 1 { 0.0 } else { 30.0 }), &mut actions);
-                }
-                work += targets(&actions).iter().filter(|&&engine| engine == 1).count() as f64 * 0.1;
-                let outcome = Outcome::Answered;
-                let ended = Ended {
-                    request: id,
-                    attempt: 0,
-                    outcome,
-                    spent: 100 * MS,
-                    complete: true,
-                    bill: None,
-                    report: None,
-                };
-                gateway.handle(now, Event::Ended(ended), &mut Vec::new());
+                gateway.now = now;
+                // The warm one has no room: all that the rule allows may go to the cold one.
+                let load = |engine| if engine == 1 { 0.0 } else { 30.0 };
+                let sends = place(gateway, Request { group: id, ..lookup(id, now + 4 * S) }, load);
+                work += sends.iter().filter(|&&engine| engine == 1).count() as f64 * 0.1;
+                gateway.end(id, 0, Outcome::Answered, 100 * MS);
             }
         }
         most = most.max(work);
