--- /dev/null
+++ b/crates/gateway/src/engines.rs
@@ -0,0 +1,525 @@
+//! Connections to engines: dials them when there is something to send, carries many attempts on each, and tells how
+//! each attempt ended. A connection lives in a slot of the table; [`Engines::close`] is the one place where it is
+//! given back, and with it what was open on it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+
+use eideryard::interface::{Bill, EngineId, LoadReport, Micros, Note, Outcome};
+use eideryard_engine_line::{self as line, decode, Answer, Fields, Serve, Word};
+
+use crate::connection::{Connection, Filled, Loop, Wake};
+use crate::counters::Counters;
+use crate::deadlines::{DeadlineKey, Deadlines, Due};
+use crate::table::{Key, Table};
+
+const MOST_READS: usize = 16;
+/// Pages of one result, and its bytes: an answer has 48,000 at most, in pages of whole rows.
+const MOST_PAGES: usize = 256;
+const MOST_RESULT: usize = 256 << 10;
+/// Part of the idle time after which a connection is closed from this side, so that no request crosses the engine's
+/// own closing.
+const IDLE_PART: f64 = 0.8;
+/// Ids given up on a connection whose answers may still come, before it takes no more requests.
+const MOST_GIVEN_UP: usize = 1024;
+
+/// What an attempt on a connection waits for.
+enum Stage {
+    Running,
+    /// It ended well; its further pages are on their way.
+    Reading {
+        pages: Vec<Option<Vec<u8>>>,
+        bytes: usize,
+        bill: Option<Bill>,
+        report: Option<LoadReport>,
+    },
+}
+
+struct Open {
+    request: Key,
+    attempt: usize,
+    stage: Stage,
+    /// Where in what is sent on this connection its request ends.
+    sent_whole_at: u64,
+}
+
+struct Conn {
+    engine: EngineId,
+    connection: Connection,
+    up: bool,
+    open: BTreeMap<Box<str>, Open>,
+    /// Requests given up whose answers may still come: none of them is sent on this connection again.
+    given_up: BTreeSet<Box<str>>,
+    probes: BTreeMap<Box<str>, DeadlineKey>,
+    /// It takes no more: it closes when what is open on it is over.
+    retired: bool,
+    opened_at: Micros,
+    /// Until it must be up; afterwards, where nothing is open, until it is closed for that.
+    deadline: Option<DeadlineKey>,
+}
+
+struct Engine {
+    address: Option<SocketAddr>,
+    conns: Vec<Key>,
+}
+
+/// What engines said, and what became of attempts and probes.
+pub enum Heard {
+    Over {
+        request: Key,
+        attempt: usize,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    },
+    Served {
+        request: Key,
+        attempt: usize,
+        pages: Vec<Vec<u8>>,
+        bill: Option<Bill>,
+        report: Option<LoadReport>,
+    },
+    Noted {
+        request: Key,
+        attempt: usize,
+        note: Note,
+    },
+    Probed {
+        engine: EngineId,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    },
+}
+
+pub struct Limits {
+    pub dial_timeout: Micros,
+    pub idle: Micros,
+    pub streams: usize,
+    pub connections: usize,
+}
+
+pub struct Engines {
+    events: Loop,
+    limits: Limits,
+    engines: BTreeMap<EngineId, Engine>,
+    table: Table<Conn>,
+    unflushed: Vec<Key>,
+    probes_sent: u64,
+}
+
+impl Engines {
+    pub fn new(events: &Loop, limits: Limits) -> Self {
+        Engines {
+            events: events.clone(),
+            limits,
+            engines: BTreeMap::new(),
+            table: Table::new(),
+            unflushed: Vec::new(),
+            probes_sent: 0,
+        }
+    }
+
+    /// The list tells of an engine. Connections to another address, or opened before the process started that runs
+    /// there now, carry nothing new; what ran in a process before that start has ended with it.
+    pub fn listed(
+        &mut self,
+        engine: EngineId,
+        address: Option<SocketAddr>,
+        started_at: Micros,
+        due: &mut Deadlines,
+        heard: &mut Vec<Heard>,
+    ) {
+        let known = self.engines.entry(engine).or_insert(Engine { address, conns: Vec::new() });
+        let moved = known.address != address;
+        known.address = address;
+        for key in known.conns.clone() {
+            let Some(conn) = self.table.get_mut(key) else { continue };
+            if conn.opened_at < started_at {
+                self.close(key, Outcome::Broken, due, heard);
+            } else if moved {
+                conn.retired = true;
+                self.settle(key, started_at, due, heard);
+            }
+        }
+        self.forget_unused(engine);
+    }
+
+    /// An engine is gone: nothing new goes there, what is open may still end.
+    pub fn unlisted(&mut self, engine: EngineId, due: &mut Deadlines, heard: &mut Vec<Heard>) {
+        if self.engines.contains_key(&engine) {
+            self.listed(engine, None, 0, due, heard);
+        }
+    }
+
+    pub fn ids(&self) -> Vec<EngineId> {
+        self.engines.keys().copied().collect()
+    }
+
+    fn forget_unused(&mut self, engine: EngineId) {
+        let unused = |e: &Engine| e.address.is_none() && e.conns.is_empty();
+        if self.engines.get(&engine).is_some_and(unused) {
+            self.engines.remove(&engine);
+        }
+    }
+
+    /// Sends an attempt; gives the connection that carries it, or none where none can be had.
+    pub fn send(
+        &mut self,
+        now: Micros,
+        engine: EngineId,
+        (request, attempt): (Key, usize),
+        serve: &Serve,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+    ) -> Option<Key> {
+        let streams = self.limits.streams;
+        let takes = |conn: &Conn| {
+            let free = conn.open.len() + conn.probes.len() < streams && conn.given_up.len() < MOST_GIVEN_UP;
+            free && !conn.open.contains_key(serve.id) && !conn.given_up.contains(serve.id)
+        };
+        let key = self.connection_to(now, engine, takes, due, counters)?;
+        let conn = self.table.get_mut(key)?;
+        due.take_back(if conn.up { conn.deadline.take() } else { None });
+        serve.write(conn.connection.output.tail());
+        let sent_whole_at = conn.connection.end_of_output();
+        conn.open.insert(serve.id.into(), Open { request, attempt, stage: Stage::Running, sent_whole_at });
+        self.unflushed.push(key);
+        Some(key)
+    }
+
+    /// The first connection that takes more, else a new one.
+    fn connection_to(
+        &mut self,
+        now: Micros,
+        engine: EngineId,
+        takes: impl Fn(&Conn) -> bool,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+    ) -> Option<Key> {
+        let known = self.engines.get_mut(&engine)?;
+        let usable = |key: &&Key| self.table.get(**key).is_some_and(|conn| !conn.retired && takes(conn));
+        if let Some(&key) = known.conns.iter().find(usable) {
+            return Some(key);
+        }
+        counters.dials += 1;
+        if self.table.len() >= self.limits.connections {
+            log::warn!("no connection to engine {engine}: {} are open, as many as may be", self.table.len());
+            counters.dials_failed += 1;
+            return None;
+        }
+        let key = self.table.next_key();
+        let connection = match Connection::dial(&self.events, known.address?, Wake::Engine(key)) {
+            Ok(connection) => connection,
+            Err(e) => {
+                log::debug!("no connection to engine {engine}: {e}");
+                counters.dials_failed += 1;
+                return None;
+            }
+        };
+        known.conns.push(key);
+        Some(self.table.insert(Conn {
+            engine,
+            connection,
+            up: false,
+            open: BTreeMap::new(),
+            given_up: BTreeSet::new(),
+            probes: BTreeMap::new(),
+            retired: false,
+            opened_at: now,
+            deadline: Some(due.set(now + self.limits.dial_timeout, Due::Conn(key))),
+        }))
+    }
+
+    /// Asks an engine for its load. False: no connection can be had.
+    pub fn probe(
+        &mut self,
+        now: Micros,
+        engine: EngineId,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+    ) -> bool {
+        let streams = self.limits.streams;
+        let takes = |conn: &Conn| conn.open.len() + conn.probes.len() < streams;
+        let Some(key) = self.connection_to(now, engine, takes, due, counters) else { return false };
+        let Some(conn) = self.table.get_mut(key) else { return false };
+        self.probes_sent += 1;
+        counters.probes += 1;
+        let tag = format!("probe-{}", self.probes_sent);
+        line::write_gauges(conn.connection.output.tail(), &tag);
+        // An answer may take as long as a connection may: neither waits for the engine's work.
+        let deadline = due.set(now + self.limits.dial_timeout, Due::Probe(key, self.probes_sent));
+        conn.probes.insert(tag.into(), deadline);
+        due.take_back(if conn.up { conn.deadline.take() } else { None });
+        self.unflushed.push(key);
+        true
+    }
+
+    pub fn probe_late(&mut self, key: Key, number: u64, heard: &mut Vec<Heard>) {
+        let Some(conn) = self.table.get_mut(key) else { return };
+        if conn.probes.remove(format!("probe-{number}").as_str()).is_some() {
+            heard.push(Heard::Probed { engine: conn.engine, outcome: Outcome::TimedOut, report: None });
+        }
+    }
+
+    /// A new priority for what is out.
+    pub fn weigh(&mut self, key: Key, id: &str, rank: u8) {
+        let Some(conn) = self.table.get_mut(key) else { return };
+        if conn.open.get(id).is_some_and(|open| matches!(open.stage, Stage::Running)) {
+            line::write_weigh(conn.connection.output.tail(), id, rank);
+            self.unflushed.push(key);
+        }
+    }
+
+    /// Gives an attempt up. Where engines heed no cancel (`tell` is false) its answer is still passed over.
+    pub fn give_up(&mut self, now: Micros, key: Key, id: &str, tell: bool, due: &mut Deadlines) {
+        let Some(conn) = self.table.get_mut(key) else { return };
+        let Some(open) = conn.open.remove(id) else { return };
+        let out = conn.connection.output.tail();
+        match open.stage {
+            Stage::Running if tell => line::write_cancel(out, id),
+            Stage::Running => {}
+            Stage::Reading { .. } => line::write_release(out, id),
+        }
+        conn.given_up.insert(id.into());
+        self.unflushed.push(key);
+        self.settle(key, now, due, &mut Vec::new());
+    }
+
+    /// A connection that has nothing to do closes, at once or after a while.
+    fn settle(&mut self, key: Key, now: Micros, due: &mut Deadlines, heard: &mut Vec<Heard>) {
+        let idle = (self.limits.idle as f64 * IDLE_PART) as Micros;
+        let Some(conn) = self.table.get_mut(key) else { return };
+        if !conn.open.is_empty() || !conn.probes.is_empty() {
+            return;
+        }
+        if conn.retired || conn.given_up.len() >= MOST_GIVEN_UP {
+            self.close(key, Outcome::Broken, due, heard);
+        } else if conn.up && conn.deadline.is_none() && idle > 0 {
+            conn.deadline = Some(due.set(now + idle, Due::Conn(key)));
+        }
+    }
+
+    /// Not up in time, or idle for so long that the engine might close it.
+    pub fn conn_due(&mut self, key: Key, due: &mut Deadlines, heard: &mut Vec<Heard>) {
+        let Some(conn) = self.table.get_mut(key) else { return };
+        conn.deadline = None;
+        self.close(key, Outcome::NoConnection, due, heard);
+    }
+
+    /// Reads what has come. True: there may be more, others first.
+    pub fn read(
+        &mut self,
+        key: Key,
+        now: Micros,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+        heard: &mut Vec<Heard>,
+    ) -> bool {
+        let Some(conn) = self.table.get_mut(key) else { return false };
+        match conn.connection.is_up() {
+            Ok(false) => return false,
+            Ok(true) if !conn.up => {
+                conn.up = true;
+                due.take_back(conn.deadline.take());
+            }
+            Ok(true) => {}
+            Err(_) => {
+                counters.dials_failed += 1;
+                self.close(key, Outcome::NoConnection, due, heard);
+                return false;
+            }
+        }
+        self.unflushed.push(key);
+        for _ in 0..MOST_READS {
+            let Some(conn) = self.table.get_mut(key) else { return false };
+            match conn.connection.fill() {
+                Ok(Filled::Some) => {
+                    if let Err(reason) = Self::understand(conn, due, counters, heard) {
+                        log::warn!("the connection to engine {} is closed: {reason}", conn.engine);
+                        self.close(key, Outcome::Broken, due, heard);
+                        return false;
+                    }
+                }
+                Ok(Filled::Blocked) => {
+                    self.settle(key, now, due, heard);
+                    return false;
+                }
+                Ok(Filled::Ended) | Err(_) => {
+                    self.close(key, Outcome::Broken, due, heard);
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    fn understand(
+        conn: &mut Conn,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+        heard: &mut Vec<Heard>,
+    ) -> Result<(), &'static str> {
+        let Connection { input, output, .. } = &mut conn.connection;
+        let (bytes, mut used) = (input.filled(), 0);
+        let result = loop {
+            let (answer, length) = match decode(&bytes[used..]) {
+                Ok(Some(decoded)) => decoded,
+                Ok(None) => break Ok(()),
+                Err(_) => break Err("what it says is no answer"),
+            };
+            used += length;
+            if let Some(deadline) = conn.probes.remove(answer.id) {
+                due.take_back(Some(deadline));
+                let up = answer.word == Word::Up;
+                let outcome = if up { Outcome::Answered } else { Outcome::Full };
+                heard.push(Heard::Probed { engine: conn.engine, outcome, report: report(&answer.fields) });
+                continue;
+            }
+            let Some(open) = conn.open.get_mut(answer.id) else {
+                // Of something given up. A good end that crossed the cancel may have left pages there.
+                if answer.word == Word::Ok && pages(&answer.fields) > 1 && conn.given_up.contains(answer.id) {
+                    line::write_release(output.tail(), answer.id);
+                }
+                continue;
+            };
+            counters.notes += (answer.word == Word::Note) as u64;
+            counters.pages += (answer.word == Word::Rows) as u64;
+            match take(open, &answer, output.tail()) {
+                Ok(None) => {}
+                Ok(Some(what)) => {
+                    let over = !matches!(what, Heard::Noted { .. });
+                    heard.push(what);
+                    if over {
+                        conn.open.remove(answer.id);
+                    }
+                }
+                Err(reason) => break Err(reason),
+            }
+        };
+        input.consume(used);
+        result
+    }
+
+    /// Writes all that was sent since the last time.
+    pub fn flush(&mut self, due: &mut Deadlines, heard: &mut Vec<Heard>) {
+        let mut unflushed = std::mem::take(&mut self.unflushed);
+        unflushed.sort_unstable();
+        unflushed.dedup();
+        for key in unflushed.drain(..) {
+            let Some(conn) = self.table.get_mut(key) else { continue };
+            if conn.connection.flush().is_err() {
+                self.close(key, Outcome::Broken, due, heard);
+            }
+        }
+        self.unflushed = unflushed;
+    }
+
+    /// The one place that gives an engine's connection back. What was not written whole never came to the engine.
+    fn close(&mut self, key: Key, outcome: Outcome, due: &mut Deadlines, heard: &mut Vec<Heard>) {
+        let Some(conn) = self.table.remove(key) else { return };
+        due.take_back(conn.deadline);
+        if let Some(engine) = self.engines.get_mut(&conn.engine) {
+            engine.conns.retain(|&other| other != key);
+        }
+        for open in conn.open.into_values() {
+            let whole = conn.up && conn.connection.written >= open.sent_whole_at;
+            let outcome = if whole { outcome } else { Outcome::NoConnection };
+            let (request, attempt) = (open.request, open.attempt);
+            heard.push(Heard::Over { request, attempt, outcome, report: None });
+        }
+        for deadline in conn.probes.into_values() {
+            due.take_back(Some(deadline));
+            heard.push(Heard::Probed { engine: conn.engine, outcome, report: None });
+        }
+        self.forget_unused(conn.engine);
+    }
+}
+
+/// What an answer means for the attempt that it answers; asks for what is still to come.
+fn take(open: &mut Open, answer: &Answer, out: &mut Vec<u8>) -> Result<Option<Heard>, &'static str> {
+    let (request, attempt) = (open.request, open.attempt);
+    let over = |outcome| {
+        let report = report(&answer.fields);
+        Ok(Some(Heard::Over { request, attempt, outcome, report }))
+    };
+    match (&mut open.stage, answer.word) {
+        (Stage::Running, Word::Ok) => {
+            let count = pages(&answer.fields);
+            if count > MOST_PAGES {
+                return Err("a result has too many pages");
+            }
+            let (bill, report) = (bill(&answer.fields), report(&answer.fields));
+            let first = answer.payload.to_vec();
+            if count <= 1 {
+                return Ok(Some(Heard::Served { request, attempt, pages: vec![first], bill, report }));
+            }
+            (1..count).for_each(|page| line::write_read(out, answer.id, page));
+            let bytes = first.len();
+            let pages = std::iter::once(Some(first)).chain((1..count).map(|_| None)).collect();
+            open.stage = Stage::Reading { pages, bytes, bill, report };
+            Ok(None)
+        }
+        (Stage::Reading { pages, bytes, bill, report }, Word::Rows) => {
+            let place = answer.fields.number("pos").and_then(|at: usize| pages.get_mut(at));
+            let Some(place @ None) = place else { return Err("a page that was not asked for") };
+            *place = Some(answer.payload.to_vec());
+            *bytes += answer.payload.len();
+            if *bytes > MOST_RESULT {
+                return Err("a result is too long");
+            }
+            if pages.iter().any(Option::is_none) {
+                return Ok(None);
+            }
+            line::write_release(out, answer.id);
+            let pages = pages.iter_mut().filter_map(Option::take).collect();
+            Ok(Some(Heard::Served { request, attempt, pages, bill: *bill, report: report.take() }))
+        }
+        (_, Word::Note) => Ok(note(&answer.fields).map(|note| Heard::Noted { request, attempt, note })),
+        (Stage::Running, Word::Busy | Word::Void) => over(Outcome::Full),
+        (_, Word::Err) => over(Outcome::Error),
+        _ => Err("an answer that fits nothing asked for"),
+    }
+}
+
+fn pages(fields: &Fields) -> usize {
+    fields.number("count").unwrap_or(1)
+}
+
+/// What a good end says it cost: `ticks` is work in milliseconds, `footprint` memory in MB.
+fn bill(fields: &Fields) -> Option<Bill> {
+    let work: f64 = fields.number("ticks").filter(|work| *work > 0.0)?;
+    Some(Bill { work: work * 1e3, memory_mb: fields.number("footprint").unwrap_or(0.0) })
+}
+
+fn note(fields: &Fields) -> Option<Note> {
+    let level: f64 = fields.number("reading").unwrap_or(0.0);
+    match fields.get("remark")? {
+        "share" => Some(Note::Progress(level)),
+        "short" => Some(Note::Spilling(level)),
+        "held" if level == 2.0 => Some(Note::WaitsForLoad),
+        "held" => Some(Note::WaitsForMemory),
+        _ => None,
+    }
+}
+
+/// A load report, by the names of the settings or by those of the engines.
+fn report(fields: &Fields) -> Option<LoadReport> {
+    let mut report = LoadReport::default();
+    for (name, value) in fields.report()? {
+        let value = Some(value);
+        match name {
+            "concurrent" | "inflight" => report.in_flight = value,
+            "depth" | "queue" => report.waiting_for_memory = value,
+            "load_share" | "util" => report.cores_busy = value,
+            "x0" => report.memory_granted = value,
+            "x1" => report.disks_busy = value,
+            _ => {}
+        }
+    }
+    Some(report)
+}
+
+/// An address as the list writes it.
+pub fn address(text: &str) -> Result<SocketAddr, io::Error> {
+    text.parse().map_err(|_| io::Error::other(format!("'{text}' is no address with a port")))
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,505 @@
+//! Drives the module: what the sockets, the deadlines and the list of engines tell becomes events, its actions are
+//! carried out in their order. Nothing is decided here.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::time::Duration;
+
+use eideryard::decide;
+use eideryard::interface::*;
+use eideryard_bulletin::{Item, Listed, State};
+use eideryard_engine_line::Serve;
+use eideryard_msgpack_rpc::{write_error, write_result};
+
+use crate::clients::{self, Clients};
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::connection::{Loop, Wake, Wakes};
+use crate::counters::Counters;
+use crate::deadlines::{Deadlines, Due};
+use crate::engines::{self, Engines};
+use crate::link::Link;
+use crate::requests::{place, Attempt, Call, Names, Requests};
+use crate::table::Key;
+
+/// Descriptors for what is neither a client nor an engine: listener, bulletin, event loop, signals, standard ones.
+const OTHER_SOCKETS: usize = 24;
+/// How long clients wait in the queue before another look whether a descriptor has come free.
+const ACCEPT_PAUSE: Micros = 20_000;
+/// New requests come for at most 0.4 s and 0.2 s more after SIGTERM; who leaves later than this has waited for all.
+const LAST_CLIENTS: Micros = 700_000;
+/// SIGKILL may follow SIGTERM after the longest wait of a client, at most 3 s, and 0.7 s more.
+const LONGEST_STOP: Micros = 3_000_000;
+/// What is still open so long before that gets its answer then.
+const STOP_MARGIN: Micros = 200_000;
+
+pub struct Gateway {
+    module: decide::Gateway,
+    clock: Clock,
+    due: Deadlines,
+    clients: Clients,
+    engines: Engines,
+    link: Link,
+    requests: Requests,
+    names: Names,
+    pub counters: Counters,
+    events: VecDeque<Event>,
+    actions: Vec<Action>,
+    may_cancel: bool,
+    longest_wait: Micros,
+    /// Names of engines by their numbers.
+    engine_names: BTreeMap<EngineId, String>,
+    from_clients: Vec<clients::Heard>,
+    from_engines: Vec<engines::Heard>,
+    /// After SIGTERM: when the last answer must be out; and whether clients come no more.
+    stopping: Option<Micros>,
+    no_more_clients: bool,
+}
+
+impl Gateway {
+    pub fn start(config: Config, clock: Clock, events: &Loop) -> io::Result<Self> {
+        let names = Names::new(&config.settings, &config.host);
+        let limits = engines::Limits {
+            dial_timeout: config.host.dial_timeout,
+            idle: config.host.idle,
+            streams: config.host.streams,
+            connections: (config.sockets / 2).saturating_sub(OTHER_SOCKETS).max(1),
+        };
+        let now = clock.now();
+        let mut gateway = Gateway {
+            clients: Clients::new(events, config.listen, config.sockets, config.memory_mb)?,
+            engines: Engines::new(events, limits),
+            link: Link::new(events, config.bulletin, config.known.no, config.seed),
+            requests: Requests::default(),
+            names,
+            due: Deadlines::new(),
+            counters: Counters::default(),
+            events: VecDeque::new(),
+            actions: Vec::new(),
+            may_cancel: config.settings.may_cancel,
+            longest_wait: config.host.longest_wait,
+            engine_names: BTreeMap::new(),
+            from_clients: Vec::new(),
+            from_engines: Vec::new(),
+            stopping: None,
+            no_more_clients: false,
+            module: decide::Gateway::new(config.settings, config.seed, now),
+            clock,
+        };
+        config.known.items.into_iter().for_each(|item| gateway.listed(item));
+        gateway.link.call(now, &mut gateway.due, &mut gateway.counters);
+        gateway.settle();
+        gateway.clients.well = !gateway.engine_names.is_empty();
+        log::info!("{} listens on {}", config.name, gateway.clients.address()?);
+        Ok(gateway)
+    }
+
+    /// How long the loop may wait for sockets and signals.
+    pub fn patience(&self, again: &[Wake]) -> Option<Duration> {
+        if !again.is_empty() {
+            return Some(Duration::ZERO);
+        }
+        let next = self.due.next()?;
+        Some(Duration::from_micros(next.saturating_sub(self.clock.now())))
+    }
+
+    /// All that a wait brought. What waits in the sockets comes first and deadlines after it: an answer that is
+    /// there already is not late only because this process was held up.
+    pub fn work(&mut self, wakes: &mut Wakes) {
+        let mut again = Wakes::new();
+        for wake in wakes.drain(..) {
+            self.woken(wake, &mut again);
+        }
+        self.settle();
+        while let Some(due) = self.due.due(self.clock.now()) {
+            self.fell_due(due);
+            self.settle();
+        }
+        wakes.append(&mut again);
+    }
+
+    fn woken(&mut self, wake: Wake, again: &mut Wakes) {
+        let now = self.clock.now();
+        match wake {
+            Wake::Listener => self.accept(),
+            Wake::Client(key) => {
+                let (names, heard) = (&self.names, &mut self.from_clients);
+                if self.clients.read(key, now, names, &mut self.counters, heard) {
+                    again.push(wake);
+                }
+                self.hear_clients();
+            }
+            Wake::Engine(key) => {
+                let (due, heard) = (&mut self.due, &mut self.from_engines);
+                if self.engines.read(key, now, due, &mut self.counters, heard) {
+                    again.push(wake);
+                }
+                self.hear_engines();
+            }
+            Wake::Bulletin => {
+                let mut items = Vec::new();
+                self.link.read(now, &mut self.due, &mut self.counters, &mut items);
+                items.into_iter().for_each(|item| self.listed(item));
+            }
+            Wake::Stop => self.stop(),
+            Wake::Report => log::info!("counters: {}", self.counters),
+        }
+    }
+
+    fn accept(&mut self) {
+        let now = self.clock.now();
+        if !self.clients.accept(now, &mut self.counters) {
+            self.due.set(now + ACCEPT_PAUSE, Due::Accept);
+        }
+    }
+
+    fn fell_due(&mut self, due: Due) {
+        let now = self.clock.now();
+        match due {
+            Due::Timer(tag) => self.events.push_back(Event::Timer { tag }),
+            Due::Attempt(request, attempt) => {
+                self.give_up(request, attempt);
+                self.over(request, attempt, Outcome::TimedOut, None, None);
+            }
+            Due::Conn(key) => self.engines.conn_due(key, &mut self.due, &mut self.from_engines),
+            Due::Probe(key, number) => self.engines.probe_late(key, number, &mut self.from_engines),
+            Due::Bulletin => self.link.due(now, &mut self.due, &mut self.counters),
+            Due::Accept => self.accept(),
+            Due::LastClients => self.no_more_clients = true,
+            Due::LastAnswers => {
+                for request in self.requests.owing() {
+                    // The module's own timer of a request, which ends it: its time is up now.
+                    self.events.push_back(Event::Timer { tag: request.number() + 1 });
+                }
+            }
+        }
+        self.hear_engines();
+    }
+
+    /// Hands all events to the module, carries out its actions, and writes what came of that.
+    fn settle(&mut self) {
+        loop {
+            while let Some(event) = self.events.pop_front() {
+                let now = self.clock.now();
+                let mut actions = std::mem::take(&mut self.actions);
+                self.module.handle(now, event, &mut actions);
+                actions.drain(..).for_each(|action| self.act(now, action));
+                self.actions = actions;
+            }
+            self.clients.flush(self.clock.now(), &mut self.from_clients);
+            self.engines.flush(&mut self.due, &mut self.from_engines);
+            self.hear_clients();
+            self.hear_engines();
+            if self.events.is_empty() {
+                return;
+            }
+        }
+    }
+
+    // ---- Clients ----
+
+    fn hear_clients(&mut self) {
+        for heard in std::mem::take(&mut self.from_clients) {
+            match heard {
+                clients::Heard::Call { client, id, call } => self.called(client, id, call),
+                clients::Heard::Forgotten(request) => {
+                    self.counters.forgotten += 1;
+                    self.left(request);
+                }
+                clients::Heard::Left(request) => {
+                    self.counters.lost += 1;
+                    self.left(request);
+                }
+            }
+        }
+    }
+
+    fn called(&mut self, client: Key, id: u32, call: Result<Call, &'static str>) {
+        let now = self.clock.now();
+        self.counters.taken += 1;
+        let call = match call {
+            Ok(call) => call,
+            Err(field) => {
+                log::debug!("a request can't be used: {field}");
+                self.counters.invalid += 1;
+                self.clients.answer(client, id, |out| write_error(out, id, "Invalid", &[("field", field)]));
+                return;
+            }
+        };
+        let deadline = now + call.wait;
+        let arrived = Request {
+            id: 0,
+            class: call.class,
+            tenant: call.tenant,
+            key: None,
+            deadline: self.stopping.map_or(deadline, |stop| deadline.min(stop)),
+            work: call.work,
+            memory_mb: call.memory_mb,
+            group: call.group.unwrap_or(0),
+        };
+        let request = self.requests.insert(client, id, call);
+        self.clients.opened(client, id, request);
+        self.events.push_back(Event::Arrived(Request { id: request.number(), ..arrived }));
+    }
+
+    /// Nobody waits for this any more.
+    fn left(&mut self, key: Key) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.answered = true;
+            self.events.push_back(Event::ClientLeft { request: key.number() });
+            self.requests.give_back(key);
+        }
+    }
+
+    // ---- Engines ----
+
+    fn hear_engines(&mut self) {
+        for heard in std::mem::take(&mut self.from_engines) {
+            match heard {
+                engines::Heard::Over { request, attempt, outcome, report } => {
+                    self.over(request, attempt, outcome, None, report)
+                }
+                engines::Heard::Served { request, attempt, pages, bill, report } => {
+                    self.serve(request, &pages);
+                    self.over(request, attempt, Outcome::Answered, bill, report);
+                }
+                engines::Heard::Noted { request, attempt, note } => {
+                    self.events.push_back(Event::Noted { request: request.number(), attempt, note })
+                }
+                engines::Heard::Probed { engine, outcome, report } => {
+                    self.events.push_back(Event::Probed(Probed { engine, outcome, report }))
+                }
+            }
+        }
+    }
+
+    /// The first good answer goes to the client.
+    fn serve(&mut self, key: Key, pages: &[Vec<u8>]) {
+        let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else { return };
+        request.answered = true;
+        let call = request.call;
+        let pages = pages.iter().map(Vec::as_slice);
+        match self.clients.answer(request.client, call, |out| write_result(out, call, pages)) {
+            true => self.counters.served += 1,
+            false => self.counters.lost += 1,
+        }
+    }
+
+    /// An attempt has its outcome.
+    fn over(
+        &mut self,
+        key: Key,
+        attempt: usize,
+        outcome: Outcome,
+        bill: Option<Bill>,
+        report: Option<LoadReport>,
+    ) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Some(tried) = request.attempts.get_mut(attempt) else { return };
+        tried.conn = None;
+        self.due.take_back(tried.deadline.take());
+        self.counters.attempts.count(outcome);
+        self.events.push_back(Event::Ended(Ended {
+            request: key.number(),
+            attempt,
+            outcome,
+            spent: self.clock.now().saturating_sub(tried.sent_at),
+            complete: request.answered,
+            bill,
+            report,
+        }));
+        self.requests.give_back(key);
+    }
+
+    /// No answer of an attempt is waited for any more.
+    fn give_up(&mut self, key: Key, attempt: usize) -> bool {
+        let Some(request) = self.requests.get_mut(key) else { return false };
+        let Some(conn) = request.attempts.get_mut(attempt).and_then(|tried| tried.conn) else { return false };
+        self.engines.give_up(self.clock.now(), conn, &request.id, self.may_cancel, &mut self.due);
+        true
+    }
+
+    // ---- Actions ----
+
+    fn act(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Terms { request, grant_mb, rank } => {
+                self.terms(Key::from_number(request), grant_mb, rank)
+            }
+            Action::Send { request, engine, give_up_at } => {
+                self.send(now, Key::from_number(request), engine, give_up_at)
+            }
+            Action::Probe { engine } => {
+                if !self.engines.probe(now, engine, &mut self.due, &mut self.counters) {
+                    let outcome = Outcome::NoConnection;
+                    self.events.push_back(Event::Probed(Probed { engine, outcome, report: None }));
+                }
+            }
+            Action::Cancel { request, attempt } => {
+                let request = Key::from_number(request);
+                if self.give_up(request, attempt) {
+                    self.over(request, attempt, Outcome::Cancelled, None, None);
+                }
+            }
+            Action::Refuse { request, retry_after } => {
+                let wait = (retry_after / 1000).to_string();
+                let advice = [("w", wait.as_str())];
+                let advice = if retry_after >= 1000 { &advice[..] } else { &[] };
+                self.turn_down(Key::from_number(request), "TryLater", advice);
+            }
+            Action::Fail { request } => self.turn_down(Key::from_number(request), "Failed", &[]),
+            Action::SetTimer { after, tag } => _ = self.due.set(now + after, Due::Timer(tag)),
+            // The bulletin tells of changes by itself, whenever it can be reached.
+            Action::Subscribe if self.link.is_up() => self.events.push_back(Event::ListChanges(Vec::new())),
+            Action::Subscribe => self.events.push_back(Event::ListFailed),
+            Action::Log(text) => log::info!("{}", self.with_names(&text)),
+        }
+    }
+
+    fn terms(&mut self, key: Key, grant_mb: f64, rank: u8) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        request.grant_mb = grant_mb.round() as u64;
+        if request.rank.replace(rank) == Some(rank) {
+            return;
+        }
+        for conn in request.attempts.iter().filter_map(|attempt| attempt.conn) {
+            self.engines.weigh(conn, &request.id, rank);
+        }
+    }
+
+    fn send(&mut self, now: Micros, key: Key, engine: EngineId, give_up_at: Micros) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let attempt = request.attempts.len();
+        let wait_ms = give_up_at.saturating_sub(now) / 1000;
+        let serve = Serve {
+            id: &request.id,
+            class: &self.names.classes[request.class],
+            wait_ms,
+            key: request.key.as_deref(),
+            grant_mb: request.grant_mb,
+            rank: request.rank,
+            statement: &request.statement,
+        };
+        self.counters.sent += 1;
+        let in_time = wait_ms > 0;
+        let conn = match in_time {
+            true => {
+                let tried = (key, attempt);
+                self.engines.send(now, engine, tried, &serve, &mut self.due, &mut self.counters)
+            }
+            false => None,
+        };
+        let deadline = conn.map(|_| self.due.set(give_up_at, Due::Attempt(key, attempt)));
+        request.attempts.push(Attempt { engine, conn, sent_at: now, deadline });
+        if conn.is_none() {
+            let outcome = if in_time { Outcome::NoConnection } else { Outcome::Unsent };
+            self.over(key, attempt, outcome, None, None);
+        }
+    }
+
+    /// Refused or failed.
+    fn turn_down(&mut self, key: Key, word: &str, fields: &[(&str, &str)]) {
+        let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else { return };
+        request.answered = true;
+        let call = request.call;
+        let told = self.clients.answer(request.client, call, |out| write_error(out, call, word, fields));
+        match (told, word) {
+            (false, _) => self.counters.lost += 1,
+            (true, "TryLater") => self.counters.refused += 1,
+            (true, _) => self.counters.failed += 1,
+        }
+        self.requests.give_back(key);
+    }
+
+    /// Log lines of the module say numbers where an operator knows engines by name.
+    fn with_names(&self, text: &str) -> String {
+        let named = |word: &str| {
+            let number = word.parse().ok();
+            number.and_then(|id| self.engine_names.get(&id)).cloned().unwrap_or_else(|| word.to_string())
+        };
+        text.split(' ').map(named).collect::<Vec<_>>().join(" ")
+    }
+
+    // ---- List of engines ----
+
+    fn listed(&mut self, item: Item) {
+        let Some(roster) = item.roster else { return };
+        let entries: Vec<Entry> = roster.hosts.iter().filter_map(|listed| self.entry(listed)).collect();
+        for (entry, listed) in entries.iter().zip(&roster.hosts) {
+            let address = match entry.phase {
+                Phase::Gone => None,
+                _ => engines::address(&listed.dial)
+                    .inspect_err(|e| log::warn!("engine {}: {e}", listed.host))
+                    .ok(),
+            };
+            let (due, heard) = (&mut self.due, &mut self.from_engines);
+            self.engines.listed(entry.engine, address, entry.booted_at, due, heard);
+        }
+        if roster.whole {
+            for engine in self.engines.ids() {
+                if entries.iter().all(|entry| entry.engine != engine) {
+                    self.engines.unlisted(engine, &mut self.due, &mut self.from_engines);
+                }
+            }
+        }
+        let event = if roster.whole { Event::FullList(entries) } else { Event::ListChanges(entries) };
+        // What the list ended comes after the list itself.
+        self.events.push_back(event);
+        self.hear_engines();
+    }
+
+    fn entry(&mut self, listed: &Listed) -> Option<Entry> {
+        let engine = self.number(&listed.host);
+        let position = |names: &[String], name: &str, what| {
+            let known = place(names, name);
+            if known.is_none() {
+                log::warn!("engine {}: {what} '{name}' is not in the settings", listed.host);
+            }
+            known.unwrap_or(names.len()) as u32
+        };
+        Some(Entry {
+            engine,
+            zone: position(&self.names.zones, &listed.site, "zone"),
+            kind: position(&self.names.kinds, &listed.class, "kind"),
+            cell: listed.block,
+            phase: match listed.health {
+                State::Up => Phase::Ready,
+                State::Draining => Phase::Draining,
+                State::Removed => Phase::Gone,
+            },
+            booted_at: listed.born_ms * 1000,
+        })
+    }
+
+    /// An engine's number: the same at every gateway and after every restart, since it comes of the name alone.
+    fn number(&mut self, name: &str) -> EngineId {
+        let hash = name.bytes().fold(0x811c_9dc5, |hash: u32, b| (hash ^ b as u32).wrapping_mul(0x0100_0193));
+        let mut number = hash;
+        while self.engine_names.get(&number).is_some_and(|other| other != name) {
+            number = number.wrapping_add(1);
+        }
+        self.engine_names.entry(number).or_insert_with(|| name.to_string());
+        number
+    }
+
+    // ---- The end ----
+
+    /// SIGTERM: everything that comes is still served, until clients have stopped coming and all have their answers.
+    fn stop(&mut self) {
+        if self.stopping.is_some() {
+            return;
+        }
+        let now = self.clock.now();
+        let last = now + LAST_CLIENTS + self.longest_wait.min(LONGEST_STOP) - STOP_MARGIN;
+        log::info!("stopping; {} requests are open", self.counters.open());
+        self.stopping = Some(last);
+        self.clients.well = false;
+        self.due.set(now + LAST_CLIENTS, Due::LastClients);
+        self.due.set(last, Due::LastAnswers);
+    }
+
+    /// Whether nothing is left to do.
+    pub fn is_done(&self) -> bool {
+        self.no_more_clients && self.counters.open() == 0 && self.clients.is_written()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/link.rs
@@ -0,0 +1,136 @@
+//! The link to the bulletin: keeps one connection open, hands each event on once and in order, and calls again
+//! when the stream ends, skips an event or falls silent.
+
+use std::net::SocketAddr;
+
+use eideryard::interface::Micros;
+use eideryard_bulletin::{request, Heard, Item, Reader};
+
+use crate::connection::{Connection, Filled, Loop, Wake};
+use crate::counters::Counters;
+use crate::deadlines::{DeadlineKey, Deadlines, Due};
+
+/// A comment comes each second: after three without a word the stream is dead.
+const SILENCE: Micros = 3_000_000;
+/// The first pause before another call, after a call that brought nothing, and the longest: an event counts as told
+/// after 7 s, whether it came or not.
+const FIRST_PAUSE: Micros = 100_000;
+const LONGEST_PAUSE: Micros = 1_000_000;
+
+pub struct Link {
+    events: Loop,
+    address: SocketAddr,
+    connection: Option<(Connection, Reader)>,
+    /// The number of the last event that was handed on.
+    last: u64,
+    pause: Micros,
+    deadline: Option<DeadlineKey>,
+    rng: fastrand::Rng,
+}
+
+impl Link {
+    pub fn new(events: &Loop, address: SocketAddr, last: u64, seed: u64) -> Self {
+        Link {
+            events: events.clone(),
+            address,
+            connection: None,
+            last,
+            pause: 0,
+            deadline: None,
+            rng: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.connection.is_some()
+    }
+
+    /// Calls the bulletin for all events after the last.
+    pub fn call(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters) {
+        due.take_back(self.deadline.take());
+        counters.list_connections += 1;
+        match Connection::dial(&self.events, self.address, Wake::Bulletin) {
+            Ok(mut connection) => {
+                let text = request(&self.address.to_string(), self.last);
+                connection.output.tail().extend_from_slice(text.as_bytes());
+                self.connection = Some((connection, Reader::default()));
+                self.deadline = Some(due.set(now + SILENCE, Due::Bulletin));
+                // A connection within one machine may stand at once.
+                self.read(now, due, counters, &mut Vec::new());
+            }
+            Err(e) => self.hang_up(&e.to_string(), now, due),
+        }
+    }
+
+    /// Silent for too long, or the pause is over.
+    pub fn due(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters) {
+        self.deadline = None;
+        match self.connection {
+            Some(_) => self.hang_up("it is silent", now, due),
+            None => self.call(now, due, counters),
+        }
+    }
+
+    /// The one place that gives the connection back. After one that brought something the next call follows at
+    /// once, else after a pause that grows.
+    fn hang_up(&mut self, reason: &str, now: Micros, due: &mut Deadlines) {
+        log::info!("bulletin: {reason}; events up to {} are known", self.last);
+        self.connection = None;
+        due.take_back(self.deadline.take());
+        let pause = (self.pause as f64 * (0.5 + 0.5 * self.rng.f64())) as Micros;
+        self.deadline = Some(due.set(now + pause, Due::Bulletin));
+        self.pause = (2 * self.pause).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+    }
+
+    pub fn read(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters, items: &mut Vec<Item>) {
+        if let Err(reason) = self.take(now, due, counters, items) {
+            self.hang_up(&reason, now, due);
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Micros,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+        items: &mut Vec<Item>,
+    ) -> Result<(), String> {
+        let Some((connection, reader)) = &mut self.connection else { return Ok(()) };
+        if !connection.is_up().map_err(|e| e.to_string())? {
+            return Ok(());
+        }
+        connection.flush().map_err(|e| e.to_string())?;
+        let mut heard = Vec::new();
+        loop {
+            let filled = connection.fill().map_err(|e| e.to_string())?;
+            let taken = reader.take(connection.input.filled(), &mut heard).map_err(|e| e.to_string());
+            connection.input.clear();
+            if !heard.is_empty() {
+                self.pause = 0;
+                due.take_back(self.deadline.take());
+                self.deadline = Some(due.set(now + SILENCE, Due::Bulletin));
+            }
+            for heard in heard.drain(..) {
+                let Heard::Event { data, .. } = heard else { continue };
+                let item = Item::read(&data).map_err(|e| format!("an event can't be read: {e}"))?;
+                if item.no <= self.last {
+                    continue;
+                }
+                let whole = item.roster.as_ref().is_some_and(|roster| roster.whole);
+                if item.no > self.last + 1 && !whole {
+                    return Err(format!("event {} came after {}", item.no, self.last));
+                }
+                self.last = item.no;
+                counters.list_events += 1;
+                items.push(item);
+            }
+            taken?;
+            match filled {
+                Filled::Blocked => return Ok(()),
+                Filled::Ended => return Err("the stream ended".into()),
+                Filled::Some if reader.is_over() => return Err("the response is over".into()),
+                Filled::Some => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,50 @@
+//! eideryard: a workload manager in front of analytic engines, as one program on real sockets.
+
+mod clients;
+mod clock;
+mod config;
+mod connection;
+mod counters;
+mod deadlines;
+mod engines;
+mod gateway;
+mod link;
+mod logger;
+mod requests;
+mod table;
+
+use calloop::signals::{Signal, Signals};
+use calloop::EventLoop;
+use connection::{Wake, Wakes};
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref());
+    match config::Config::from_environment().and_then(|config| serve(config).map_err(|e| e.to_string())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            log::error!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(config: config::Config) -> Result<(), Box<dyn std::error::Error>> {
+    let mut events: EventLoop<Wakes> = EventLoop::try_new()?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
+    events.handle().insert_source(signals, |event, _, wakes| {
+        wakes.push(if event.signal() == Signal::SIGUSR1 { Wake::Report } else { Wake::Stop });
+    })?;
+    let mut gateway = gateway::Gateway::start(config, clock::Clock::start(), &events.handle())?;
+    let mut wakes = Wakes::new();
+    while !gateway.is_done() {
+        match events.dispatch(gateway.patience(&wakes), &mut wakes) {
+            Ok(()) => {}
+            Err(calloop::Error::IoError(e)) if e.kind() == std::io::ErrorKind::Interrupted => {}
+            Err(e) => return Err(e.into()),
+        }
+        gateway.work(&mut wakes);
+    }
+    log::info!("counters: {}", gateway.counters);
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/table.rs
@@ -0,0 +1,67 @@
+//! Tables of numbered slots. A key bears the generation of its slot's tenant, so that a late event finds nothing
+//! where a new tenant has moved in.
+
+use slab::Slab;
+
+/// Slot and generation; as a number it is never 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key(u64);
+
+impl Key {
+    pub fn number(self) -> u64 {
+        self.0
+    }
+
+    pub fn from_number(number: u64) -> Self {
+        Key(number)
+    }
+
+    fn slot(self) -> usize {
+        self.0 as u32 as usize
+    }
+}
+
+pub struct Table<T> {
+    slots: Slab<(Key, T)>,
+    generation: u32,
+}
+
+impl<T> Table<T> {
+    pub fn new() -> Self {
+        Table { slots: Slab::new(), generation: 0 }
+    }
+
+    /// The key that the next insertion gets.
+    pub fn next_key(&self) -> Key {
+        let generation = self.generation.wrapping_add(1).max(1);
+        Key((generation as u64) << 32 | self.slots.vacant_key() as u64)
+    }
+
+    pub fn insert(&mut self, tenant: T) -> Key {
+        let key = self.next_key();
+        self.generation = (key.0 >> 32) as u32;
+        self.slots.insert((key, tenant));
+        key
+    }
+
+    pub fn get(&self, key: Key) -> Option<&T> {
+        self.slots.get(key.slot()).filter(|(own, _)| *own == key).map(|(_, tenant)| tenant)
+    }
+
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut T> {
+        self.slots.get_mut(key.slot()).filter(|(own, _)| *own == key).map(|(_, tenant)| tenant)
+    }
+
+    pub fn remove(&mut self, key: Key) -> Option<T> {
+        self.get(key)?;
+        self.slots.try_remove(key.slot()).map(|(_, tenant)| tenant)
+    }
+
+    pub fn len(&self) -> usize {
+        self.slots.len()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &T)> {
+        self.slots.iter().map(|(_, (key, tenant))| (*key, tenant))
+    }
+}
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -2,6 +2,7 @@
 
 use eideryard::decide::Gateway;
 use eideryard::interface::*;
+use eideryard_settings::{settings, Tree};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 
@@ -85,7 +86,8 @@
             "ITEM" => self.add_item(&fields)?,
             "ENLIST" => {
                 let who = fields.required("who")?;
-                let settings = settings(&fields)?;
+                let settings = settings(&Tree::from_pairs(fields.pairs.iter().copied()))
+                    .map_err(|wrong| format!("ENLIST: {wrong}"))?;
                 let classes = settings.classes.len();
                 let gateway = Gateway::new(settings, fields.required("init-seed")?, now);
                 self.gateways.insert(who, (gateway, classes));
@@ -263,129 +265,6 @@
     Ok(Some(report))
 }
 
-/// The settings that ride on an `ENLIST` line; a key that is absent leaves what it names unlimited or off.
-fn settings(fields: &Fields) -> Result<Settings, String> {
-    let map: HashMap<&str, &str> = fields.pairs.iter().copied().collect();
-    let env = Env { map };
-    let mut classes = Vec::new();
-    for index in 0..env.or("grades.count", 0usize)? {
-        let at = |name: &str| format!("grades.{index}.{name}");
-        classes.push(Class {
-            aim: env.or(&at("aim-us"), env.or(&at("deadline-us"), 0)?)?,
-            aim_stretch: env.or(&at("aim-stretch"), 0.0)?,
-            worth: env.or(&at("value"), 1.0)?,
-            effect: match env.text(&at("repeat")) {
-                Some("pure") => Effect::Safe,
-                Some("token") => Effect::Keyed,
-                _ => Effect::Unsafe,
-            },
-            scope: match env.text(&at("group")) {
-                Some("all") => Scope::All,
-                Some("zone") => Scope::Zone,
-                _ => Scope::Cell,
-            },
-            window: env.or(&at("window-us"), 0)?,
-            ordered: env.flag(&at("sequential")),
-            zones_only: env.places(&at("zones-only"), "zones")?,
-            kinds_only: env.places(&at("kinds-only"), "kinds")?,
-            threads: env.item("extra.threads-by-class", index)?.unwrap_or(1.0),
-            is_load: env.list("extra.is-load").nth(index) == Some("true"),
-            waits_for_load: env.list("extra.class-waits").nth(index) == Some("true"),
-        });
-    }
-    let mut tenants = Vec::new();
-    for index in 0..env.or("orgs.count", 0usize)? {
-        tenants.push(Tenant { quota_per_s: env.or(&format!("orgs.{index}.quota-rps"), f64::INFINITY)? });
-    }
-    let mut kinds = Vec::new();
-    for index in 0..env.list("kinds").count().max(1) {
-        kinds.push(Kind {
-            cores: env.item("extra.kind-cores", index)?.unwrap_or(1.0),
-            memory_mb: env.item("extra.kind-memory-mb", index)?.unwrap_or(f64::INFINITY),
-        });
-    }
-    let budget = match env.optional::<f64>("rules.further-ratio")? {
-        None => None,
-        Some(ratio) => Some(AttemptBudget {
-            span: env.or("rules.ratio-span-us", 0)?,
-            ratio,
-            spare: env.or("rules.spare-attempts", 0.0)?,
-        }),
-    };
-    Ok(Settings {
-        classes,
-        tenants,
-        kinds,
-        peers: env.or("peers-total", 1.0)?,
-        zone: env.or("az", 0)?,
-        tick: env.or("tick-us", 1_000)?,
-        discovery: match env.text("discovery") {
-            Some("ask") => Discovery::Ask,
-            _ => Discovery::Push,
-        },
-        note_period: env.or("extra.note-period-us", 0)?,
-        largest_share: env.or("extra.largest-share", 1.0)?,
-        max_attempts: env.or("limits.max-attempts", usize::MAX)?,
-        may_cancel: env.flag("limits.may-cancel"),
-        may_duplicate: env.flag("limits.may-duplicate"),
-        may_probe: env.flag("limits.probes"),
-        may_advise: env.flag("limits.retry-after"),
-        max_advice: env.or("limits.max-retry-after-us", 0)?,
-        fall_multiple: env.or("rules.fall-multiple", f64::INFINITY)?,
-        fall_window: env.or("rules.fall-us", 0)?,
-        start_capacity: env.or("rules.start-capacity", 1.0)?,
-        warm_within: env.or("rules.warm-within-us", 0)?,
-        order_pause: env.or("rules.order-pause-us", 0)?,
-        attempt_budget: budget,
-        ask_every: env.or("rules.ask-every-us", 0)?,
-        over_share_worth: env.or("over-share-worth", 1.0)?,
-        cross_zone_tariff: env.or("tariffs.cross-zone", 0.0)?,
-        probe_tariff: env.or("tariffs.probe", 0.0)?,
-    })
-}
-
-struct Env<'a> {
-    map: HashMap<&'a str, &'a str>,
-}
-
-impl Env<'_> {
-    fn text(&self, path: &str) -> Option<&str> {
-        self.map.get(path).copied()
-    }
-
-    fn optional<T: std::str::FromStr>(&self, path: &str) -> Result<Option<T>, String> {
-        self.text(path).map(|value| number("ENLIST", path, value)).transpose()
-    }
-
-    fn or<T: std::str::FromStr>(&self, path: &str, default: T) -> Result<T, String> {
-        Ok(self.optional(path)?.unwrap_or(default))
-    }
-
-    fn flag(&self, path: &str) -> bool {
-        matches!(self.text(path), Some("true" | "1"))
-    }
-
-    fn list(&self, path: &str) -> impl Iterator<Item = &str> {
-        self.text(path).unwrap_or("").split(',').filter(|item| !item.is_empty())
-    }
-
-    fn item<T: std::str::FromStr>(&self, path: &str, index: usize) -> Result<Option<T>, String> {
-        self.list(path).nth(index).map(|value| number("ENLIST", path, value)).transpose()
-    }
-
-    /// Places named by position, or by their name in the list at `names`.
-    fn places(&self, path: &str, names: &str) -> Result<Option<Vec<u32>>, String> {
-        if self.text(path).is_none() {
-            return Ok(None);
-        }
-        let position = |item: &str| match self.list(names).position(|name| name == item) {
-            Some(index) => Ok(index as u32),
-            None => number("ENLIST", path, item),
-        };
-        self.list(path).map(position).collect::<Result<_, _>>().map(Some)
-    }
-}
-
 fn write_action(reply: &mut String, who: u64, action: Action) {
     // Writing to a String cannot fail.
     let _ = match action {
