--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -57,6 +57,11 @@
         &mut self.bytes
     }
 
+    /// Takes bytes out of the middle, counted from the start of what is there.
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.bytes.drain(self.start + from..self.start + to);
+    }
+
     pub fn consume(&mut self, count: usize) {
         self.start += count;
         if self.start == self.bytes.len() {
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -17,6 +17,8 @@
     pub invalid: u64,
     pub forgotten: u64,
     pub lost: u64,
+    /// Answers, of those above, that came after the client's time.
+    pub late: u64,
     /// Attempts sent to engines; each ends with one outcome, or is out.
     pub sent: u64,
     pub attempts: Attempts,
@@ -72,7 +74,7 @@
             f,
             "requests taken={taken} served={served} refused={refused} failed={failed} invalid={invalid}"
         )?;
-        write!(f, " forgotten={forgotten} lost={lost} open={}", self.open())?;
+        write!(f, " forgotten={forgotten} lost={lost} open={} late={}", self.open(), self.late)?;
         let a = &self.attempts;
         write!(f, "; attempts sent={} answered={} error={} full={}", self.sent, a.answered, a.error, a.full)?;
         write!(f, " timed_out={} no_connection={}", a.timed_out, a.no_connection)?;
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -40,8 +40,8 @@
     request: Key,
     attempt: usize,
     stage: Stage,
-    /// Where in what is sent on this connection its request ends.
-    sent_whole_at: u64,
+    /// Where in what is sent on this connection its request begins and ends.
+    sent: (u64, u64),
 }
 
 struct Conn {
@@ -59,6 +59,17 @@
     deadline: Option<DeadlineKey>,
 }
 
+impl Conn {
+    /// Takes a request back out of what waits to be written.
+    fn take_back(&mut self, begin: u64, end: u64) {
+        let written = self.connection.written;
+        self.connection.output.cut((begin - written) as usize, (end - written) as usize);
+        for open in self.open.values_mut().filter(|open| open.sent.0 >= end) {
+            open.sent = (open.sent.0 - (end - begin), open.sent.1 - (end - begin));
+        }
+    }
+}
+
 struct Engine {
     address: Option<SocketAddr>,
     conns: Vec<Key>,
@@ -180,9 +191,10 @@
         let key = self.connection_to(now, engine, takes, due, counters)?;
         let conn = self.table.get_mut(key)?;
         due.take_back(if conn.up { conn.deadline.take() } else { None });
+        let begin = conn.connection.end_of_output();
         serve.write(conn.connection.output.tail());
-        let sent_whole_at = conn.connection.end_of_output();
-        conn.open.insert(serve.id.into(), Open { request, attempt, stage: Stage::Running, sent_whole_at });
+        let sent = (begin, conn.connection.end_of_output());
+        conn.open.insert(serve.id.into(), Open { request, attempt, stage: Stage::Running, sent });
         self.unflushed.push(key);
         Some(key)
     }
@@ -270,10 +282,31 @@
         }
     }
 
-    /// Gives an attempt up. Where engines heed no cancel (`tell` is false) its answer is still passed over.
-    pub fn give_up(&mut self, now: Micros, key: Key, id: &str, tell: bool, due: &mut Deadlines) {
-        let Some(conn) = self.table.get_mut(key) else { return };
-        let Some(open) = conn.open.remove(id) else { return };
+    /// Gives an attempt up. What still waits to be written is never sent: nothing may go out for a request after
+    /// its answer. True: the engine may have seen it. Where engines heed no cancel (`tell` is false) its answer is
+    /// still passed over.
+    pub fn give_up(
+        &mut self,
+        now: Micros,
+        key: Key,
+        id: &str,
+        tell: bool,
+        due: &mut Deadlines,
+        heard: &mut Vec<Heard>,
+    ) -> bool {
+        let Some(conn) = self.table.get_mut(key) else { return false };
+        let Some(open) = conn.open.remove(id) else { return false };
+        let (begin, end) = open.sent;
+        if conn.connection.written <= begin {
+            conn.take_back(begin, end);
+            self.settle(key, now, due, heard);
+            return false;
+        }
+        if conn.connection.written < end {
+            // The engine has a part of it and doesn't read: only the end of the connection keeps it from the rest.
+            self.close(key, Outcome::Broken, due, heard);
+            return false;
+        }
         let out = conn.connection.output.tail();
         match open.stage {
             Stage::Running if tell => line::write_cancel(out, id),
@@ -282,7 +315,8 @@
         }
         conn.given_up.insert(id.into());
         self.unflushed.push(key);
-        self.settle(key, now, due, &mut Vec::new());
+        self.settle(key, now, due, heard);
+        true
     }
 
     /// A connection that has nothing to do closes, at once or after a while.
@@ -422,7 +456,7 @@
             engine.conns.retain(|&other| other != key);
         }
         for open in conn.open.into_values() {
-            let whole = conn.up && conn.connection.written >= open.sent_whole_at;
+            let whole = conn.connection.written >= open.sent.1;
             let outcome = if whole { outcome } else { Outcome::NoConnection };
             let (request, attempt) = (open.request, open.attempt);
             heard.push(Heard::Over { request, attempt, outcome, report: None });
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -157,10 +157,7 @@
         let now = self.clock.now();
         match due {
             Due::Timer(tag) => self.events.push_back(Event::Timer { tag }),
-            Due::Attempt(request, attempt) => {
-                self.give_up(request, attempt);
-                self.over(request, attempt, Outcome::TimedOut, None, None);
-            }
+            Due::Attempt(request, attempt) => self.give_up(request, attempt, Outcome::TimedOut),
             Due::Conn(key) => self.engines.conn_due(key, &mut self.due, &mut self.from_engines),
             Due::Probe(key, number) => self.engines.probe_late(key, number, &mut self.from_engines),
             Due::Bulletin => self.link.due(now, &mut self.due, &mut self.counters),
@@ -237,7 +234,7 @@
             memory_mb: call.memory_mb,
             group: call.group.unwrap_or(0),
         };
-        let request = self.requests.insert(client, id, call);
+        let request = self.requests.insert(client, id, deadline, call);
         self.clients.opened(client, id, request);
         self.events.push_back(Event::Arrived(Request { id: request.number(), ..arrived }));
     }
@@ -277,6 +274,7 @@
     fn serve(&mut self, key: Key, pages: &[Vec<u8>]) {
         let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else { return };
         request.answered = true;
+        self.counters.late += (self.clock.now() > request.deadline) as u64;
         let call = request.call;
         let pages = pages.iter().map(Vec::as_slice);
         match self.clients.answer(request.client, call, |out| write_result(out, call, pages)) {
@@ -311,12 +309,13 @@
         self.requests.give_back(key);
     }
 
-    /// No answer of an attempt is waited for any more.
-    fn give_up(&mut self, key: Key, attempt: usize) -> bool {
-        let Some(request) = self.requests.get_mut(key) else { return false };
-        let Some(conn) = request.attempts.get_mut(attempt).and_then(|tried| tried.conn) else { return false };
-        self.engines.give_up(self.clock.now(), conn, &request.id, self.may_cancel, &mut self.due);
-        true
+    /// No answer of an attempt is waited for any more: it ends with this outcome, or as never sent.
+    fn give_up(&mut self, key: Key, attempt: usize, outcome: Outcome) {
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let Some(conn) = request.attempts.get_mut(attempt).and_then(|tried| tried.conn) else { return };
+        let (now, due, heard) = (self.clock.now(), &mut self.due, &mut self.from_engines);
+        let sent = self.engines.give_up(now, conn, &request.id, self.may_cancel, due, heard);
+        self.over(key, attempt, if sent { outcome } else { Outcome::Unsent }, None, None);
     }
 
     // ---- Actions ----
@@ -336,10 +335,7 @@
                 }
             }
             Action::Cancel { request, attempt } => {
-                let request = Key::from_number(request);
-                if self.give_up(request, attempt) {
-                    self.over(request, attempt, Outcome::Cancelled, None, None);
-                }
+                self.give_up(Key::from_number(request), attempt, Outcome::Cancelled)
             }
             Action::Refuse { request, retry_after } => {
                 let wait = (retry_after / 1000).to_string();
@@ -390,7 +386,7 @@
             false => None,
         };
         let deadline = conn.map(|_| self.due.set(give_up_at, Due::Attempt(key, attempt)));
-        request.attempts.push(Attempt { engine, conn, sent_at: now, deadline });
+        request.attempts.push(Attempt { conn, sent_at: now, deadline });
         if conn.is_none() {
             let outcome = if in_time { Outcome::NoConnection } else { Outcome::Unsent };
             self.over(key, attempt, outcome, None, None);
@@ -401,6 +397,7 @@
     fn turn_down(&mut self, key: Key, word: &str, fields: &[(&str, &str)]) {
         let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else { return };
         request.answered = true;
+        self.counters.late += (self.clock.now() > request.deadline) as u64;
         let call = request.call;
         let told = self.clients.answer(request.client, call, |out| write_error(out, call, word, fields));
         match (told, word) {
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -1,7 +1,7 @@
 //! Requests of clients: read from their fields, kept in slots of a table until each has had its final answer and
 //! no attempt of it is out. [`Requests::give_back`] is the one place where a slot is freed.
 
-use eideryard::interface::{Effect, EngineId, Micros, Settings};
+use eideryard::interface::{Effect, Micros, Settings};
 use eideryard_engine_line::is_word;
 
 use crate::deadlines::DeadlineKey;
@@ -94,7 +94,6 @@
 }
 
 pub struct Attempt {
-    pub engine: EngineId,
     /// The connection that carries it, while it is out.
     pub conn: Option<Key>,
     pub sent_at: Micros,
@@ -113,6 +112,8 @@
     pub rank: Option<u8>,
     /// The client has had its final answer, or waits for none.
     pub answered: bool,
+    /// When the client's patience ends.
+    pub deadline: Micros,
     pub attempts: Vec<Attempt>,
 }
 
@@ -128,7 +129,7 @@
 }
 
 impl Requests {
-    pub fn insert(&mut self, client: Key, call: u32, read: Call) -> Key {
+    pub fn insert(&mut self, client: Key, call: u32, deadline: Micros, read: Call) -> Key {
         self.table.insert(Request {
             client,
             call,
@@ -139,6 +140,7 @@
             grant_mb: 0,
             rank: None,
             answered: false,
+            deadline,
             attempts: Vec::new(),
         })
     }
