--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -110,6 +110,8 @@
         for wake in wakes.drain(..) {
             self.woken(wake, &mut again);
         }
+        // Answers and the reading of pages need no decision, so they don't wait for the module.
+        self.flush();
         self.settle();
         while let Some(due) = self.due.due(self.clock.now()) {
             self.fell_due(due);
@@ -183,16 +185,20 @@
                 actions.drain(..).for_each(|action| self.act(now, action));
                 self.actions = actions;
             }
-            self.clients.flush(self.clock.now(), &mut self.from_clients);
-            self.engines.flush(&mut self.due, &mut self.from_engines);
-            self.hear_clients();
-            self.hear_engines();
+            self.flush();
             if self.events.is_empty() {
                 return;
             }
         }
     }
 
+    fn flush(&mut self) {
+        self.clients.flush(self.clock.now(), &mut self.from_clients);
+        self.engines.flush(&mut self.due, &mut self.from_engines);
+        self.hear_clients();
+        self.hear_engines();
+    }
+
     // ---- Clients ----
 
     fn hear_clients(&mut self) {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,8 +6,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::ops::Bound::{Excluded, Unbounded};
+use std::collections::{BTreeMap, VecDeque};
 
 // Tuned values. Each is a ratio of something told in the settings or learned, or a count of observations.
 
@@ -100,7 +99,7 @@
     now: Micros,
     engines: BTreeMap<EngineId, Engine>,
     requests: BTreeMap<RequestId, Held>,
-    queue: BTreeSet<(Micros, RequestId)>, // Requests with no attempt out and no answer yet, by due time
+    queue: BTreeMap<(Micros, RequestId), usize>, // Class of what has no attempt out and no answer, by due time
     /// For each key of an ordered class: its requests in the order taken, and until when it rests.
     keys: BTreeMap<String, (VecDeque<RequestId>, Micros)>,
     learned: Vec<Learned>,
@@ -130,7 +129,7 @@
             now,
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
-            queue: BTreeSet::new(),
+            queue: BTreeMap::new(),
             keys: BTreeMap::new(),
             learned: vec![fresh; set.classes.len()],
             traffic: Traffic { last: now, ..Default::default() },
@@ -203,7 +202,7 @@
         }
         self.taken.push_back(self.now);
         self.actions.push(Action::SetTimer { after: end_by - self.now, tag: req.id + 1 });
-        self.queue.insert((due, req.id));
+        self.queue.insert((due, req.id), req.class);
         let held = Held { req, work, ideal, memory, due, end_by, worth, ..Default::default() };
         self.requests.insert(id, held);
         // Work that cannot end in time only holds threads and memory that others need, for long where no
@@ -255,27 +254,42 @@
     fn release(&mut self) {
         // The least memory that found no room, for each class and, where loads hold it back, group.
         let mut no_room: BTreeMap<(usize, u64), f64> = BTreeMap::new();
-        let mut last = (0, 0);
-        while let Some(&next) = self.queue.range((Excluded(last), Unbounded)).next() {
-            last = next;
-            let held = &self.requests[&next.1];
-            let (class, memory) = (held.req.class, held.memory);
+        let mut full = self.full_classes();
+        let passable = self.queue.iter().filter(|(_, &class)| !full[class]);
+        for (id, class) in passable.map(|(&(_, id), &class)| (id, class)).collect::<Vec<_>>() {
+            let held = &self.requests[&id];
+            let memory = held.memory;
             let like = (class, if self.concerned(class) { held.req.group } else { 0 });
-            if !self.is_drawn(held) || no_room.get(&like).is_some_and(|&least| memory >= least) {
+            let no_room_for = |least: &f64| memory >= *least;
+            if full[class] || !self.is_drawn(held) || no_room.get(&like).is_some_and(no_room_for) {
                 continue;
             }
             let plain = held.attempts.is_empty() && !self.set.classes[class].ordered;
             let least = if self.is_dashboard(class) { 0.0 } else { memory };
-            match self.choose(next.1) {
-                Some(engine) => self.send(next.1, engine),
+            match self.choose(id) {
+                Some(engine) => {
+                    self.send(id, engine);
+                    full = self.full_classes();
+                }
                 // Without room among the engines drawn, it waits to be drawn for again.
-                None if self.thin => _ = self.requests.entry(next.1).and_modify(|held| held.asked.clear()),
+                None if self.thin => _ = self.requests.entry(id).and_modify(|held| held.asked.clear()),
                 None if plain => _ = no_room.insert(like, least),
                 None => {}
             }
         }
     }
 
+    /// Classes whose lightest query has no room anywhere: most of a long queue needs no closer look.
+    fn full_classes(&self) -> Vec<bool> {
+        let req = |class| Request { class, group: u64::MAX, ..Default::default() };
+        let lightest = |class| Held { req: req(class), memory: f64::MIN_POSITIVE, ..Default::default() };
+        let takes =
+            |held: &Held, class, e: &Engine| e.open() && may_place(class, &e.entry) && self.has_room(held, e);
+        let room = |held: Held, class| self.engines.values().any(|e| takes(&held, class, e));
+        let classes = self.set.classes.iter().enumerate();
+        classes.map(|(index, class)| !self.thin && !room(lightest(index), class)).collect()
+    }
+
     /// Both bounds, binding only while the engine shows pressure; an idle gateway may send one of any size.
     fn has_room(&self, held: &Held, engine: &Engine) -> bool {
         if !self.may_take(held, engine) {
@@ -319,7 +333,7 @@
     /// late, and a backlog that looks at every one would rush as one into the first engine that shows room.
     fn draw_again(&mut self) {
         let idle = |id: &RequestId| !self.waits_for_reports(&self.requests[id]);
-        let due: Vec<RequestId> = self.queue.iter().map(|&(_, id)| id).filter(idle).collect();
+        let due: Vec<RequestId> = self.queue.keys().map(|&(_, id)| id).filter(idle).collect();
         for id in due.into_iter().take(self.traffic.redraws as usize) {
             self.traffic.redraws -= 1.0;
             self.draw(id);
@@ -755,7 +769,7 @@
         };
         let left = held.attempts.len() < self.set.max_attempts && tried <= most;
         match left && self.may_repeat(held) && self.now < held.end_by && self.budget_allows_further() {
-            true => _ = self.queue.insert((held.due, id)),
+            true => _ = self.queue.insert((held.due, id), held.req.class),
             false => self.end(id, 0),
         }
     }
@@ -920,7 +934,7 @@
         // Worth per work, a positive figure: its bits sort as it does.
         let mut kept: BTreeMap<(u64, RequestId), f64> = BTreeMap::new();
         let mut gone = Vec::new();
-        for &(due, id) in &self.queue {
+        for &(due, id) in self.queue.keys() {
             let held = &self.requests[&id];
             let latest = due as f64 + SHED_SLACK * due.saturating_sub(self.now) as f64;
             ahead += held.work;
