--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -24,6 +24,7 @@
     pub attempts: Attempts,
     pub pages: u64,
     pub notes: u64,
+    pub ranks: u64,
     pub probes: u64,
     pub dials: u64,
     pub dials_failed: u64,
@@ -79,7 +80,7 @@
         write!(f, "; attempts sent={} answered={} error={} full={}", self.sent, a.answered, a.error, a.full)?;
         write!(f, " timed_out={} no_connection={}", a.timed_out, a.no_connection)?;
         write!(f, " broken={} cancelled={} unsent={}", a.broken, a.cancelled, a.unsent)?;
-        write!(f, "; pages={} notes={} probes={}", self.pages, self.notes, self.probes)?;
+        write!(f, "; pages={} notes={} ranks={} probes={}", self.pages, self.notes, self.ranks, self.probes)?;
         write!(f, " dials={} dials_failed={}", self.dials, self.dials_failed)?;
         write!(f, "; clients connections={} bytes_in={}", self.connections, self.bytes_in)?;
         write!(f, " health_asked={} malformed={}", self.health_asked, self.malformed)?;
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -273,13 +273,15 @@
         }
     }
 
-    /// A new priority for what is out.
-    pub fn weigh(&mut self, key: Key, id: &str, rank: u8) {
-        let Some(conn) = self.table.get_mut(key) else { return };
-        if conn.open.get(id).is_some_and(|open| matches!(open.stage, Stage::Running)) {
+    /// A new priority for what is out. False: it is over there, its pages are being read.
+    pub fn weigh(&mut self, key: Key, id: &str, rank: u8) -> bool {
+        let Some(conn) = self.table.get_mut(key) else { return false };
+        let running = conn.open.get(id).is_some_and(|open| matches!(open.stage, Stage::Running));
+        if running {
             line::write_weigh(conn.connection.output.tail(), id, rank);
             self.unflushed.push(key);
         }
+        running
     }
 
     /// Gives an attempt up. What still waits to be written is never sent: nothing may go out for a request after
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -365,7 +365,7 @@
             return;
         }
         for conn in request.attempts.iter().filter_map(|attempt| attempt.conn) {
-            self.engines.weigh(conn, &request.id, rank);
+            self.counters.ranks += self.engines.weigh(conn, &request.id, rank) as u64;
         }
     }
 
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -55,8 +55,6 @@
                 connection.output.tail().extend_from_slice(text.as_bytes());
                 self.connection = Some((connection, Reader::default()));
                 self.deadline = Some(due.set(now + SILENCE, Due::Bulletin));
-                // A connection within one machine may stand at once.
-                self.read(now, due, counters, &mut Vec::new());
             }
             Err(e) => self.hang_up(&e.to_string(), now, due),
         }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -17,6 +17,11 @@
 use calloop::EventLoop;
 use connection::{Wake, Wakes};
 use std::process::ExitCode;
+use std::time::{Duration, Instant};
+
+/// Least time between two looks at the sockets: what comes in between is read, decided and written together. A
+/// message that comes after a quiet spell waits for nothing.
+const SPACING: Duration = Duration::from_millis(1);
 
 fn main() -> ExitCode {
     logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref());
@@ -37,12 +42,15 @@
     })?;
     let mut gateway = gateway::Gateway::start(config, clock::Clock::start(), &events.handle())?;
     let mut wakes = Wakes::new();
+    let mut looked = Instant::now();
     while !gateway.is_done() {
+        std::thread::sleep(SPACING.saturating_sub(looked.elapsed()));
         match events.dispatch(gateway.patience(&wakes), &mut wakes) {
             Ok(()) => {}
             Err(calloop::Error::IoError(e)) if e.kind() == std::io::ErrorKind::Interrupted => {}
             Err(e) => return Err(e.into()),
         }
+        looked = Instant::now();
         gateway.work(&mut wakes);
     }
     log::info!("counters: {}", gateway.counters);
