--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -54,6 +54,7 @@
     /// After SIGTERM: when the last answer must be out; and whether clients come no more.
     stopping: Option<Micros>,
     no_more_clients: bool,
+    probe: (u64, u64, u64, bool),
 }
 
 impl Gateway {
@@ -83,6 +84,7 @@
             from_engines: Vec::new(),
             stopping: None,
             no_more_clients: false,
+            probe: Default::default(),
             module: decide::Gateway::new(config.settings, config.seed, now),
             clock,
         };
@@ -106,6 +108,19 @@
     /// All that a wait brought. What waits in the sockets comes first and deadlines after it: an answer that is
     /// there already is not late only because this process was held up.
     pub fn work(&mut self, wakes: &mut Wakes) {
+        let w0 = self.clock.now();
+        let nw = wakes.len();
+        let gap = w0 - self.probe.0;
+        self.work2(wakes);
+        let w1 = self.clock.now();
+        self.probe.1 = self.probe.1.max(w1 - w0);
+        self.probe.2 += 1;
+        if w1 - w0 > 5000 { log::info!("PROBE long work {} us for {} wakes, after a wait of {}", w1 - w0, nw, gap); }
+        if w0 / 500000 != self.probe.0 / 500000 { log::info!("PROBE loops {} work max {} {}", self.probe.2, self.probe.1, self.counters); self.probe.1 = 0; self.probe.2 = 0; }
+        self.probe.0 = w1;
+    }
+
+    pub fn work2(&mut self, wakes: &mut Wakes) {
         let mut again = Wakes::new();
         for wake in wakes.drain(..) {
             self.woken(wake, &mut again);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -19,10 +19,6 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
-/// Least time between two looks at the sockets: what comes in between is read, decided and written together. A
-/// message that comes after a quiet spell waits for nothing.
-const SPACING: Duration = Duration::from_millis(1);
-
 fn main() -> ExitCode {
     logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref());
     match config::Config::from_environment().and_then(|config| serve(config).map_err(|e| e.to_string())) {
@@ -40,11 +36,14 @@
     events.handle().insert_source(signals, |event, _, wakes| {
         wakes.push(if event.signal() == Signal::SIGUSR1 { Wake::Report } else { Wake::Stop });
     })?;
+    // The settings' tick is the least time between two looks at the sockets: what comes in between is read, decided
+    // and written together. A message that comes after a quiet spell waits for nothing.
+    let tick = Duration::from_micros(config.settings.tick);
     let mut gateway = gateway::Gateway::start(config, clock::Clock::start(), &events.handle())?;
     let mut wakes = Wakes::new();
     let mut looked = Instant::now();
     while !gateway.is_done() {
-        std::thread::sleep(SPACING.saturating_sub(looked.elapsed()));
+        std::thread::sleep(tick.saturating_sub(looked.elapsed()));
         match events.dispatch(gateway.patience(&wakes), &mut wakes) {
             Ok(()) => {}
             Err(calloop::Error::IoError(e)) if e.kind() == std::io::ErrorKind::Interrupted => {}
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -25,6 +25,7 @@
 const GRANT_MARGIN: f64 = 1.25; // A grant over the corrected estimate, as the engines' own default does it
 const TOP_RANK: u8 = 2; // Rank of the largest report or load; dashboards run one higher
 const DASHBOARD_WORK: f64 = 0.5; // A class with mean work under this part of the mean of all is a dashboard
+const ANSWER_MARGIN: f64 = 0.1; // Part of a client's wait left for the answer's way: an aim is far shorter
 const LEARN: f64 = 0.05; // Weight of one more observation in what is learned: the last twenty or so count
 const CLIP: f64 = 3.0; // Times that one observation is held to be off at most: runaways don't bend a ratio
 const BAD_WEIGHT: f64 = 0.15; // Weight of a bad outcome in an engine's bad share: five in a row are enough
@@ -171,7 +172,10 @@
         if !quiet {
             self.release();
         }
-        self.keep_beating();
+        let awake = !self.requests.is_empty() || self.subscribe_at.is_some();
+        if awake && !std::mem::replace(&mut self.beating, awake) {
+            self.actions.push(Action::SetTimer { after: BEAT_TICKS * self.set.tick, tag: BEAT });
+        }
         actions.append(&mut self.actions);
     }
 
@@ -192,8 +196,10 @@
         };
         let (id, ideal) = (req.id, work / class.threads);
         self.count(req.group, work, ideal, memory);
-        // Two ticks early, so that the answer is in the client's hands before it gives up.
-        let end_by = req.deadline.saturating_sub(2 * self.set.tick).max(self.now);
+        // Early, so that the answer is in the client's hands before it gives up, also where it is held up there.
+        let margin =
+            2 * self.set.tick + (ANSWER_MARGIN * req.deadline.saturating_sub(self.now) as f64) as Micros;
+        let end_by = req.deadline.saturating_sub(margin).max(self.now);
         // A client may be less patient than its class: after it has gone, the aim is worth nothing.
         let due = (self.now + class.aim + (class.aim_stretch * ideal) as Micros).min(end_by);
         let worth = class.worth * if self.within_share(req.tenant) { 1.0 } else { self.set.over_share_worth };
@@ -281,13 +287,13 @@
 
     /// Classes whose lightest query has no room anywhere: most of a long queue needs no closer look.
     fn full_classes(&self) -> Vec<bool> {
-        let req = |class| Request { class, group: u64::MAX, ..Default::default() };
-        let lightest = |class| Held { req: req(class), memory: f64::MIN_POSITIVE, ..Default::default() };
-        let takes =
-            |held: &Held, class, e: &Engine| e.open() && may_place(class, &e.entry) && self.has_room(held, e);
-        let room = |held: Held, class| self.engines.values().any(|e| takes(&held, class, e));
-        let classes = self.set.classes.iter().enumerate();
-        classes.map(|(index, class)| !self.thin && !room(lightest(index), class)).collect()
+        let full = |(class, set): (usize, &Class)| {
+            let req = Request { class, group: u64::MAX, ..Default::default() };
+            let held = Held { req, memory: f64::MIN_POSITIVE, ..Default::default() };
+            let takes = |e: &Engine| e.open() && may_place(set, &e.entry) && self.has_room(&held, e);
+            !self.thin && !self.engines.values().any(takes)
+        };
+        self.set.classes.iter().enumerate().map(full).collect()
     }
 
     /// Both bounds, binding only while the engine shows pressure; an idle gateway may send one of any size.
@@ -387,10 +393,6 @@
         priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, id)| id)
     }
 
-    fn is_fresh(&self, engine: &Engine) -> bool {
-        (self.now - engine.reported_at) as f64 <= FRESH * self.latency
-    }
-
     fn waits_for_reports(&self, held: &Held) -> bool {
         let asked = |id| self.engines.get(id).is_some_and(|e| e.asked_at > 0);
         self.now <= held.asked_at + BEAT_TICKS * self.set.tick && held.asked.iter().any(asked)
@@ -422,7 +424,8 @@
             asked.push(order.remove((lot * among as f64) as usize));
         }
         for id in &asked {
-            let wanted = !self.is_fresh(&self.engines[id]) && self.traffic.probes >= 1.0;
+            let fresh = (self.now - self.engines[id].reported_at) as f64 <= FRESH * self.latency;
+            let wanted = !fresh && self.traffic.probes >= 1.0;
             let may_ask = |e: &&mut Engine| self.set.may_probe && wanted && e.asked_at == 0;
             let Some(engine) = self.engines.get_mut(id).filter(may_ask) else { continue };
             engine.asked_at = self.now;
@@ -463,8 +466,11 @@
         cost * price
     }
 
+    /// Not in quarantine; on probation an engine gets one safe request at a time.
     fn may_take(&self, held: &Held, engine: &Engine) -> bool {
-        self.healthy_enough(held, engine) && !self.load_holds(held, engine)
+        let safe = self.set.classes[held.req.class].effect == Effect::Safe;
+        let well = engine.probation == 0 || safe && engine.out.is_empty();
+        self.now >= engine.quarantined_until && well && !self.load_holds(held, engine)
     }
 
     /// Whether a load holds the group there, this gateway's own or one that a note told of lately: what would
@@ -818,12 +824,6 @@
 
     // ---- Health ----
 
-    /// Not in quarantine; on probation an engine gets one safe request at a time.
-    fn healthy_enough(&self, held: &Held, engine: &Engine) -> bool {
-        let safe = self.set.classes[held.req.class].effect == Effect::Safe;
-        self.now >= engine.quarantined_until && (engine.probation == 0 || safe && engine.out.is_empty())
-    }
-
     fn heard(&mut self, engine_id: EngineId) {
         let now = self.now;
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
@@ -929,7 +929,10 @@
 
     /// What can't meet its aim gives way: when a request would be late, the one worth least per work goes.
     fn shed(&mut self) {
-        let rate = self.service_rate();
+        // Work a microsecond that this gateway's share of the usable engines gets done.
+        let usable = self.engines.values().filter(|e| e.open() && self.now >= e.quarantined_until);
+        let cores = |e: &Engine| self.kind(e).cores * self.warmth(e) / self.set.peers;
+        let rate = usable.map(|e| e.threads.max(cores(e)) / e.stretch.max(0.5)).sum::<f64>().max(LEARN);
         let mut ahead = 0.0;
         // Worth per work, a positive figure: its bits sort as it does.
         let mut kept: BTreeMap<(u64, RequestId), f64> = BTreeMap::new();
@@ -952,23 +955,8 @@
         }
     }
 
-    /// Work a microsecond that this gateway's share of the usable engines gets done.
-    fn service_rate(&self) -> f64 {
-        let usable = self.engines.values().filter(|e| e.open() && self.now >= e.quarantined_until);
-        let cores = |e: &Engine| self.kind(e).cores * self.warmth(e) / self.set.peers;
-        usable.map(|e| e.threads.max(cores(e)) / e.stretch.max(0.5)).sum::<f64>().max(LEARN)
-    }
-
     // ---- Beat ----
 
-    fn keep_beating(&mut self) {
-        let awake = !self.requests.is_empty() || self.subscribe_at.is_some();
-        if awake && !self.beating {
-            self.beating = true;
-            self.actions.push(Action::SetTimer { after: BEAT_TICKS * self.set.tick, tag: BEAT });
-        }
-    }
-
     fn beat(&mut self) {
         self.beating = false;
         self.watch_silence();
