--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -212,3 +212,23 @@
     socket.listen(i32::MAX)?;
     Watched::new(events, socket.into(), Interest::READ, Wake::Listener)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_buffer_is_compacted_in_place_and_shrinks_when_emptied() {
+        let mut buffer = Buffer::default();
+        buffer.tail().extend_from_slice(b"abcdefgh");
+        buffer.consume(3);
+        assert_eq!((buffer.filled(), buffer.start), (&b"defgh"[..], 3));
+        buffer.cut(1, 3);
+        assert_eq!(buffer.filled(), b"dgh");
+        buffer.consume(1);
+        assert_eq!((buffer.filled(), buffer.start), (&b"gh"[..], 0));
+        buffer.tail().resize(100 * CHUNK, 0);
+        buffer.clear();
+        assert!(buffer.is_empty() && buffer.bytes.capacity() <= 2 * CHUNK, "{}", buffer.bytes.capacity());
+    }
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -19,6 +19,11 @@
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
+/// Least time between two looks at the sockets, in ticks of the settings: what comes in between is read,
+/// decided and written together, which spares both ends of each connection. A message after a quiet spell
+/// waits for nothing.
+const TICKS_BETWEEN_LOOKS: u64 = 4;
+
 fn main() -> ExitCode {
     logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref());
     match config::Config::from_environment().and_then(|config| serve(config).map_err(|e| e.to_string())) {
@@ -36,14 +41,12 @@
     events.handle().insert_source(signals, |event, _, wakes| {
         wakes.push(if event.signal() == Signal::SIGUSR1 { Wake::Report } else { Wake::Stop });
     })?;
-    // The settings' tick is the least time between two looks at the sockets: what comes in between is read,
-    // decided and written together. A message that comes after a quiet spell waits for nothing.
-    let tick = Duration::from_micros(4 * config.settings.tick);
+    let spacing = Duration::from_micros(TICKS_BETWEEN_LOOKS * config.settings.tick);
     let mut gateway = gateway::Gateway::start(config, clock::Clock::start(), &events.handle())?;
     let mut wakes = Wakes::new();
     let mut looked = Instant::now();
     while !gateway.is_done() {
-        std::thread::sleep(tick.saturating_sub(looked.elapsed()));
+        std::thread::sleep(spacing.saturating_sub(looked.elapsed()));
         match events.dispatch(gateway.patience(&wakes), &mut wakes) {
             Ok(()) => {}
             Err(calloop::Error::IoError(e)) if e.kind() == std::io::ErrorKind::Interrupted => {}
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -162,3 +162,40 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        let words = |list: &[&str]| list.iter().map(|word| word.to_string()).collect();
+        Names {
+            classes: words(&["report", "load"]),
+            keyed: vec![false, true],
+            tenants: words(&["acme"]),
+            zones: vec![],
+            kinds: vec![],
+        }
+    }
+
+    #[test]
+    fn fields_are_read_in_their_units_and_what_cannot_be_used_is_named() {
+        let good =
+            [("i", "9b1f"), ("d", "1500"), ("t", "acme"), ("h", "820.0"), ("ram", "96"), ("k", "5c0f")];
+        let call = Call::read(&names(), "load", &good, b"COPY sales_17.orders").unwrap();
+        assert_eq!((call.class, call.tenant, call.wait), (1, 0, 1_500_000));
+        assert_eq!((call.work, call.memory_mb, call.group), (Some(820_000.0), Some(96.0), Some(17)));
+        let bad = [("i", ""), ("i", "a,b"), ("d", "soon"), ("d", "-1"), ("d", "1e99"), ("t", "nobody")];
+        for (name, value) in bad.into_iter().chain([("h", "NaN"), ("ram", "-4"), ("k", "a=b")]) {
+            let fields = good.map(|(own, usual)| (own, if own == name { value } else { usual }));
+            assert_eq!(Call::read(&names(), "load", &fields, b"").unwrap_err(), name, "{value}");
+        }
+        let missing = |left_out: &str| {
+            let fields: Vec<_> = good.into_iter().filter(|(own, _)| *own != left_out).collect();
+            Call::read(&names(), "load", &fields, b"")
+        };
+        ["i", "d", "t", "k"].iter().for_each(|name| assert_eq!(missing(name).unwrap_err(), *name));
+        ["h", "ram"].iter().for_each(|name| assert!(missing(name).is_ok()));
+        assert_eq!(Call::read(&names(), "nonsense", &good, b"").unwrap_err(), "class");
+    }
+}
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -65,3 +65,27 @@
         self.slots.iter().map(|(_, (key, tenant))| (*key, tenant))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_late_event_finds_nothing_where_a_new_tenant_has_moved_in() {
+        let mut table = Table::new();
+        let promised = table.next_key();
+        let first = table.insert("first");
+        assert_eq!((promised, table.get(first)), (first, Some(&"first")));
+        assert_eq!(table.remove(first), Some("first"));
+        let second = table.insert("second");
+        assert_eq!(first.slot(), second.slot());
+        assert_eq!((table.remove(first), table.get(first), table.len()), (None, None, 1));
+        assert_eq!(table.get(Key::from_number(second.number())), Some(&"second"));
+    }
+
+    #[test]
+    fn generations_go_round_without_the_number_0() {
+        let mut table = Table { slots: Slab::new(), generation: u32::MAX };
+        assert_ne!(table.insert(()).number(), 0);
+    }
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -172,3 +172,19 @@
         }
     }
 }
+
+/// A gateway in front of one engine, and a client of it.
+pub fn up() -> (Bulletin, Vec<Engine>, Running, Client) {
+    let (bulletin, engines) = stand_ins(1);
+    let gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
+    let client = gateway.client();
+    (bulletin, engines, gateway, client)
+}
+
+/// The client's first query, as the engine gets it.
+pub fn called(client: &mut Client, engine: &Engine) -> (EngineEnd, standin::Command) {
+    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).expect("the gateway reads");
+    let mut end = engine.accept().expect("the gateway dials");
+    let serve = next(&mut end, "serve");
+    (end, serve)
+}
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::standin::{Answer, Client, Engine};
-use common::{addresses, config, fields, host, next, refused_start, stand_ins, Running, QUERY};
+use common::{addresses, called, config, fields, host, next, refused_start, stand_ins, up, Running, QUERY};
 use serde_json::json;
 use std::io::ErrorKind;
 
@@ -14,9 +14,7 @@
 
 #[test]
 fn a_query_is_sent_with_its_terms_and_its_pages_come_back_as_one_result() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, engines, mut gateway, mut client) = up();
     client.call(7, "report", &fields("9b1f03aa5c7e2d41", "15000"), QUERY).unwrap();
     let mut end = engines[0].accept().unwrap();
     let serve = next(&mut end, "serve");
@@ -45,9 +43,7 @@
 
 #[test]
 fn a_key_goes_on_unchanged_and_a_keyed_request_without_one_is_an_error() {
-    let (bulletin, engines) = stand_ins(1);
-    let gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, engines, _gateway, mut client) = up();
     client.call(1, "load", &fields("0000000000000001", "15000"), QUERY).unwrap();
     assert!(matches!(client.answer().unwrap(), Answer::Error { id: 1, word, .. } if word == "Invalid"));
     let mut with_key = fields("0000000000000002", "15000");
@@ -59,9 +55,7 @@
 
 #[test]
 fn what_cannot_be_used_gets_an_error_and_the_connection_goes_on() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, _engines, mut gateway, mut client) = up();
     let without = |name: &str| {
         fields("0000000000000001", "9000").into_iter().filter(|(own, _)| *own != name).collect::<Vec<_>>()
     };
@@ -85,12 +79,8 @@
 
 #[test]
 fn a_broken_frame_ends_the_connection_after_what_is_owed_on_it() {
-    let (bulletin, engines) = stand_ins(1);
-    let gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut end = engines[0].accept().unwrap();
-    let serve = next(&mut end, "serve");
+    let (_bulletin, engines, _gateway, mut client) = up();
+    let (mut end, serve) = called(&mut client, &engines[0]);
     client.write_raw(b"\xc1\xc1\xc1").unwrap();
     end.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
     assert_eq!(client.answer().unwrap(), Answer::Result { id: 1, body: b"a\tb\tc\n".to_vec() });
@@ -99,9 +89,7 @@
 
 #[test]
 fn what_cannot_end_in_time_is_refused_and_an_overload_says_when_to_come_back() {
-    let (bulletin, engines) = stand_ins(1);
-    let gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, _engines, _gateway, mut client) = up();
     client.call(1, "report", &fields("0000000000000001", "20"), QUERY).unwrap();
     assert!(refused(&client.answer().unwrap()));
     // Far more work than the engine can do in time: some give way, told when to come back.
@@ -118,9 +106,7 @@
 
 #[test]
 fn an_unsafe_request_that_may_have_run_has_failed() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, engines, mut gateway, mut client) = up();
     client.call(1, "change", &fields("0000000000000001", "15000"), QUERY).unwrap();
     let mut end = engines[0].accept().unwrap();
     let serve = next(&mut end, "serve");
@@ -131,12 +117,8 @@
 
 #[test]
 fn a_request_that_is_forgotten_is_given_up_at_the_engine_and_gets_no_answer() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut end = engines[0].accept().unwrap();
-    let serve = next(&mut end, "serve");
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let (mut end, serve) = called(&mut client, &engines[0]);
     client.forget(1).unwrap();
     assert_eq!(next(&mut end, "cancel").id(), serve.id());
     // An answer that crossed the cancel is passed over, and its pages are given back.
@@ -149,12 +131,8 @@
 
 #[test]
 fn a_client_that_goes_away_leaves_nothing_running() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut end = engines[0].accept().unwrap();
-    let serve = next(&mut end, "serve");
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let (mut end, serve) = called(&mut client, &engines[0]);
     drop(client);
     assert_eq!(next(&mut end, "cancel").id(), serve.id());
     assert_eq!(gateway.counters()["lost"], 1);
@@ -187,12 +165,8 @@
 
 #[test]
 fn an_engine_that_dies_in_the_middle_costs_an_attempt() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut end = engines[0].accept().unwrap();
-    next(&mut end, "serve");
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let (end, _) = called(&mut client, &engines[0]);
     drop(end);
     let mut end = engines[0].accept().unwrap();
     let serve = next(&mut end, "serve");
@@ -204,9 +178,7 @@
 
 #[test]
 fn a_silent_engine_is_given_up_and_the_client_is_refused_in_time() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, engines, mut gateway, mut client) = up();
     client.call(1, "report", &fields("0000000000000001", "400"), QUERY).unwrap();
     let mut end = engines[0].accept().unwrap();
     let serve = next(&mut end, "serve");
@@ -218,12 +190,8 @@
 
 #[test]
 fn a_lost_page_is_an_attempt_that_failed_and_no_half_result_reaches_the_client() {
-    let (bulletin, engines) = stand_ins(1);
-    let gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut end = engines[0].accept().unwrap();
-    let serve = next(&mut end, "serve");
+    let (_bulletin, engines, _gateway, mut client) = up();
+    let (mut end, serve) = called(&mut client, &engines[0]);
     end.answer(serve.id(), "OK", "count=2", "half\tof\tit\n").unwrap();
     next(&mut end, "read");
     end.answer(serve.id(), "ERR", "-", "").unwrap();
@@ -235,12 +203,8 @@
 
 #[test]
 fn an_engine_that_says_no_answer_loses_its_connection() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut end = engines[0].accept().unwrap();
-    next(&mut end, "serve");
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let (mut end, _) = called(&mut client, &engines[0]);
     end.write_raw(b"HTTP/1.1 400 Bad Request\r\n\r\n").unwrap();
     let mut end = engines[0].accept().unwrap();
     let serve = next(&mut end, "serve");
@@ -254,9 +218,7 @@
 #[test]
 fn nothing_goes_out_for_a_request_after_its_answer() {
     const SENT: u64 = 14;
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, engines, mut gateway, mut client) = up();
     // More than a connection takes while its other end doesn't read.
     let mut statement = QUERY.to_vec();
     statement.resize(1_000_000, b' ');
@@ -315,9 +277,7 @@
     let gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
     let mut stream = bulletin.accept().unwrap();
     let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut silent = engines[0].accept().unwrap();
-    next(&mut silent, "serve");
+    let (mut silent, _) = called(&mut client, &engines[0]);
     // The machine vanished without a word, and its engine runs again: started long after that connection.
     let mut again = host("s-0", engines[0].address(), "up");
     again["born_ms"] = json!(4_000_000_000_000u64);
@@ -328,12 +288,8 @@
 
 #[test]
 fn sigterm_finishes_what_is_open_and_takes_what_still_comes() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
-    client.call(1, "report", &fields("0000000000000001", "15000"), QUERY).unwrap();
-    let mut end = engines[0].accept().unwrap();
-    let first = next(&mut end, "serve");
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let (mut end, first) = called(&mut client, &engines[0]);
     gateway.terminate();
     let mut late = Client::connect(gateway.address).unwrap();
     late.ask_health(1).unwrap();
@@ -352,9 +308,7 @@
 
 #[test]
 fn what_an_engine_never_answers_is_answered_before_a_stopping_gateway_is_killed() {
-    let (bulletin, engines) = stand_ins(1);
-    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines)));
-    let mut client = gateway.client();
+    let (_bulletin, engines, mut gateway, mut client) = up();
     client.call(1, "report", &fields("0000000000000001", "20000"), QUERY).unwrap();
     let mut end = engines[0].accept().unwrap();
     next(&mut end, "serve");
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -163,3 +163,29 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Found on sockets: a client's end of a connection may be read a tenth of a second late, far more than two ticks.
+#[test]
+fn a_tenth_of_the_wait_is_left_for_the_answers_way() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    let now = bench.now;
+    let actions = bench.take(lookup(1, now + 4 * S));
+    let given_up = actions.iter().find_map(|action| match action {
+        Action::Send { give_up_at, .. } => Some(*give_up_at),
+        _ => None,
+    });
+    assert_eq!(given_up, Some(now + 4 * S - 400 * MS - 10 * MS));
+}
+
+/// Found on sockets: a long queue was looked through at every event, at half of a gateway's CPU.
+#[test]
+fn a_class_without_room_holds_back_no_other_class() {
+    let mut bench = Bench::new(settings(), &[ready(1)]);
+    let out = reports_out(&mut bench, 4_000.0, 200);
+    assert!(out < 200, "reports are held: {out} of 200 are out");
+    assert_eq!(
+        sent(&bench.end(100, 0, Outcome::Answered, 100 * MS)).len(),
+        1,
+        "one leaves for one that ended"
+    );
+}
