--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -91,7 +91,6 @@
         config.known.items.into_iter().for_each(|item| gateway.listed(item));
         gateway.link.call(now, &mut gateway.due, &mut gateway.counters);
         gateway.settle();
-        gateway.clients.well = !gateway.engine_names.is_empty();
         log::info!("{} listens on {}", config.name, gateway.clients.address()?);
         Ok(gateway)
     }
@@ -169,8 +168,8 @@
             Due::LastClients => self.no_more_clients = true,
             Due::LastAnswers => {
                 for request in self.requests.owing() {
-                    // The module's own timer of a request, which ends it: its time is up now.
-                    self.events.push_back(Event::Timer { tag: request.number() + 1 });
+                    // The request's own timer fires early: its time is up now.
+                    self.events.push_back(Event::Timer { tag: end_tag(request.number()) });
                 }
             }
         }
@@ -429,7 +428,7 @@
 
     fn listed(&mut self, item: Item) {
         let Some(roster) = item.roster else { return };
-        let entries: Vec<Entry> = roster.hosts.iter().filter_map(|listed| self.entry(listed)).collect();
+        let entries: Vec<Entry> = roster.hosts.iter().map(|listed| self.entry(listed)).collect();
         for (entry, listed) in entries.iter().zip(&roster.hosts) {
             let address = match entry.phase {
                 Phase::Gone => None,
@@ -451,9 +450,10 @@
         // What the list ended comes after the list itself.
         self.events.push_back(event);
         self.hear_engines();
+        self.clients.well = self.stopping.is_none() && !self.engine_names.is_empty();
     }
 
-    fn entry(&mut self, listed: &Listed) -> Option<Entry> {
+    fn entry(&mut self, listed: &Listed) -> Entry {
         let engine = self.number(&listed.host);
         let position = |names: &[String], name: &str, what| {
             let known = place(names, name);
@@ -462,7 +462,7 @@
             }
             known.unwrap_or(names.len()) as u32
         };
-        Some(Entry {
+        Entry {
             engine,
             zone: position(&self.names.zones, &listed.site, "zone"),
             kind: position(&self.names.kinds, &listed.class, "kind"),
@@ -472,8 +472,8 @@
                 State::Draining => Phase::Draining,
                 State::Removed => Phase::Gone,
             },
-            booted_at: listed.born_ms * 1000,
-        })
+            booted_at: listed.born_ms.saturating_mul(1000),
+        }
     }
 
     /// An engine's number: the same at every gateway and after every restart, since it comes of the name
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -285,11 +285,13 @@
     (0..tree.list("kinds").len().max(1)).map(kind).collect()
 }
 
-/// What a host on sockets needs. There is no serving without classes, so these must be there, with names.
+/// What a host on sockets needs. There is no serving without classes and a
+/// limit on dials, so these must be there.
 pub fn host(tree: &Tree) -> Result<Host, Wrong> {
     let missing = |key: &str| Wrong { key: key.to_string(), value: None };
     let count = tree.optional::<usize>("grades.count")?.filter(|&count| count > 0);
     let count = count.ok_or_else(|| missing("grades"))?;
+    let dial = "limits.dial-timeout-us";
     let class = |index| format!("grades.{index}.name");
     let name = |path: String| tree.text(&path).map(str::to_string).ok_or_else(|| missing(&path));
     let tenants = 0..tree.or("orgs.count", 0usize)?;
@@ -300,7 +302,7 @@
         zones: tree.names("zones"),
         kinds: tree.names("kinds"),
         longest_wait: waits.collect::<Result<Vec<_>, _>>()?.into_iter().max().unwrap_or(0),
-        dial_timeout: tree.or("limits.dial-timeout-us", 0)?,
+        dial_timeout: tree.optional(dial)?.filter(|&limit| limit > 0).ok_or_else(|| missing(dial))?,
         idle: tree.or("limits.conn-idle-us", 0)?,
         streams: tree.or("limits.streams-per-conn", usize::MAX)?.max(1),
     })
--- a/crates/settings/tests/forms.rs
+++ b/crates/settings/tests/forms.rs
@@ -82,6 +82,10 @@
     assert!(wrong("/extra/kind-cores", json!(["many", 8])).contains("'extra.kind-cores'"));
     let none = host(&Tree::default()).unwrap_err();
     assert_eq!(none, Wrong { key: "grades".into(), value: None });
+    let mut endless = nested();
+    endless["limits"] = json!({});
+    let error = host(&Tree::from_json(&endless)).unwrap_err().to_string();
+    assert_eq!(error, "setting 'limits.dial-timeout-us' is missing");
     let mut nameless = nested();
     nameless["orgs"][0] = json!({"quota-rps": 5});
     assert_eq!(
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,7 +60,7 @@
 const SAVED: f64 = 6.0; // Draws or probes that may be saved up
 const FRESH: f64 = 0.1; // Age up to which a report is fresh, in parts of latency memory
 const MOST_LOG_LINES: u32 = 200; // Log lines that one gateway writes at most
-const BEAT: u64 = 0; // Timer tag of the beat; a request's own timer bears its id plus one
+const BEAT: u64 = 0; // Timer tag of the beat; a request's own bears `end_tag`
 
 impl Engine {
     fn under_pressure(&self, now: Micros) -> bool {
@@ -208,7 +208,7 @@
             self.keys.entry(key.clone()).or_default().0.push_back(req.id);
         }
         self.taken.push_back(self.now);
-        self.actions.push(Action::SetTimer { after: end_by - self.now, tag: req.id + 1 });
+        self.actions.push(Action::SetTimer { after: end_by - self.now, tag: end_tag(req.id) });
         self.queue.insert((due, req.id), req.class);
         let held = Held { req, work, ideal, memory, due, end_by, worth, ..Default::default() };
         self.requests.insert(id, held);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -8,6 +8,11 @@
 pub type RequestId = u64;
 pub type EngineId = u32;
 
+/// The tag of a request's own timer, whose firing ends it.
+pub fn end_tag(request: RequestId) -> u64 {
+    request + 1
+}
+
 /// What a further attempt of a request may do to its effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
