--- a/crates/gateway/src/logger.rs
+++ b/crates/gateway/src/logger.rs
@@ -1,5 +1,5 @@
-//! The project's logger: one line a record on standard error. A line that can't be written at once is dropped
-//! and counted, so that a full pipe never holds the program up.
+//! The project's logger: one line a record on standard error. A line that can't be written at once, or is one
+//! too many in its second, is dropped and counted, so that the log never holds the program up.
 
 use log::{Level, LevelFilter, Log, Metadata, Record};
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
@@ -9,12 +9,18 @@
 
 /// A pipe that is ready takes a write of this length whole.
 const MOST_LINE: usize = 4096;
+/// Lines in one second, so that a fault that repeats doesn't fill the disk behind the pipe.
+const MOST_LINES: u64 = 200;
 
 struct Logger {
     dropped: AtomicU64,
+    /// The second that is counted, and the lines in it.
+    second: AtomicU64,
+    lines: AtomicU64,
 }
 
-static LOGGER: Logger = Logger { dropped: AtomicU64::new(0) };
+static LOGGER: Logger =
+    Logger { dropped: AtomicU64::new(0), second: AtomicU64::new(0), lines: AtomicU64::new(0) };
 
 /// Starts to log from a level on, named as by `EIDERYARD_LOG`: error, warn, info (without a name), debug,
 /// trace.
@@ -52,12 +58,15 @@
         if !self.enabled(record.metadata()) {
             return;
         }
-        if !ready() {
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let (seconds, millis) = (at.as_secs(), at.subsec_millis());
+        if self.second.swap(seconds, Ordering::Relaxed) != seconds {
+            self.lines.store(0, Ordering::Relaxed);
+        }
+        if self.lines.fetch_add(1, Ordering::Relaxed) >= MOST_LINES || !ready() {
             self.dropped.fetch_add(1, Ordering::Relaxed);
             return;
         }
-        let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let (seconds, millis) = (at.as_secs(), at.subsec_millis());
         let mut line = format!("{seconds}.{millis:03} {} {}", name(record.level()), record.args());
         if let dropped @ 1.. = self.dropped.swap(0, Ordering::Relaxed) {
             line.push_str(&format!(" ({dropped} lines before this were dropped)"));
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -349,6 +349,7 @@
         ("/seed", json!("xyz"), "'seed' is 'xyz'"),
         ("/known/items/0/roster/hosts/0/health", json!("odd"), "'known'"),
         ("/settings/grades", json!([]), "setting 'grades' is missing"),
+        ("/settings/limits", json!({}), "setting 'limits.dial-timeout-us' is missing"),
         ("/settings/grades/1/aim-us", json!("soon"), "setting 'grades.1.aim-us' has the value 'soon'"),
         ("/limits/sockets", json!(-4), "'limits.sockets' is -4"),
     ];
@@ -359,3 +360,22 @@
         assert!(!status.success() && said.contains(words), "{path}: {said}");
     }
 }
+
+#[test]
+fn a_gateway_is_well_once_its_list_is_known() {
+    let (bulletin, engines) = stand_ins(1);
+    let mut empty = config(bulletin.address(), &[]);
+    empty["known"] = json!({"no": 0, "items": []});
+    let gateway = Running::start(&empty);
+    let mut client = gateway.client();
+    client.ask_health(1).unwrap();
+    assert_eq!(client.answer().unwrap(), Answer::Health { id: 1, well: false });
+    // Held until there is an engine.
+    client.call(2, "report", &fields("0000000000000002", "15000"), QUERY).unwrap();
+    let hosts = vec![host("s-0", engines[0].address(), "up")];
+    let item = json!({"no": 1, "roster": {"seq": 0, "whole": true, "hosts": hosts}});
+    bulletin.accept().unwrap().event(1, &item.to_string()).unwrap();
+    next(&mut engines[0].accept().unwrap(), "serve");
+    client.ask_health(3).unwrap();
+    assert_eq!(client.answer().unwrap(), Answer::Health { id: 3, well: true });
+}
