--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -42,6 +42,8 @@
     stage: Stage,
     /// Where in what is sent on this connection its request begins and ends.
     sent: (u64, u64),
+    /// A new priority that is told once the request is out: until then the engine knows no such id.
+    later_rank: Option<u8>,
 }
 
 struct Conn {
@@ -60,6 +62,18 @@
 }
 
 impl Conn {
+    /// Ranks that came for requests which were not out yet.
+    fn tell_later_ranks(&mut self) -> io::Result<()> {
+        let Connection { written, output, .. } = &mut self.connection;
+        let out = self.open.iter_mut().filter(|(_, open)| open.sent.1 <= *written);
+        for (id, open) in out {
+            if let Some(rank) = open.later_rank.take().filter(|_| matches!(open.stage, Stage::Running)) {
+                line::write_weigh(output.tail(), id, rank);
+            }
+        }
+        self.connection.flush()
+    }
+
     /// Takes a request back out of what waits to be written.
     fn take_back(&mut self, begin: u64, end: u64) {
         let written = self.connection.written;
@@ -194,7 +208,10 @@
         let begin = conn.connection.end_of_output();
         serve.write(conn.connection.output.tail());
         let sent = (begin, conn.connection.end_of_output());
-        conn.open.insert(serve.id.into(), Open { request, attempt, stage: Stage::Running, sent });
+        conn.open.insert(
+            serve.id.into(),
+            Open { request, attempt, stage: Stage::Running, sent, later_rank: None },
+        );
         self.unflushed.push(key);
         Some(key)
     }
@@ -276,11 +293,14 @@
     /// A new priority for what is out. False: it is over there, its pages are being read.
     pub fn weigh(&mut self, key: Key, id: &str, rank: u8) -> bool {
         let Some(conn) = self.table.get_mut(key) else { return false };
-        let running = conn.open.get(id).is_some_and(|open| matches!(open.stage, Stage::Running));
-        if running {
+        let Some(open) = conn.open.get_mut(id) else { return false };
+        let running = matches!(open.stage, Stage::Running);
+        if running && conn.connection.written < open.sent.1 {
+            open.later_rank = Some(rank);
+        } else if running {
             line::write_weigh(conn.connection.output.tail(), id, rank);
-            self.unflushed.push(key);
         }
+        self.unflushed.push(key);
         running
     }
 
@@ -444,7 +464,7 @@
         unflushed.dedup();
         for key in unflushed.drain(..) {
             let Some(conn) = self.table.get_mut(key) else { continue };
-            if conn.connection.flush().is_err() {
+            if conn.connection.flush().is_err() || conn.tell_later_ranks().is_err() {
                 self.close(key, Outcome::Broken, due, heard);
             }
         }
