--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -7,13 +7,11 @@
 use eideryard::interface::Micros;
 use eideryard_msgpack_rpc::{decode, write_health, Message};
 
-use crate::connection::{listen, Connection, Filled, Loop, Wake, Watched};
+use crate::connection::{listen, Connection, Filled, Loop, Wake, Watched, MOST_READS};
 use crate::counters::Counters;
 use crate::requests::{Call, Names};
 use crate::table::{Key, Table};
 
-/// Reads of one connection in a row, before others get their turn.
-const MOST_READS: usize = 16;
 /// Open requests on one connection; the protocol allows 32, so that many more are no client of ours.
 const MOST_OPEN: usize = 256;
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -27,6 +27,8 @@
 
 /// The most that is read at once, and the capacity that an emptied buffer keeps.
 const CHUNK: usize = 16 << 10;
+/// Reads of one connection in a row, before others get their turn.
+pub const MOST_READS: usize = 16;
 
 /// Bytes that came in and weren't used yet, or are to go out; one allocation, compacted in place.
 #[derive(Default)]
@@ -148,6 +150,11 @@
         Ok(Connection { socket, input: Buffer::default(), output: Buffer::default(), written: 0, connecting })
     }
 
+    /// Whether the connection stood at the last look.
+    pub fn was_up(&self) -> bool {
+        !self.connecting
+    }
+
     /// Whether the connection stands; an error where it never will.
     pub fn is_up(&mut self) -> io::Result<bool> {
         if self.connecting {
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -9,12 +9,11 @@
 use eideryard::interface::{Bill, EngineId, LoadReport, Micros, Note, Outcome};
 use eideryard_engine_line::{self as line, decode, Answer, Fields, Serve, Word};
 
-use crate::connection::{Connection, Filled, Loop, Wake};
+use crate::connection::{Connection, Filled, Loop, Wake, MOST_READS};
 use crate::counters::Counters;
 use crate::deadlines::{DeadlineKey, Deadlines, Due};
 use crate::table::{Key, Table};
 
-const MOST_READS: usize = 16;
 /// Pages of one result, and its bytes: an answer has 48,000 at most, in pages of whole rows.
 const MOST_PAGES: usize = 256;
 const MOST_RESULT: usize = 256 << 10;
@@ -49,7 +48,6 @@
 struct Conn {
     engine: EngineId,
     connection: Connection,
-    up: bool,
     open: BTreeMap<Box<str>, Open>,
     /// Requests given up whose answers may still come: none of them is sent on this connection again.
     given_up: BTreeSet<Box<str>>,
@@ -62,6 +60,11 @@
 }
 
 impl Conn {
+    /// It isn't idle any more; one that isn't up yet keeps its deadline for that.
+    fn is_used(&mut self, due: &mut Deadlines) {
+        due.take_back(if self.connection.was_up() { self.deadline.take() } else { None });
+    }
+
     /// Ranks that came for requests which were not out yet.
     fn tell_later_ranks(&mut self) -> io::Result<()> {
         let Connection { written, output, .. } = &mut self.connection;
@@ -204,7 +207,7 @@
         };
         let key = self.connection_to(now, engine, takes, due, counters)?;
         let conn = self.table.get_mut(key)?;
-        due.take_back(if conn.up { conn.deadline.take() } else { None });
+        conn.is_used(due);
         let begin = conn.connection.end_of_output();
         serve.write(conn.connection.output.tail());
         let sent = (begin, conn.connection.end_of_output());
@@ -249,7 +252,6 @@
         Some(self.table.insert(Conn {
             engine,
             connection,
-            up: false,
             open: BTreeMap::new(),
             given_up: BTreeSet::new(),
             probes: BTreeMap::new(),
@@ -278,7 +280,7 @@
         // An answer may take as long as a connection may: neither waits for the engine's work.
         let deadline = due.set(now + self.limits.dial_timeout, Due::Probe(key, self.probes_sent));
         conn.probes.insert(tag.into(), deadline);
-        due.take_back(if conn.up { conn.deadline.take() } else { None });
+        conn.is_used(due);
         self.unflushed.push(key);
         true
     }
@@ -351,7 +353,7 @@
         }
         if conn.retired || conn.given_up.len() >= MOST_GIVEN_UP {
             self.close(key, Outcome::Broken, due, heard);
-        } else if conn.up && conn.deadline.is_none() && idle > 0 {
+        } else if conn.connection.was_up() && conn.deadline.is_none() && idle > 0 {
             conn.deadline = Some(due.set(now + idle, Due::Conn(key)));
         }
     }
@@ -373,12 +375,10 @@
         heard: &mut Vec<Heard>,
     ) -> bool {
         let Some(conn) = self.table.get_mut(key) else { return false };
+        let was_up = conn.connection.was_up();
         match conn.connection.is_up() {
             Ok(false) => return false,
-            Ok(true) if !conn.up => {
-                conn.up = true;
-                due.take_back(conn.deadline.take());
-            }
+            Ok(true) if !was_up => due.take_back(conn.deadline.take()),
             Ok(true) => {}
             Err(_) => {
                 counters.dials_failed += 1;
@@ -564,15 +564,13 @@
 fn report(fields: &Fields) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for (name, value) in fields.report()? {
-        let value = Some(value);
-        match name {
-            "concurrent" | "inflight" => report.in_flight = value,
-            "depth" | "queue" => report.waiting_for_memory = value,
-            "load_share" | "util" => report.cores_busy = value,
-            "x0" => report.memory_granted = value,
-            "x1" => report.disks_busy = value,
-            _ => {}
-        }
+        let named = match name {
+            "inflight" => "concurrent",
+            "queue" => "depth",
+            "util" => "load_share",
+            name => name,
+        };
+        eideryard_settings::set_reported(&mut report, named, value);
     }
     Some(report)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -279,15 +279,23 @@
 
     /// The first good answer goes to the client.
     fn serve(&mut self, key: Key, pages: &[Vec<u8>]) {
-        let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else { return };
+        let pages = pages.iter().map(Vec::as_slice);
+        if self.answer(key, |out, call| write_result(out, call, pages)) {
+            self.counters.served += 1;
+        }
+    }
+
+    /// A request's final answer, unless it has had one or nobody waits. True: it is on its way to the client.
+    fn answer(&mut self, key: Key, write: impl FnOnce(&mut Vec<u8>, u32)) -> bool {
+        let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else {
+            return false;
+        };
         request.answered = true;
         self.counters.late += (self.clock.now() > request.deadline) as u64;
         let call = request.call;
-        let pages = pages.iter().map(Vec::as_slice);
-        match self.clients.answer(request.client, call, |out| write_result(out, call, pages)) {
-            true => self.counters.served += 1,
-            false => self.counters.lost += 1,
-        }
+        let told = self.clients.answer(request.client, call, |out| write(out, call));
+        self.counters.lost += !told as u64;
+        told
     }
 
     /// An attempt has its outcome.
@@ -402,15 +410,11 @@
 
     /// Refused or failed.
     fn turn_down(&mut self, key: Key, word: &str, fields: &[(&str, &str)]) {
-        let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else { return };
-        request.answered = true;
-        self.counters.late += (self.clock.now() > request.deadline) as u64;
-        let call = request.call;
-        let told = self.clients.answer(request.client, call, |out| write_error(out, call, word, fields));
-        match (told, word) {
-            (false, _) => self.counters.lost += 1,
-            (true, "TryLater") => self.counters.refused += 1,
-            (true, _) => self.counters.failed += 1,
+        if self.answer(key, |out, call| write_error(out, call, word, fields)) {
+            match word {
+                "TryLater" => self.counters.refused += 1,
+                _ => self.counters.failed += 1,
+            }
         }
         self.requests.give_back(key);
     }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -122,12 +122,6 @@
     table: Table<Request>,
 }
 
-impl Default for Table<Request> {
-    fn default() -> Self {
-        Table::new()
-    }
-}
-
 impl Requests {
     pub fn insert(&mut self, client: Key, call: u32, deadline: Micros, read: Call) -> Key {
         self.table.insert(Request {
--- a/crates/gateway/src/table.rs
+++ b/crates/gateway/src/table.rs
@@ -26,9 +26,15 @@
     generation: u32,
 }
 
+impl<T> Default for Table<T> {
+    fn default() -> Self {
+        Table { slots: Slab::new(), generation: 0 }
+    }
+}
+
 impl<T> Table<T> {
     pub fn new() -> Self {
-        Table { slots: Slab::new(), generation: 0 }
+        Self::default()
     }
 
     /// The key that the next insertion gets.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -285,6 +285,19 @@
     (0..tree.list("kinds").len().max(1)).map(kind).collect()
 }
 
+/// Puts a value of a load report where it belongs, by the names of `report.fields`; others are passed over.
+pub fn set_reported(report: &mut LoadReport, name: &str, value: f64) {
+    let place = match name {
+        "concurrent" => &mut report.in_flight,
+        "depth" => &mut report.waiting_for_memory,
+        "load_share" => &mut report.cores_busy,
+        "x0" => &mut report.memory_granted,
+        "x1" => &mut report.disks_busy,
+        _ => return,
+    };
+    *place = Some(value);
+}
+
 /// What a host on sockets needs. There is no serving without classes and a
 /// limit on dials, so these must be there.
 pub fn host(tree: &Tree) -> Result<Host, Wrong> {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -2,7 +2,7 @@
 
 use eideryard::decide::Gateway;
 use eideryard::interface::*;
-use eideryard_settings::{settings, Tree};
+use eideryard_settings::{set_reported, settings, Tree};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write;
 
@@ -252,15 +252,7 @@
     for part in text.split(',').filter(|part| !part.is_empty()) {
         let (name, value) =
             part.split_once(':').ok_or_else(|| format!("{}: '{part}' is not name:value", fields.verb))?;
-        let value = Some(number(fields.verb, name, value)?);
-        match name {
-            "concurrent" => report.in_flight = value,
-            "depth" => report.waiting_for_memory = value,
-            "load_share" => report.cores_busy = value,
-            "x0" => report.memory_granted = value,
-            "x1" => report.disks_busy = value,
-            _ => {}
-        }
+        set_reported(&mut report, name, number(fields.verb, name, value)?);
     }
     Ok(Some(report))
 }
