SIGHUP moves the link to the bulletin that the configuration names now

Now the file is read again; a valid one moves the link (Link::move_to), which asks for what follows the last event known; one that is missing, half-written or invalid is named in the log and changes nothing. Also: a dial of the bulletin is given up after the settings' dial limit instead of 3 s, silence is judged after 2.2 s (a comment comes each second, what a still stream would have told counts as told after 4 s), and the longest pause between calls is 0.5 s (2 s after a break). Ruled out: nothing else in the file is needed before a restart. Test: sighup_moves_the_link... fails without the signal being handled.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -18,6 +18,7 @@
     Engine(Key),
     Bulletin,
     Stop,
+    Reload,
     Report,
 }
 
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -30,6 +30,8 @@
     pub dials_failed: u64,
     pub list_events: u64,
     pub list_connections: u64,
+    pub reloads: u64,
+    pub reloads_failed: u64,
 }
 
 /// Attempts that are over, by outcome.
@@ -84,6 +86,7 @@
         write!(f, " dials={} dials_failed={}", self.dials, self.dials_failed)?;
         write!(f, "; clients connections={} bytes_in={}", self.connections, self.bytes_in)?;
         write!(f, " health_asked={} malformed={}", self.health_asked, self.malformed)?;
-        write!(f, "; bulletin events={} connections={}", self.list_events, self.list_connections)
+        write!(f, "; bulletin events={} connections={}", self.list_events, self.list_connections)?;
+        write!(f, "; reloads={} reloads_failed={}", self.reloads, self.reloads_failed)
     }
 }
--- a/crates/gateway/src/deadlines.rs
+++ b/crates/gateway/src/deadlines.rs
@@ -44,6 +44,12 @@
         (at, self.set)
     }
 
+    /// Sets one in the place of another that its owner keeps the key of.
+    pub fn renew(&mut self, kept: &mut Option<DeadlineKey>, at: Micros, what: Due) {
+        self.take_back(kept.take());
+        *kept = Some(self.set(at, what));
+    }
+
     pub fn take_back(&mut self, key: Option<DeadlineKey>) {
         key.map(|key| self.ahead.remove(&key));
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -71,7 +71,7 @@
         let mut gateway = Gateway {
             clients: Clients::new(events, config.listen, config.sockets, config.memory_mb)?,
             engines: Engines::new(events, limits),
-            link: Link::new(events, config.bulletin, config.known.no, config.seed),
+            link: Link::new(events, config.bulletin, config.known.no, config.host.dial_timeout, config.seed),
             requests: Requests::default(),
             names,
             due: Deadlines::new(),
@@ -145,6 +145,7 @@
                 items.into_iter().for_each(|item| self.listed(item));
             }
             Wake::Stop => self.stop(),
+            Wake::Reload => self.reload(),
             Wake::Report => log::info!("counters: {}", self.counters),
         }
     }
@@ -492,6 +493,24 @@
         number
     }
 
+    // ---- A new configuration ----
+
+    /// SIGHUP: the file is read again, and the bulletin is asked at the address that it names now. All else
+    /// in it holds from the next start on. A file that can't be used changes nothing.
+    fn reload(&mut self) {
+        match Config::from_environment() {
+            Ok(config) => {
+                self.counters.reloads += 1;
+                log::info!("reloaded; the bulletin is at {}", config.bulletin);
+                self.link.move_to(config.bulletin, self.clock.now(), &mut self.due, &mut self.counters);
+            }
+            Err(message) => {
+                self.counters.reloads_failed += 1;
+                log::error!("not reloaded, the old configuration stays: {message}");
+            }
+        }
+    }
+
     // ---- The end ----
 
     /// SIGTERM: everything that comes is still served, until clients have stopped coming and all have their
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -10,12 +10,13 @@
 use crate::counters::Counters;
 use crate::deadlines::{DeadlineKey, Deadlines, Due};
 
-/// A comment comes each second: after three without a word the stream is dead.
-const SILENCE: Micros = 3_000_000;
-/// The first pause before another call, after a call that brought nothing, and the longest: an event counts
-/// as told after 7 s, whether it came or not.
+/// A comment comes each second: a stream that has missed two is dead. What it would have told counts as told
+/// 4 s after it fell silent, and asking again takes a while too.
+const SILENCE: Micros = 2_200_000;
+/// The first pause before another call, after a call that brought nothing, and the longest: what a broken
+/// stream would have told counts as told 2 s after the break.
 const FIRST_PAUSE: Micros = 100_000;
-const LONGEST_PAUSE: Micros = 1_000_000;
+const LONGEST_PAUSE: Micros = 500_000;
 
 pub struct Link {
     events: Loop,
@@ -23,18 +24,21 @@
     connection: Option<(Connection, Reader)>,
     /// The number of the last event that was handed on.
     last: u64,
+    /// How long a call may take to come up.
+    dial_timeout: Micros,
     pause: Micros,
     deadline: Option<DeadlineKey>,
     rng: fastrand::Rng,
 }
 
 impl Link {
-    pub fn new(events: &Loop, address: SocketAddr, last: u64, seed: u64) -> Self {
+    pub fn new(events: &Loop, address: SocketAddr, last: u64, dial_timeout: Micros, seed: u64) -> Self {
         Link {
             events: events.clone(),
             address,
             connection: None,
             last,
+            dial_timeout,
             pause: 0,
             deadline: None,
             rng: fastrand::Rng::with_seed(seed),
@@ -54,13 +58,30 @@
                 let text = request(&self.address.to_string(), self.last);
                 connection.output.tail().extend_from_slice(text.as_bytes());
                 self.connection = Some((connection, Reader::default()));
-                self.deadline = Some(due.set(now + SILENCE, Due::Bulletin));
+                self.deadline = Some(due.set(now + self.dial_timeout.min(SILENCE), Due::Bulletin));
             }
             Err(e) => self.hang_up(&e.to_string(), now, due),
         }
     }
 
-    /// Silent for too long, or the pause is over.
+    /// Another address, by a new configuration: what is there tells the events that come now, so the old link
+    /// ends, whatever it is about.
+    pub fn move_to(
+        &mut self,
+        address: SocketAddr,
+        now: Micros,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+    ) {
+        if self.address != address {
+            self.address = address;
+            self.pause = 0;
+            self.hang_up("its address has changed", now, due);
+            self.call(now, due, counters);
+        }
+    }
+
+    /// Not up in time, silent for too long, or the pause is over.
     pub fn due(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters) {
         self.deadline = None;
         match self.connection {
@@ -74,9 +95,8 @@
     fn hang_up(&mut self, reason: &str, now: Micros, due: &mut Deadlines) {
         log::info!("bulletin: {reason}; events up to {} are known", self.last);
         self.connection = None;
-        due.take_back(self.deadline.take());
         let pause = (self.pause as f64 * (0.5 + 0.5 * self.rng.f64())) as Micros;
-        self.deadline = Some(due.set(now + pause, Due::Bulletin));
+        due.renew(&mut self.deadline, now + pause, Due::Bulletin);
         self.pause = (2 * self.pause).clamp(FIRST_PAUSE, LONGEST_PAUSE);
     }
 
@@ -94,9 +114,13 @@
         items: &mut Vec<Item>,
     ) -> Result<(), String> {
         let Some((connection, reader)) = &mut self.connection else { return Ok(()) };
+        let was_up = connection.was_up();
         if !connection.is_up().map_err(|e| e.to_string())? {
             return Ok(());
         }
+        if !was_up {
+            due.renew(&mut self.deadline, now + SILENCE, Due::Bulletin);
+        }
         connection.flush().map_err(|e| e.to_string())?;
         let mut heard = Vec::new();
         loop {
@@ -105,8 +129,7 @@
             connection.input.clear();
             if !heard.is_empty() {
                 self.pause = 0;
-                due.take_back(self.deadline.take());
-                self.deadline = Some(due.set(now + SILENCE, Due::Bulletin));
+                due.renew(&mut self.deadline, now + SILENCE, Due::Bulletin);
             }
             for heard in heard.drain(..) {
                 let Heard::Event { data, .. } = heard else { continue };
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -37,9 +37,13 @@
 
 fn serve(config: config::Config) -> Result<(), Box<dyn std::error::Error>> {
     let mut events: EventLoop<Wakes> = EventLoop::try_new()?;
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])?;
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])?;
     events.handle().insert_source(signals, |event, _, wakes| {
-        wakes.push(if event.signal() == Signal::SIGUSR1 { Wake::Report } else { Wake::Stop });
+        wakes.push(match event.signal() {
+            Signal::SIGUSR1 => Wake::Report,
+            Signal::SIGHUP => Wake::Reload,
+            _ => Wake::Stop,
+        });
     })?;
     let spacing = Duration::from_micros(TICKS_BETWEEN_LOOKS * config.settings.tick);
     let mut gateway = gateway::Gateway::start(config, clock::Clock::start(), &events.handle())?;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -53,14 +54,15 @@
 
 pub struct Running {
     child: Child,
+    config: PathBuf,
     pub address: SocketAddr,
     log: Receiver<String>,
 }
 
 impl Running {
     pub fn start(config: &Value) -> Self {
-        let (child, log) = launch(config);
-        let mut running = Running { child, address: "127.0.0.1:0".parse().expect("an address"), log };
+        let (child, log, config) = launch(config);
+        let mut running = Running { child, config, address: "127.0.0.1:0".parse().expect("an address"), log };
         let line = running.line_with("listens on ");
         let address = line.rsplit(' ').next().expect("a last word");
         running.address = address.parse().expect("the log names the address");
@@ -92,6 +94,16 @@
         counters(&self.line_with("counters:"))
     }
 
+    /// Puts other text in the place of the configuration, or takes the file away, and sends SIGHUP.
+    pub fn reload(&mut self, text: Option<&str>) {
+        match text {
+            Some(text) => std::fs::write(&self.config, text),
+            None => std::fs::remove_file(&self.config),
+        }
+        .expect("the file of the configuration can be changed");
+        self.signal(Signal::HUP);
+    }
+
     pub fn terminate(&mut self) {
         self.signal(Signal::TERM);
         self.line_with("stopping");
@@ -111,7 +123,7 @@
     }
 }
 
-fn launch(config: &Value) -> (Child, Receiver<String>) {
+fn launch(config: &Value) -> (Child, Receiver<String>, PathBuf) {
     let number = STARTED.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("eideryard-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).expect("a file for the configuration");
@@ -122,18 +134,19 @@
         .expect("the program starts");
     let stderr = BufReader::new(child.stderr.take().expect("its log"));
     let (sender, log) = channel();
+    let file = path.clone();
     std::thread::spawn(move || {
         for line in stderr.lines().map_while(Result::ok) {
             let _ = sender.send(line);
         }
-        let _ = std::fs::remove_file(path);
+        let _ = std::fs::remove_file(file);
     });
-    (child, log)
+    (child, log, path)
 }
 
 /// Runs the program on a configuration that it can't use: how it ended, and what it said.
 pub fn refused_start(config: &Value) -> (ExitStatus, String) {
-    let (mut child, log) = launch(config);
+    let (mut child, log, _) = launch(config);
     let said = log.recv_timeout(PATIENCE).expect("a line that says why");
     (child.wait().expect("the program ends"), said)
 }
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::standin::{Answer, Client, Engine};
+use common::standin::{self, Answer, Client, Engine};
 use common::{addresses, called, config, fields, host, next, refused_start, stand_ins, up, Running, QUERY};
 use serde_json::json;
 use std::io::ErrorKind;
@@ -271,6 +271,52 @@
     assert_eq!(gateway.counters()["events"], 3);
 }
 
+#[test]
+fn sighup_moves_the_link_to_the_bulletin_of_the_new_configuration() {
+    let (old, engines) = stand_ins(2);
+    let mut configured = config(old.address(), &addresses(&engines[..1]));
+    let mut gateway = Running::start(&configured);
+    let mut stream = old.accept().unwrap();
+    stream.event(2, r#"{"no":2,"roster":{"seq":2,"hosts":[]}}"#).unwrap();
+    // What can't be used is named, and the old configuration stays.
+    let half = configured.to_string()[..200].to_string();
+    configured["bulletin"] = json!("nowhere");
+    for (text, words) in [
+        (Some(half.as_str()), "EOF"),
+        (None, "configuration"),
+        (Some(&*configured.to_string()), "'bulletin'"),
+    ] {
+        gateway.reload(text);
+        let line = gateway.line_with("not reloaded");
+        assert!(line.contains(words), "{line}");
+    }
+    // A bulletin that isn't there yet, and at once another: the numbers go on, and the old link ends.
+    let (mut new, _) = stand_ins(0);
+    for next in [standin::unused_address(), new.address()] {
+        configured["bulletin"] = json!(next.to_string());
+        gateway.reload(Some(&configured.to_string()));
+        gateway.line_with("reloaded; the bulletin is at");
+    }
+    let mut end = new.accept().unwrap();
+    assert_eq!(end.after, 2);
+    assert!(stream.has_ended());
+    let hosts = vec![host("s-new", engines[1].address(), "up"), host("s-0", engines[0].address(), "removed")];
+    end.event(3, &json!({"no": 3, "roster": {"seq": 3, "hosts": hosts}}).to_string()).unwrap();
+    let mut client = gateway.client();
+    let (mut engine, serve) = called(&mut client, &engines[1]);
+    engine.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
+    assert!(matches!(client.answer().unwrap(), Answer::Result { id: 1, .. }));
+    // One more while it stops.
+    gateway.terminate();
+    (new, _) = stand_ins(0);
+    configured["bulletin"] = json!(new.address().to_string());
+    gateway.reload(Some(&configured.to_string()));
+    assert_eq!(new.accept().unwrap().after, 3);
+    let (status, counted) = gateway.ended();
+    assert!(status.success(), "{status}");
+    assert_eq!((counted["reloads"], counted["reloads_failed"]), (3, 3));
+}
+
 #[test]
 fn a_connection_to_a_process_that_has_restarted_is_not_waited_for() {
     let (bulletin, engines) = stand_ins(1);
--- a/examples/toy-server/standin.rs
+++ b/examples/toy-server/standin.rs
@@ -9,6 +9,12 @@
 
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
+/// An address that nobody listens on.
+pub fn unused_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("a listening socket has an address")
+}
+
 fn patient(stream: TcpStream) -> io::Result<TcpStream> {
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(PATIENCE))?;
@@ -140,6 +146,11 @@
     pub fn comment(&mut self) -> io::Result<()> {
         self.stream.write_all(b": still here\n\n")
     }
+
+    /// Waits until the gateway has ended the connection.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.stream.read(&mut [0]), Ok(0))
+    }
 }
 
 // ---- Clients ----
