--- a/crates/engine-line/src/lib.rs
+++ b/crates/engine-line/src/lib.rs
@@ -6,9 +6,9 @@
 
 use std::fmt::{self, Write};
 
-/// The longest head of an answer, and the longest payload: a page holds 6,000 bytes.
+/// The longest head of an answer, and the longest payload: a page has so many bytes at most.
 pub const MOST_HEAD: usize = 4096;
-pub const MOST_PAYLOAD: usize = 1 << 18;
+pub const MOST_PAYLOAD: usize = 6000;
 
 /// An answer of an engine. `id` is the request's, or the tag of a probe.
 #[derive(Debug, PartialEq)]
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -9,19 +9,33 @@
 
 use crate::connection::{listen, Connection, Filled, Loop, Wake, Watched, MOST_READS};
 use crate::counters::Counters;
+use crate::deadlines::{DeadlineKey, Deadlines, Due};
 use crate::requests::{Call, Names};
 use crate::table::{Key, Table};
 
-/// Open requests on one connection; the protocol allows 32, so that many more are no client of ours.
-const MOST_OPEN: usize = 256;
+/// Open requests on one connection, as the protocol allows.
+const MOST_OPEN: usize = 32;
+/// Time for the first request of a connection to come, and for the rest of a message that has begun. Clients
+/// are owed a word or a close within 3 s of connecting. This guards against connections that say nothing or
+/// stop half way; whoever has asked may stay for good.
+const MOST_SILENCE: Micros = 2_000_000;
+/// Usual clients ask within this time of connecting.
+const FIRST_WORD: Micros = 200_000;
+/// How long a connection that gets no more from here is still read, so that its end doesn't overtake the last
+/// answers.
+const LINGER: Micros = 500_000;
 
 struct Client {
     connection: Connection,
-    /// Requests without an answer yet: the client's id of each, and its slot.
-    open: Vec<(u32, Key)>,
-    /// Nothing more is read; it closes once what is owed is written.
+    /// Requests without an answer yet: the client's number of each, and its slot once it has one.
+    open: Vec<(u32, Option<Key>)>,
+    /// It has asked for something that is owed an answer.
+    asked: bool,
+    /// What it says is passed over; it closes once all is written and its other end has closed.
     closing: bool,
     used_at: Micros,
+    /// Until it must have asked, finished its message, or closed.
+    deadline: Option<DeadlineKey>,
 }
 
 /// What clients said.
@@ -32,19 +46,30 @@
         call: Result<Call, &'static str>,
     },
     Forgotten(Key),
+    /// The connection that this was asked on holds what can't be read, so this ends at once.
+    Spoilt(Key),
     /// The connection that this was asked on has ended.
     Left(Key),
 }
 
+impl Heard {
+    fn is_call(&self, of: Key, number: u32) -> bool {
+        matches!(self, Heard::Call { client, id, .. } if (*client, *id) == (of, number))
+    }
+}
+
 pub struct Clients {
     events: Loop,
     listener: Watched<TcpListener>,
     table: Table<Client>,
     unflushed: Vec<Key>,
-    /// Connections at once, and bytes that may wait to be written on all of them.
+    /// Connections at once, and bytes that may wait on all of them: to be written, and of messages that are
+    /// not whole.
     most_connections: usize,
     most_unsent: usize,
     unsent: usize,
+    most_unread: usize,
+    unread: usize,
     /// What the question after this gateway's health is answered.
     pub well: bool,
 }
@@ -60,6 +85,8 @@
             most_connections: (sockets / 2).max(1),
             most_unsent: (memory_mb as usize) << 18,
             unsent: 0,
+            most_unread: (memory_mb as usize) << 17,
+            unread: 0,
             well: false,
         })
     }
@@ -69,10 +96,10 @@
     }
 
     /// Takes in all that wait to connect. False: descriptors ran out, so that some still wait.
-    pub fn accept(&mut self, now: Micros, counters: &mut Counters) -> bool {
+    pub fn accept(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters) -> bool {
         loop {
             // One more than may be has come in: an idle one goes, or nothing more is taken in for now.
-            if self.table.len() > self.most_connections && !self.close_idlest() {
+            if self.table.len() > self.most_connections && !self.close_idlest(now, due, counters) {
                 return false;
             }
             match self.listener.file.accept() {
@@ -80,8 +107,14 @@
                     let key = self.table.next_key();
                     match Connection::accepted(&self.events, stream, Wake::Client(key)) {
                         Ok(connection) => {
-                            let open = Vec::new();
-                            self.table.insert(Client { connection, open, closing: false, used_at: now });
+                            self.table.insert(Client {
+                                connection,
+                                open: Vec::new(),
+                                asked: false,
+                                closing: false,
+                                used_at: now,
+                                deadline: Some(due.set(now + MOST_SILENCE, Due::Client(key))),
+                            });
                             counters.connections += 1;
                         }
                         Err(e) => log::warn!("a client's connection is of no use: {e}"),
@@ -89,7 +122,7 @@
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
                 Err(e) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => {
-                    if !self.close_idlest() {
+                    if !self.close_idlest(now, due, counters) {
                         return false;
                     }
                 }
@@ -99,20 +132,55 @@
         }
     }
 
-    /// Room for another connection, at the cost of the one that asked for nothing for the longest time.
-    fn close_idlest(&mut self) -> bool {
+    /// Room for another connection, at the cost of the one that asked for nothing for the longest time; first
+    /// go those that never asked though they had the time to.
+    fn close_idlest(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters) -> bool {
         let idle = self.table.iter().filter(|(_, c)| c.open.is_empty() && c.connection.output.is_empty());
-        let Some((key, _)) = idle.min_by_key(|(_, client)| client.used_at) else { return false };
-        self.close(key, &mut Vec::new());
+        let order = |c: &Client| (c.asked || now - c.used_at < FIRST_WORD, c.used_at);
+        let Some((key, _)) = idle.min_by_key(|(_, client)| order(client)) else { return false };
+        counters.ended.evicted += 1;
+        self.close(key, due, &mut Vec::new());
         true
     }
 
+    /// It was silent for too long, or has had the time to take its last answers.
+    pub fn client_due(
+        &mut self,
+        key: Key,
+        now: Micros,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+        heard: &mut Vec<Heard>,
+    ) {
+        let Some(client) = self.table.get_mut(key) else { return };
+        client.deadline = None;
+        if client.closing {
+            self.close(key, due, heard);
+        } else {
+            counters.ended.silent += 1;
+            self.spoil(key, now, due, heard);
+        }
+    }
+
+    /// Nothing more is taken from a connection: what is open on it ends now, and what it says is passed over.
+    fn spoil(&mut self, key: Key, now: Micros, due: &mut Deadlines, heard: &mut Vec<Heard>) {
+        let Some(client) = self.table.get_mut(key) else { return };
+        client.closing = true;
+        self.unread -= client.connection.input.len();
+        client.connection.input.clear();
+        due.renew(&mut client.deadline, now + LINGER, Due::Client(key));
+        // What has no slot yet gets an error anyway, as it is no more taken from here.
+        heard.extend(client.open.iter().filter_map(|(_, request)| request.map(Heard::Spoilt)));
+        self.unflushed.push(key);
+    }
+
     /// Reads what has come. True: there may be more, others first.
     pub fn read(
         &mut self,
         key: Key,
         now: Micros,
         names: &Names,
+        due: &mut Deadlines,
         counters: &mut Counters,
         heard: &mut Vec<Heard>,
     ) -> bool {
@@ -125,13 +193,23 @@
                 Ok(Filled::Some) if client.closing => client.connection.input.clear(),
                 Ok(Filled::Some) => {
                     client.used_at = now;
-                    if !Self::understand(key, client, self.well, names, counters, heard) {
-                        counters.malformed += 1;
-                        log::warn!(
-                            "a client's connection holds no MessagePack-RPC; it is closed once answered"
-                        );
-                        client.closing = true;
-                        client.connection.input.clear();
+                    let came = client.connection.input.len();
+                    let understood = Self::understand(key, client, self.well, names, counters, heard);
+                    let left = client.connection.input.len();
+                    // Each message has its own time, from when it begins; the first request has it from the
+                    // start of the connection.
+                    if client.asked && left < came {
+                        due.take_back(client.deadline.take());
+                    }
+                    if client.deadline.is_none() && left > 0 {
+                        client.deadline = Some(due.set(now + MOST_SILENCE, Due::Client(key)));
+                    }
+                    self.unread = self.unread + left - before;
+                    let hoards = self.unread > self.most_unread && left > self.most_unread / self.table.len();
+                    if !understood || hoards {
+                        counters.ended.malformed += !understood as u64;
+                        counters.ended.hoarding += (understood && hoards) as u64;
+                        self.spoil(key, now, due, heard);
                     }
                     self.unflushed.push(key);
                 }
@@ -140,7 +218,7 @@
                     return false;
                 }
                 Ok(Filled::Ended) | Err(_) => {
-                    self.close(key, heard);
+                    self.close(key, due, heard);
                     return false;
                 }
             }
@@ -170,28 +248,31 @@
                 Message::Call { id, method, fields, body } => (id, Call::read(names, method, &fields, body)),
                 Message::Ask { id, method: "isWell", .. } => {
                     counters.health_asked += 1;
+                    client.asked = true;
                     write_health(output.tail(), id, well);
                     continue;
                 }
                 Message::Ask { id, .. } | Message::Unusable { id } => (id, Err("parameters")),
                 Message::Forget { ids } => {
                     for id in ids {
-                        if let Some(at) = client.open.iter().position(|(own, _)| *own == id) {
-                            heard.push(Heard::Forgotten(client.open.swap_remove(at).1));
+                        let Some(at) = client.open.iter().position(|(own, _)| *own == id) else { continue };
+                        match client.open.swap_remove(at).1 {
+                            Some(request) => heard.push(Heard::Forgotten(request)),
+                            // It has only just come, so it isn't taken at all.
+                            None => heard.retain(|h| !h.is_call(key, id)),
                         }
                     }
                     continue;
                 }
                 Message::Other => continue,
             };
-            // Two open requests of one id could not be answered apart.
-            let twice = client.open.iter().any(|(own, _)| *own == id)
-                || heard.iter().any(
-                    |h| matches!(h, Heard::Call { client, id: own, .. } if *client == key && *own == id),
-                );
-            if twice || client.open.len() >= MOST_OPEN {
+            client.asked = true;
+            // Two open requests of one number could not be answered apart.
+            if client.open.iter().any(|(own, _)| *own == id) {
                 break false;
             }
+            let call = if client.open.len() < MOST_OPEN { call } else { Err("one of too many") };
+            client.open.push((id, None));
             heard.push(Heard::Call { client: key, id, call });
         };
         input.consume(used);
@@ -201,7 +282,8 @@
     /// A request taken on this connection now has a slot of its own.
     pub fn opened(&mut self, key: Key, id: u32, request: Key) {
         if let Some(client) = self.table.get_mut(key) {
-            client.open.push((id, request));
+            let open = client.open.iter_mut().find(|(own, _)| *own == id);
+            open.into_iter().for_each(|open| open.1 = Some(request));
         }
     }
 
@@ -216,8 +298,19 @@
         true
     }
 
+    /// Whether a connection still takes requests; nothing where it has ended.
+    pub fn takes(&self, key: Key) -> Option<bool> {
+        self.table.get(key).map(|client| !client.closing)
+    }
+
     /// Writes all that was answered since the last time, and closes what has ended or reads too slowly.
-    pub fn flush(&mut self, now: Micros, heard: &mut Vec<Heard>) {
+    pub fn flush(
+        &mut self,
+        now: Micros,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+        heard: &mut Vec<Heard>,
+    ) {
         let mut unflushed = std::mem::take(&mut self.unflushed);
         unflushed.sort_unstable();
         unflushed.dedup();
@@ -229,25 +322,25 @@
             let left = client.connection.output.len();
             self.unsent = self.unsent.saturating_sub(before - left);
             client.used_at = now;
-            let done = client.closing && client.open.is_empty() && left == 0;
-            let hoards = self.unsent > self.most_unsent && left > fair;
-            if hoards {
-                log::warn!(
-                    "a client's connection is closed: {left} bytes of answers wait that it doesn't read"
-                );
+            if client.closing && client.open.is_empty() && left == 0 {
+                client.connection.end_output();
             }
-            if result.is_err() || done || hoards {
-                self.close(key, heard);
+            let deaf = self.unsent > self.most_unsent && left > fair;
+            counters.ended.deaf += deaf as u64;
+            if result.is_err() || deaf {
+                self.close(key, due, heard);
             }
         }
         self.unflushed = unflushed;
     }
 
     /// The one place that gives a client's connection back.
-    fn close(&mut self, key: Key, heard: &mut Vec<Heard>) {
+    fn close(&mut self, key: Key, due: &mut Deadlines, heard: &mut Vec<Heard>) {
         let Some(client) = self.table.remove(key) else { return };
+        due.take_back(client.deadline);
         self.unsent = self.unsent.saturating_sub(client.connection.output.len());
-        heard.extend(client.open.into_iter().map(|(_, request)| Heard::Left(request)));
+        self.unread -= client.connection.input.len();
+        heard.extend(client.open.into_iter().filter_map(|(_, request)| request.map(Heard::Left)));
     }
 
     /// Whether all that was answered is written.
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -205,6 +205,12 @@
         Ok(())
     }
 
+    /// Tells the other end that nothing more comes; what it says can still be read.
+    pub fn end_output(&self) {
+        // It fails only where the connection has ended already, which the next read finds.
+        let _ = self.socket.file.shutdown(std::net::Shutdown::Write);
+    }
+
     /// The place in the stream at which what is buffered ends.
     pub fn end_of_output(&self) -> u64 {
         self.written + self.output.len() as u64
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -8,7 +8,7 @@
     pub connections: u64,
     pub bytes_in: u64,
     pub health_asked: u64,
-    pub malformed: u64,
+    pub ended: Ended,
     /// Requests taken; each ends as one of the six that follow, or is open.
     pub taken: u64,
     pub served: u64,
@@ -34,6 +34,21 @@
     pub reloads_failed: u64,
 }
 
+/// Connections of clients that this side ended, by reason.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Ended {
+    /// What it held can't be read, or two open requests had one number.
+    pub malformed: u64,
+    /// No request, or only a part of one, for too long.
+    pub silent: u64,
+    /// Messages that aren't whole took more than its part of the memory for them.
+    pub hoarding: u64,
+    /// It didn't read its answers, which took more than its part of the memory for them.
+    pub deaf: u64,
+    /// It was idle when descriptors ran short.
+    pub evicted: u64,
+}
+
 /// Attempts that are over, by outcome.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Attempts {
@@ -85,7 +100,10 @@
         write!(f, "; pages={} notes={} ranks={} probes={}", self.pages, self.notes, self.ranks, self.probes)?;
         write!(f, " dials={} dials_failed={}", self.dials, self.dials_failed)?;
         write!(f, "; clients connections={} bytes_in={}", self.connections, self.bytes_in)?;
-        write!(f, " health_asked={} malformed={}", self.health_asked, self.malformed)?;
+        write!(f, " health_asked={}", self.health_asked)?;
+        let Ended { malformed, silent, hoarding, deaf, evicted } = self.ended;
+        write!(f, "; ended malformed={malformed} silent={silent} hoarding={hoarding}")?;
+        write!(f, " deaf={deaf} evicted={evicted}")?;
         write!(f, "; bulletin events={} connections={}", self.list_events, self.list_connections)?;
         write!(f, "; reloads={} reloads_failed={}", self.reloads, self.reloads_failed)
     }
--- a/crates/gateway/src/deadlines.rs
+++ b/crates/gateway/src/deadlines.rs
@@ -13,6 +13,8 @@
     Timer(u64),
     /// An attempt of a request has had its time.
     Attempt(Key, usize),
+    /// A client's connection should have asked for something, or be over.
+    Client(Key),
     /// A connection to an engine should be up, or was idle for long enough.
     Conn(Key),
     /// A probe on a connection should be answered.
@@ -24,6 +26,7 @@
     /// After SIGTERM: clients come no more; and what is still open must end.
     LastClients,
     LastAnswers,
+    Leave,
 }
 
 pub type DeadlineKey = (Micros, u64);
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -14,14 +14,16 @@
 use crate::deadlines::{DeadlineKey, Deadlines, Due};
 use crate::table::{Key, Table};
 
-/// Pages of one result, and its bytes: an answer has 48,000 at most, in pages of whole rows.
+/// Pages of one result, and its bytes: the protocol allows 48,000, in pages of whole rows.
 const MOST_PAGES: usize = 256;
-const MOST_RESULT: usize = 256 << 10;
+const MOST_RESULT: usize = 48_000;
 /// Part of the idle time after which a connection is closed from this side, so that no request crosses the
 /// engine's own closing.
 const IDLE_PART: f64 = 0.8;
-/// Ids given up on a connection whose answers may still come, before it takes no more requests.
-const MOST_GIVEN_UP: usize = 1024;
+/// Ids on a connection that ended without a result, before it takes no more requests.
+const MOST_ENDED: usize = 1024;
+/// Note periods without a word after which a connection is held to be dead, if what it carries is given up.
+const QUIET_PERIODS: Micros = 2;
 
 /// What an attempt on a connection waits for.
 enum Stage {
@@ -39,6 +41,7 @@
     request: Key,
     attempt: usize,
     stage: Stage,
+    sent_at: Micros,
     /// Where in what is sent on this connection its request begins and ends.
     sent: (u64, u64),
     /// A new priority that is told once the request is out: until then the engine knows no such id.
@@ -49,14 +52,18 @@
     engine: EngineId,
     connection: Connection,
     open: BTreeMap<Box<str>, Open>,
-    /// Requests given up whose answers may still come: none of them is sent on this connection again.
-    given_up: BTreeSet<Box<str>>,
+    /// Requests that ended here without a result: an answer of theirs may still come, or come once more, so
+    /// none of them is sent on this connection again.
+    ended: BTreeSet<Box<str>>,
     probes: BTreeMap<Box<str>, DeadlineKey>,
     /// It takes no more: it closes when what is open on it is over.
     retired: bool,
     opened_at: Micros,
+    heard_at: Micros,
     /// Until it must be up; afterwards, where nothing is open, until it is closed for that.
     deadline: Option<DeadlineKey>,
+    /// Until the rest of an answer that has begun must have come.
+    rest: Option<DeadlineKey>,
 }
 
 impl Conn {
@@ -99,6 +106,8 @@
         attempt: usize,
         outcome: Outcome,
         report: Option<LoadReport>,
+        /// The loss of a connection that another attempt's end has told of.
+        told: bool,
     },
     Served {
         request: Key,
@@ -122,6 +131,7 @@
 pub struct Limits {
     pub dial_timeout: Micros,
     pub idle: Micros,
+    pub note_period: Micros,
     pub streams: usize,
     pub connections: usize,
 }
@@ -202,8 +212,8 @@
     ) -> Option<Key> {
         let streams = self.limits.streams;
         let takes = |conn: &Conn| {
-            let free = conn.open.len() + conn.probes.len() < streams && conn.given_up.len() < MOST_GIVEN_UP;
-            free && !conn.open.contains_key(serve.id) && !conn.given_up.contains(serve.id)
+            let free = conn.open.len() + conn.probes.len() < streams && conn.ended.len() < MOST_ENDED;
+            free && !conn.open.contains_key(serve.id) && !conn.ended.contains(serve.id)
         };
         let key = self.connection_to(now, engine, takes, due, counters)?;
         let conn = self.table.get_mut(key)?;
@@ -213,7 +223,7 @@
         let sent = (begin, conn.connection.end_of_output());
         conn.open.insert(
             serve.id.into(),
-            Open { request, attempt, stage: Stage::Running, sent, later_rank: None },
+            Open { request, attempt, stage: Stage::Running, sent_at: now, sent, later_rank: None },
         );
         self.unflushed.push(key);
         Some(key)
@@ -253,11 +263,13 @@
             engine,
             connection,
             open: BTreeMap::new(),
-            given_up: BTreeSet::new(),
+            ended: BTreeSet::new(),
             probes: BTreeMap::new(),
             retired: false,
             opened_at: now,
+            heard_at: now,
             deadline: Some(due.set(now + self.limits.dial_timeout, Due::Conn(key))),
+            rest: None,
         }))
     }
 
@@ -338,7 +350,11 @@
             Stage::Running => {}
             Stage::Reading { .. } => line::write_release(out, id),
         }
-        conn.given_up.insert(id.into());
+        // Nothing at all has come since: other requests may have an engine that still answers, on another
+        // connection. This guards against one that stands and is of no further use.
+        let quiet = QUIET_PERIODS * self.limits.note_period + self.limits.dial_timeout;
+        conn.retired |= conn.heard_at.max(open.sent_at) + quiet <= now;
+        conn.ended.insert(id.into());
         self.unflushed.push(key);
         self.settle(key, now, due, heard);
         true
@@ -351,18 +367,16 @@
         if !conn.open.is_empty() || !conn.probes.is_empty() {
             return;
         }
-        if conn.retired || conn.given_up.len() >= MOST_GIVEN_UP {
+        if conn.retired || conn.ended.len() >= MOST_ENDED {
             self.close(key, Outcome::Broken, due, heard);
         } else if conn.connection.was_up() && conn.deadline.is_none() && idle > 0 {
             conn.deadline = Some(due.set(now + idle, Due::Conn(key)));
         }
     }
 
-    /// Not up in time, or idle for so long that the engine might close it.
+    /// Not up in time, idle for so long that the engine might close it, or stuck within an answer.
     pub fn conn_due(&mut self, key: Key, due: &mut Deadlines, heard: &mut Vec<Heard>) {
-        let Some(conn) = self.table.get_mut(key) else { return };
-        conn.deadline = None;
-        self.close(key, Outcome::NoConnection, due, heard);
+        self.close(key, Outcome::Broken, due, heard);
     }
 
     /// Reads what has come. True: there may be more, others first.
@@ -391,6 +405,7 @@
             let Some(conn) = self.table.get_mut(key) else { return false };
             match conn.connection.fill() {
                 Ok(Filled::Some) => {
+                    conn.heard_at = now;
                     if let Err(reason) = Self::understand(conn, due, counters, heard) {
                         log::warn!("the connection to engine {} is closed: {reason}", conn.engine);
                         self.close(key, Outcome::Broken, due, heard);
@@ -398,6 +413,13 @@
                     }
                 }
                 Ok(Filled::Blocked) => {
+                    // The rest of an answer waits for nothing, so it may take as long as a connection may.
+                    // This guards against answers that stop short, drip, or are shorter than they say.
+                    if conn.connection.input.is_empty() {
+                        due.take_back(conn.rest.take());
+                    } else if conn.rest.is_none() {
+                        conn.rest = Some(due.set(now + self.limits.dial_timeout, Due::Conn(key)));
+                    }
                     self.settle(key, now, due, heard);
                     return false;
                 }
@@ -425,6 +447,7 @@
                 Err(_) => break Err("what it says is no answer"),
             };
             used += length;
+            due.take_back(conn.rest.take());
             if let Some(deadline) = conn.probes.remove(answer.id) {
                 due.take_back(Some(deadline));
                 let up = answer.word == Word::Up;
@@ -433,8 +456,9 @@
                 continue;
             }
             let Some(open) = conn.open.get_mut(answer.id) else {
-                // Of something given up. A good end that crossed the cancel may have left pages there.
-                if answer.word == Word::Ok && pages(&answer.fields) > 1 && conn.given_up.contains(answer.id) {
+                // Of something given up, a second copy, or of nothing that was asked for: more than belongs
+                // to an answer does no harm. A good end that crossed the cancel may have left pages there.
+                if answer.word == Word::Ok && pages(&answer) > Some(1) && conn.ended.contains(answer.id) {
                     line::write_release(output.tail(), answer.id);
                 }
                 continue;
@@ -444,11 +468,13 @@
             match take(open, &answer, output.tail()) {
                 Ok(None) => {}
                 Ok(Some(what)) => {
-                    let over = !matches!(what, Heard::Noted { .. });
-                    heard.push(what);
-                    if over {
+                    if matches!(what, Heard::Over { .. }) {
+                        conn.ended.insert(answer.id.into());
+                    }
+                    if !matches!(what, Heard::Noted { .. }) {
                         conn.open.remove(answer.id);
                     }
+                    heard.push(what);
                 }
                 Err(reason) => break Err(reason),
             }
@@ -476,14 +502,18 @@
     fn close(&mut self, key: Key, outcome: Outcome, due: &mut Deadlines, heard: &mut Vec<Heard>) {
         let Some(conn) = self.table.remove(key) else { return };
         due.take_back(conn.deadline);
+        due.take_back(conn.rest);
         if let Some(engine) = self.engines.get_mut(&conn.engine) {
             engine.conns.retain(|&other| other != key);
         }
+        let mut told = false;
         for open in conn.open.into_values() {
             let whole = conn.connection.written >= open.sent.1;
             let outcome = if whole { outcome } else { Outcome::NoConnection };
             let (request, attempt) = (open.request, open.attempt);
-            heard.push(Heard::Over { request, attempt, outcome, report: None });
+            heard.push(Heard::Over { request, attempt, outcome, report: None, told });
+            // One that never came up says more of its engine than one that breaks.
+            told = conn.connection.was_up();
         }
         for deadline in conn.probes.into_values() {
             due.take_back(Some(deadline));
@@ -498,14 +528,12 @@
     let (request, attempt) = (open.request, open.attempt);
     let over = |outcome| {
         let report = report(&answer.fields);
-        Ok(Some(Heard::Over { request, attempt, outcome, report }))
+        Ok(Some(Heard::Over { request, attempt, outcome, report, told: false }))
     };
     match (&mut open.stage, answer.word) {
         (Stage::Running, Word::Ok) => {
-            let count = pages(&answer.fields);
-            if count > MOST_PAGES {
-                return Err("a result has too many pages");
-            }
+            let count = pages(answer).ok_or("a result with no readable number of pages")?;
+            check_page(answer.payload)?;
             let (bill, report) = (bill(&answer.fields), report(&answer.fields));
             let first = answer.payload.to_vec();
             if count <= 1 {
@@ -519,7 +547,11 @@
         }
         (Stage::Reading { pages, bytes, bill, report }, Word::Rows) => {
             let place = answer.fields.number("pos").and_then(|at: usize| pages.get_mut(at));
-            let Some(place @ None) = place else { return Err("a page that was not asked for") };
+            let place = place.ok_or("a page that was not asked for")?;
+            if place.is_some() {
+                return Ok(None);
+            }
+            check_page(answer.payload)?;
             *place = Some(answer.payload.to_vec());
             *bytes += answer.payload.len();
             if *bytes > MOST_RESULT {
@@ -535,12 +567,25 @@
         (_, Word::Note) => Ok(note(&answer.fields).map(|note| Heard::Noted { request, attempt, note })),
         (Stage::Running, Word::Busy | Word::Void) => over(Outcome::Full),
         (_, Word::Err) => over(Outcome::Error),
+        // A second copy of the first page.
+        (Stage::Reading { .. }, Word::Ok) => Ok(None),
         _ => Err("an answer that fits nothing asked for"),
     }
 }
 
-fn pages(fields: &Fields) -> usize {
-    fields.number("count").unwrap_or(1)
+/// How many pages a good end says that it has, if that can be.
+fn pages(answer: &Answer) -> Option<usize> {
+    answer.fields.number("count").filter(|count| (1..=MOST_PAGES).contains(count))
+}
+
+/// A page holds whole rows of three columns as text: what doesn't came spoilt, and so may all that follows.
+fn check_page(page: &[u8]) -> Result<(), &'static str> {
+    let row = |row: &str| row.ends_with('\n') && row.bytes().filter(|&byte| byte == b'\t').count() == 2;
+    let text = std::str::from_utf8(page).map_err(|_| "a page is not UTF-8")?;
+    match text.split_inclusive('\n').all(row) {
+        true => Ok(()),
+        false => Err("a page doesn't hold whole rows"),
+    }
 }
 
 /// What a good end says it cost: `ticks` is work in milliseconds, `footprint` memory in MB.
@@ -598,7 +643,7 @@
     fn what_is_given_up_unwritten_leaves_nothing_behind() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let events: EventLoop<Wakes> = EventLoop::try_new().unwrap();
-        let limits = Limits { dial_timeout: NOW, idle: 0, streams: 32, connections: 8 };
+        let limits = Limits { dial_timeout: NOW, idle: 0, note_period: 0, streams: 32, connections: 8 };
         let mut engines = Engines::new(&events.handle(), limits);
         let (mut due, mut counters, mut heard) = (Deadlines::new(), Counters::default(), Vec::new());
         engines.listed(5, listener.local_addr().ok(), 0, &mut due, &mut heard);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,6 +56,7 @@
     /// After SIGTERM: when the last answer must be out; and whether clients come no more.
     stopping: Option<Micros>,
     no_more_clients: bool,
+    out_of_time: bool,
 }
 
 impl Gateway {
@@ -64,6 +65,7 @@
         let limits = engines::Limits {
             dial_timeout: config.host.dial_timeout,
             idle: config.host.idle,
+            note_period: config.settings.note_period,
             streams: config.host.streams,
             connections: (config.sockets / 2).saturating_sub(OTHER_SOCKETS).max(1),
         };
@@ -85,6 +87,7 @@
             from_engines: Vec::new(),
             stopping: None,
             no_more_clients: false,
+            out_of_time: false,
             module: decide::Gateway::new(config.settings, config.seed, now),
             clock,
         };
@@ -127,7 +130,8 @@
             Wake::Listener => self.accept(),
             Wake::Client(key) => {
                 let (names, heard) = (&self.names, &mut self.from_clients);
-                if self.clients.read(key, now, names, &mut self.counters, heard) {
+                let due = &mut self.due;
+                if self.clients.read(key, now, names, due, &mut self.counters, heard) {
                     again.push(wake);
                 }
                 self.hear_clients();
@@ -152,7 +156,7 @@
 
     fn accept(&mut self) {
         let now = self.clock.now();
-        if !self.clients.accept(now, &mut self.counters) {
+        if !self.clients.accept(now, &mut self.due, &mut self.counters) {
             self.due.set(now + ACCEPT_PAUSE, Due::Accept);
         }
     }
@@ -162,11 +166,17 @@
         match due {
             Due::Timer(tag) => self.events.push_back(Event::Timer { tag }),
             Due::Attempt(request, attempt) => self.give_up(request, attempt, Outcome::TimedOut),
+            Due::Client(key) => {
+                let (due, heard) = (&mut self.due, &mut self.from_clients);
+                self.clients.client_due(key, now, due, &mut self.counters, heard);
+                self.hear_clients();
+            }
             Due::Conn(key) => self.engines.conn_due(key, &mut self.due, &mut self.from_engines),
             Due::Probe(key, number) => self.engines.probe_late(key, number, &mut self.from_engines),
             Due::Bulletin => self.link.due(now, &mut self.due, &mut self.counters),
             Due::Accept => self.accept(),
             Due::LastClients => self.no_more_clients = true,
+            Due::Leave => self.out_of_time = true,
             Due::LastAnswers => {
                 for request in self.requests.owing() {
                     // The request's own timer fires early: its time is up now.
@@ -195,7 +205,8 @@
     }
 
     fn flush(&mut self) {
-        self.clients.flush(self.clock.now(), &mut self.from_clients);
+        let heard = &mut self.from_clients;
+        self.clients.flush(self.clock.now(), &mut self.due, &mut self.counters, heard);
         self.engines.flush(&mut self.due, &mut self.from_engines);
         self.hear_clients();
         self.hear_engines();
@@ -211,6 +222,10 @@
                     self.counters.forgotten += 1;
                     self.left(request);
                 }
+                clients::Heard::Spoilt(request) => {
+                    self.events.push_back(Event::ClientLeft { request: request.number() });
+                    self.turn_down(request, "Failed", &[]);
+                }
                 clients::Heard::Left(request) => {
                     self.counters.lost += 1;
                     self.left(request);
@@ -222,12 +237,12 @@
     fn called(&mut self, client: Key, id: u32, call: Result<Call, &'static str>) {
         let now = self.clock.now();
         self.counters.taken += 1;
-        let call = match call {
-            Ok(call) => call,
-            Err(field) => {
-                log::debug!("a request can't be used: {field}");
-                self.counters.invalid += 1;
-                self.clients.answer(client, id, |out| write_error(out, id, "Invalid", &[("field", field)]));
+        let call = match (self.clients.takes(client), call) {
+            (Some(true), Ok(call)) => call,
+            (Some(true), Err(field)) => return self.invalid(client, id, field),
+            (Some(false), _) => return self.invalid(client, id, "one behind it"),
+            (None, _) => {
+                self.counters.lost += 1;
                 return;
             }
         };
@@ -242,11 +257,20 @@
             memory_mb: call.memory_mb,
             group: call.group.unwrap_or(0),
         };
-        let request = self.requests.insert(client, id, deadline, call);
+        let Some(request) = self.requests.insert(client, id, deadline, call) else {
+            return self.invalid(client, id, "i");
+        };
         self.clients.opened(client, id, request);
         self.events.push_back(Event::Arrived(Request { id: request.number(), ..arrived }));
     }
 
+    /// A request that can't be used gets an error that names the field.
+    fn invalid(&mut self, client: Key, id: u32, field: &str) {
+        log::debug!("a request can't be used: {field}");
+        self.counters.invalid += 1;
+        self.clients.answer(client, id, |out| write_error(out, id, "Invalid", &[("field", field)]));
+    }
+
     /// Nobody waits for this any more.
     fn left(&mut self, key: Key) {
         if let Some(request) = self.requests.get_mut(key) {
@@ -261,12 +285,12 @@
     fn hear_engines(&mut self) {
         for heard in std::mem::take(&mut self.from_engines) {
             match heard {
-                engines::Heard::Over { request, attempt, outcome, report } => {
-                    self.over(request, attempt, outcome, None, report)
+                engines::Heard::Over { request, attempt, outcome, report, told } => {
+                    self.over(request, attempt, outcome, told, None, report)
                 }
                 engines::Heard::Served { request, attempt, pages, bill, report } => {
                     self.serve(request, &pages);
-                    self.over(request, attempt, Outcome::Answered, bill, report);
+                    self.over(request, attempt, Outcome::Answered, false, bill, report);
                 }
                 engines::Heard::Noted { request, attempt, note } => {
                     self.events.push_back(Event::Noted { request: request.number(), attempt, note })
@@ -305,6 +329,7 @@
         key: Key,
         attempt: usize,
         outcome: Outcome,
+        told: bool,
         bill: Option<Bill>,
         report: Option<LoadReport>,
     ) {
@@ -319,6 +344,7 @@
             outcome,
             spent: self.clock.now().saturating_sub(tried.sent_at),
             complete: request.answered,
+            told,
             bill,
             report,
         }));
@@ -331,7 +357,7 @@
         let Some(conn) = request.attempts.get_mut(attempt).and_then(|tried| tried.conn) else { return };
         let (now, due, heard) = (self.clock.now(), &mut self.due, &mut self.from_engines);
         let sent = self.engines.give_up(now, conn, &request.id, self.may_cancel, due, heard);
-        self.over(key, attempt, if sent { outcome } else { Outcome::Unsent }, None, None);
+        self.over(key, attempt, if sent { outcome } else { Outcome::Unsent }, false, None, None);
     }
 
     // ---- Actions ----
@@ -405,7 +431,7 @@
         request.attempts.push(Attempt { conn, sent_at: now, deadline });
         if conn.is_none() {
             let outcome = if in_time { Outcome::NoConnection } else { Outcome::Unsent };
-            self.over(key, attempt, outcome, None, None);
+            self.over(key, attempt, outcome, false, None, None);
         }
     }
 
@@ -526,10 +552,13 @@
         self.clients.well = false;
         self.due.set(now + LAST_CLIENTS, Due::LastClients);
         self.due.set(last, Due::LastAnswers);
+        // An answer that isn't out by then has a client that doesn't read.
+        self.due.set(last + STOP_MARGIN / 2, Due::Leave);
     }
 
     /// Whether nothing is left to do.
     pub fn is_done(&self) -> bool {
-        self.no_more_clients && self.counters.open() == 0 && self.clients.is_written()
+        let answered = self.no_more_clients && self.counters.open() == 0;
+        answered && (self.clients.is_written() || self.out_of_time)
     }
 }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -1,16 +1,22 @@
 //! Requests of clients: read from their fields, kept in slots of a table until each has had its final answer
 //! and no attempt of it is out. [`Requests::give_back`] is the one place where a slot is freed.
 
-use eideryard::interface::{Effect, Micros, Settings};
-use eideryard_engine_line::is_word;
+use std::collections::{BTreeSet, VecDeque};
+
+use eideryard::interface::{Effect, Kind, Micros, Settings};
 
 use crate::deadlines::DeadlineKey;
 use crate::table::{Key, Table};
 
-/// Longest id and key that are passed on.
-const MOST_WORD: usize = 256;
-/// Longest time that a client can ask to be waited for: a day.
-const LONGEST_WAIT_MS: f64 = 86_400_000.0;
+/// Digits of an id and of a key, hex as the protocol has them.
+const ID_DIGITS: usize = 16;
+const KEY_DIGITS: usize = 32;
+/// Estimates that are so many times off what the largest engine could do or hold are none, and so is a wait
+/// so many times longer than the longest that the settings know.
+const MOST_OFF: f64 = 100.0;
+const MOST_WAITS: f64 = 2.0;
+/// Ids of requests that are over, kept so that one that comes again is known: ids are new with every request.
+const MOST_OVER: usize = 4096;
 
 /// The names of the settings, each at the place by which the module knows it.
 pub struct Names {
@@ -19,11 +25,20 @@
     tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
+    longest_wait: f64,
+    most_work: f64,
+    most_memory_mb: f64,
 }
 
 impl Names {
     pub fn new(settings: &Settings, host: &eideryard_settings::Host) -> Self {
+        let largest = |of: fn(&Kind) -> f64| settings.kinds.iter().map(of).fold(1.0, f64::max);
+        // Without a deadline in the settings a client may wait for as long as it likes.
+        let longest = Some(host.longest_wait as f64).filter(|&wait| wait > 0.0).unwrap_or(f64::MAX);
         Names {
+            longest_wait: MOST_WAITS * longest,
+            most_work: MOST_OFF * longest * largest(|kind| kind.cores),
+            most_memory_mb: MOST_OFF * largest(|kind| kind.memory_mb),
             classes: host.classes.clone(),
             keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
             tenants: host.tenants.clone(),
@@ -61,32 +76,42 @@
         body: &[u8],
     ) -> Result<Self, &'static str> {
         let field = |name: &str| fields.iter().find(|(own, _)| *own == name).map(|(_, value)| *value);
-        let word = |text: &&str| is_word(text) && text.len() <= MOST_WORD;
-        let positive =
-            |text: &str| text.parse().ok().filter(|value: &f64| value.is_finite() && *value >= 0.0);
-        let estimate = |name: &'static str| match field(name) {
+        let digits =
+            |text: &str, count| text.len() == count && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        // Neither a number below 0 or above what makes sense, nor none at all.
+        let upto =
+            |text: &str, most: f64| text.parse().ok().filter(|value: &f64| (0.0..=most).contains(value));
+        let estimate = |name: &'static str, most| match field(name) {
             None => Ok(None),
-            Some(text) => positive(text).map(|value| Some(value).filter(|v| *v > 0.0)).ok_or(name),
+            Some(text) => upto(text, most).map(|value| Some(value).filter(|v| *v > 0.0)).ok_or(name),
         };
+        let known = ["i", "d", "t", "r", "k", "h", "ram"];
+        if known.iter().any(|name| fields.iter().filter(|(own, _)| own == name).count() > 1) {
+            return Err("one that is there twice");
+        }
         let class = place(&names.classes, method).ok_or("class")?;
         let tenant = match field("t") {
             Some(name) if !names.tenants.is_empty() => place(&names.tenants, name).ok_or("t")?,
             None if !names.tenants.is_empty() => return Err("t"),
             _ => 0,
         };
-        let key = field("k").map(|text| Some(text).filter(word).ok_or("k")).transpose()?;
+        let key =
+            field("k").map(|text| Some(text).filter(|k| digits(k, KEY_DIGITS)).ok_or("k")).transpose()?;
         if key.is_none() && names.keyed[class] {
             return Err("k");
         }
-        let wait = field("d").and_then(positive).filter(|&wait| wait <= LONGEST_WAIT_MS).ok_or("d")?;
+        let wait = field("d").and_then(|text| upto(text, names.longest_wait / 1e3)).ok_or("d")?;
+        if body.is_empty() || std::str::from_utf8(body).is_err() || body.contains(&0) {
+            return Err("statement");
+        }
         Ok(Call {
-            id: field("i").filter(word).ok_or("i")?.into(),
+            id: field("i").filter(|id| digits(id, ID_DIGITS)).ok_or("i")?.into(),
             class,
             tenant,
             key: key.map(Into::into),
             wait: (wait * 1e3) as Micros,
-            work: estimate("h")?.map(|ms| ms * 1e3),
-            memory_mb: estimate("ram")?,
+            work: estimate("h", names.most_work / 1e3)?.map(|ms| ms * 1e3),
+            memory_mb: estimate("ram", names.most_memory_mb)?,
             group: eideryard_statement::table_group(body),
             statement: body.into(),
         })
@@ -120,11 +145,18 @@
 #[derive(Default)]
 pub struct Requests {
     table: Table<Request>,
+    /// Ids of all requests in the table, and of the last that have left it, in that order.
+    ids: BTreeSet<Box<str>>,
+    over: VecDeque<Box<str>>,
 }
 
 impl Requests {
-    pub fn insert(&mut self, client: Key, call: u32, deadline: Micros, read: Call) -> Key {
-        self.table.insert(Request {
+    /// Nothing where a request of this id is open, or was a while ago: engines could not tell them apart.
+    pub fn insert(&mut self, client: Key, call: u32, deadline: Micros, read: Call) -> Option<Key> {
+        if !self.ids.insert(read.id.clone()) {
+            return None;
+        }
+        Some(self.table.insert(Request {
             client,
             call,
             id: read.id,
@@ -136,7 +168,7 @@
             answered: false,
             deadline,
             attempts: Vec::new(),
-        })
+        }))
     }
 
     pub fn get_mut(&mut self, key: Key) -> Option<&mut Request> {
@@ -152,7 +184,10 @@
     pub fn give_back(&mut self, key: Key) {
         let over = |r: &Request| r.answered && r.attempts.iter().all(|attempt| attempt.conn.is_none());
         if self.table.get(key).is_some_and(over) {
-            self.table.remove(key);
+            self.over.extend(self.table.remove(key).map(|request| request.id));
+            if self.over.len() > MOST_OVER {
+                self.over.pop_front().map(|id| self.ids.remove(&id));
+            }
         }
     }
 }
@@ -161,6 +196,11 @@
 mod tests {
     use super::*;
 
+    const ID: &str = "9b1f03aa5c7e2d41";
+    const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    const FIELDS: [(&str, &str); 6] =
+        [("i", ID), ("d", "1500"), ("t", "acme"), ("h", "820.0"), ("ram", "96"), ("k", KEY)];
+
     fn names() -> Names {
         let words = |list: &[&str]| list.iter().map(|word| word.to_string()).collect();
         Names {
@@ -169,27 +209,68 @@
             tenants: words(&["acme"]),
             zones: vec![],
             kinds: vec![],
+            longest_wait: 4e6,
+            most_work: 9e9,
+            most_memory_mb: 16384.0,
         }
     }
 
     #[test]
     fn fields_are_read_in_their_units_and_what_cannot_be_used_is_named() {
-        let good =
-            [("i", "9b1f"), ("d", "1500"), ("t", "acme"), ("h", "820.0"), ("ram", "96"), ("k", "5c0f")];
-        let call = Call::read(&names(), "load", &good, b"COPY sales_17.orders").unwrap();
+        let statement = b"COPY sales_17.orders";
+        let call = Call::read(&names(), "load", &FIELDS, statement).unwrap();
         assert_eq!((call.class, call.tenant, call.wait), (1, 0, 1_500_000));
         assert_eq!((call.work, call.memory_mb, call.group), (Some(820_000.0), Some(96.0), Some(17)));
-        let bad = [("i", ""), ("i", "a,b"), ("d", "soon"), ("d", "-1"), ("d", "1e99"), ("t", "nobody")];
-        for (name, value) in bad.into_iter().chain([("h", "NaN"), ("ram", "-4"), ("k", "a=b")]) {
-            let fields = good.map(|(own, usual)| (own, if own == name { value } else { usual }));
-            assert_eq!(Call::read(&names(), "load", &fields, b"").unwrap_err(), name, "{value}");
+        let long = "9b1f03aa5c7e2d410";
+        let bad = [
+            ("i", &["", "a,b", "9b1f", long, "9b1f03aa5c7e2d4g"][..]),
+            ("d", &["soon", "-1", "1e99", "NaN", "inf", "4001", ""]),
+            ("t", &["nobody"]),
+            ("h", &["NaN", "-0.5", "1e300", "9000001"]),
+            ("ram", &["-4", "inf", "1e12"]),
+            ("k", &["a=b", ID]),
+        ];
+        for (name, value) in bad.iter().flat_map(|(name, values)| values.iter().map(move |v| (name, *v))) {
+            let fields = FIELDS.map(|(own, usual)| (own, if own == *name { value } else { usual }));
+            assert_eq!(Call::read(&names(), "load", &fields, statement).unwrap_err(), *name, "{value}");
         }
         let missing = |left_out: &str| {
-            let fields: Vec<_> = good.into_iter().filter(|(own, _)| *own != left_out).collect();
-            Call::read(&names(), "load", &fields, b"")
+            let fields: Vec<_> = FIELDS.into_iter().filter(|(own, _)| *own != left_out).collect();
+            Call::read(&names(), "load", &fields, statement)
         };
         ["i", "d", "t", "k"].iter().for_each(|name| assert_eq!(missing(name).unwrap_err(), *name));
         ["h", "ram"].iter().for_each(|name| assert!(missing(name).is_ok()));
-        assert_eq!(Call::read(&names(), "nonsense", &good, b"").unwrap_err(), "class");
+        assert_eq!(Call::read(&names(), "nonsense", &FIELDS, statement).unwrap_err(), "class");
+        let twice = [&FIELDS[..], &[("d", "1500")]].concat();
+        assert!(Call::read(&names(), "load", &twice, statement).is_err());
+        for statement in [&b""[..], b"SELECT \xff", b"SELECT \0"] {
+            assert_eq!(Call::read(&names(), "load", &FIELDS, statement).unwrap_err(), "statement");
+        }
+    }
+
+    #[test]
+    fn an_id_is_taken_once_and_what_is_kept_of_them_has_a_bound() {
+        let mut requests = Requests::default();
+        let client = Table::new().insert(());
+        let read = |id: &str| {
+            let fields = FIELDS.map(|(own, usual)| (own, if own == "i" { id } else { usual }));
+            Call::read(&names(), "load", &fields, b"COPY sales_17.orders").unwrap()
+        };
+        let first = requests.insert(client, 1, 0, read(ID)).unwrap();
+        assert!(requests.insert(client, 2, 0, read(ID)).is_none(), "it is open");
+        let end = |requests: &mut Requests, key| {
+            requests.get_mut(key).unwrap().answered = true;
+            requests.give_back(key);
+        };
+        end(&mut requests, first);
+        assert!(requests.insert(client, 2, 0, read(ID)).is_none(), "it was open");
+        for number in 0..3 * MOST_OVER {
+            let key = requests.insert(client, 3, 0, read(&format!("{number:016x}"))).unwrap();
+            end(&mut requests, key);
+        }
+        assert_eq!(
+            (requests.table.len(), requests.ids.len(), requests.over.len()),
+            (0, MOST_OVER, MOST_OVER)
+        );
     }
 }
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -8,6 +8,14 @@
 use serde_json::json;
 use std::io::ErrorKind;
 
+fn failed(answer: &Answer, number: u64) -> bool {
+    matches!(answer, Answer::Error { id, word, .. } if *id == number && word == "Failed")
+}
+
+fn invalid(answer: &Answer, number: u64) -> bool {
+    matches!(answer, Answer::Error { id, word, .. } if *id == number && word == "Invalid")
+}
+
 fn refused(answer: &Answer) -> bool {
     matches!(answer, Answer::Error { word, .. } if word == "TryLater")
 }
@@ -78,26 +86,88 @@
 }
 
 #[test]
-fn a_broken_frame_ends_the_connection_after_what_is_owed_on_it() {
-    let (_bulletin, engines, _gateway, mut client) = up();
+fn what_cannot_be_read_ends_all_that_is_open_on_its_connection() {
+    let (_bulletin, engines, mut gateway, mut client) = up();
     let (mut end, serve) = called(&mut client, &engines[0]);
     client.write_raw(b"\xc1\xc1\xc1").unwrap();
-    end.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
-    assert_eq!(client.answer().unwrap(), Answer::Result { id: 1, body: b"a\tb\tc\n".to_vec() });
+    assert!(failed(&client.answer().unwrap(), 1));
+    assert_eq!(next(&mut end, "cancel").id(), serve.id());
     assert_eq!(client.answer().unwrap_err().kind(), ErrorKind::UnexpectedEof);
+    // Two open requests of one number can't be answered apart, and a message beyond all bounds isn't read.
+    let huge = [&[0x94, 0, 1, 0xa1, b'x', 0x92, 0x80, 0xc6, 0x03, 0x93, 0x87, 0][..], &[0; 100_000]].concat();
+    let same = standin::call(1, "report", &fields("0000000000000002", "15000"), QUERY);
+    let again = standin::call(1, "report", &fields("0000000000000003", "15000"), QUERY);
+    for bytes in [huge, [same, again].concat()] {
+        let mut client = gateway.client();
+        client.write_raw(&bytes).unwrap();
+        client.until_closed();
+    }
+    let counted = gateway.counters();
+    assert_eq!((counted["malformed"], counted["open"], counted["served"]), (3, 0, 0));
+}
+
+#[test]
+fn what_goes_beyond_the_protocol_is_an_error_while_the_rest_goes_on() {
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let id = |number: u64| format!("{number:016x}");
+    let calls = (1..=40).map(|number| standin::call(number, "report", &fields(&id(number), "15000"), QUERY));
+    client.write_raw(&calls.collect::<Vec<_>>().concat()).unwrap();
+    for number in 33..=40 {
+        assert!(invalid(&client.answer().unwrap(), number), "a connection carries 32 open requests");
+    }
+    // Ids of open requests, and of those that were, on another connection.
+    let mut other = gateway.client();
+    other.call(1, "report", &fields(&id(7), "15000"), b"SELECT * FROM sales_18.orders").unwrap();
+    assert!(invalid(&other.answer().unwrap(), 1));
+    let mut end = engines[0].accept().unwrap();
+    let serve = next(&mut end, "serve");
+    end.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
+    assert!(matches!(client.answer().unwrap(), Answer::Result { .. }));
+    other.call(2, "report", &fields(serve.id(), "15000"), QUERY).unwrap();
+    assert!(invalid(&other.answer().unwrap(), 2));
+    // What is taken back with its request is never taken.
+    let call = standin::call(3, "report", &fields(&id(41), "15000"), QUERY);
+    other.write_raw(&[call, standin::forget(3)].concat()).unwrap();
+    other.ask_health(4).unwrap();
+    assert_eq!(other.answer().unwrap(), Answer::Health { id: 4, well: true });
+    let counted = gateway.counters();
+    assert_eq!((counted["taken"], counted["invalid"], counted["served"]), (42, 10, 1));
+}
+
+#[test]
+fn a_connection_that_says_nothing_or_stops_half_way_is_closed_and_an_idle_one_is_not() {
+    let (_bulletin, _engines, mut gateway, mut asked) = up();
+    asked.ask_health(1).unwrap();
+    assert_eq!(asked.answer().unwrap(), Answer::Health { id: 1, well: true });
+    let mut half = gateway.client();
+    half.write_raw(&standin::call(1, "report", &fields("0000000000000002", "15000"), QUERY)[..60]).unwrap();
+    let mut only_forgets = gateway.client();
+    only_forgets.forget(9).unwrap();
+    for mut client in [gateway.client(), half, only_forgets] {
+        client.until_closed();
+    }
+    asked.ask_health(2).unwrap();
+    assert_eq!(asked.answer().unwrap(), Answer::Health { id: 2, well: true });
+    assert_eq!(gateway.counters()["silent"], 3);
 }
 
 #[test]
 fn what_cannot_end_in_time_is_refused_and_an_overload_says_when_to_come_back() {
-    let (_bulletin, _engines, _gateway, mut client) = up();
+    let (_bulletin, _engines, gateway, mut client) = up();
     client.call(1, "report", &fields("0000000000000001", "20"), QUERY).unwrap();
     assert!(refused(&client.answer().unwrap()));
     // Far more work than the engine can do in time: some give way, told when to come back.
-    for number in 2..=200u64 {
-        let id = format!("{number:016x}");
+    let mut clients = vec![client];
+    for number in 0..200u64 {
+        let id = format!("{number:015x}f");
         let heavy = [("i", id.as_str()), ("d", "15000"), ("t", "acme"), ("h", "900"), ("ram", "500")];
-        client.call(number, "report", &heavy, QUERY).unwrap();
+        if number % 30 == 29 {
+            clients.push(gateway.client());
+        }
+        clients.last_mut().unwrap().call(number, "report", &heavy, QUERY).unwrap();
     }
+    // The last ones would wait longest.
+    let mut client = clients.pop().unwrap();
     let Answer::Error { word, fields, .. } = client.answer().unwrap() else { panic!("a refusal") };
     assert_eq!(word, "TryLater");
     let [(name, wait)] = &fields[..] else { panic!("one field: {fields:?}") };
@@ -195,6 +265,8 @@
     end.answer(serve.id(), "OK", "count=2", "half\tof\tit\n").unwrap();
     next(&mut end, "read");
     end.answer(serve.id(), "ERR", "-", "").unwrap();
+    // Not on the same connection: a second copy of that end could be taken for the end of this attempt.
+    let mut end = engines[0].accept().unwrap();
     let again = next(&mut end, "serve");
     assert_eq!(again.id(), serve.id());
     end.answer(again.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
@@ -213,6 +285,89 @@
     assert_eq!(gateway.counters()["broken"], 1);
 }
 
+#[test]
+fn more_than_belongs_to_an_answer_does_no_harm() {
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let (mut end, serve) = called(&mut client, &engines[0]);
+    client.call(2, "report", &fields("0000000000000002", "15000"), QUERY).unwrap();
+    let other = next(&mut end, "serve");
+    end.answer("ffffffffffffffff", "OK", "count=3", "x\ty\tz\n").unwrap();
+    for _ in 0..2 {
+        end.answer(serve.id(), "OK", "count=3", "a\tb\tc\n").unwrap();
+    }
+    for page in ["1", "1", "2", "2"] {
+        end.answer(serve.id(), "ROWS", &format!("pos={page}"), "d\te\tf\n").unwrap();
+    }
+    let body = b"a\tb\tc\nd\te\tf\nd\te\tf\n".to_vec();
+    assert_eq!(client.answer().unwrap(), Answer::Result { id: 1, body });
+    // The other request goes on, there.
+    end.answer(other.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
+    assert!(matches!(client.answer().unwrap(), Answer::Result { id: 2, .. }));
+    assert_eq!(gateway.counters()["broken"], 0);
+}
+
+#[test]
+fn a_late_copy_is_not_taken_for_the_end_of_a_later_attempt() {
+    let (_bulletin, engines, _gateway, mut client) = up();
+    let (mut end, serve) = called(&mut client, &engines[0]);
+    for _ in 0..2 {
+        end.answer(serve.id(), "ERR", "-", "").unwrap();
+    }
+    let mut again = engines[0].accept().unwrap();
+    let serve = next(&mut again, "serve");
+    end.answer(serve.id(), "OK", "count=1", "of\tno\tuse\n").unwrap();
+    again.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
+    assert_eq!(client.answer().unwrap(), Answer::Result { id: 1, body: b"a\tb\tc\n".to_vec() });
+}
+
+#[test]
+fn a_spoilt_answer_costs_its_connection_and_no_half_result_is_served() {
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let long = "x".repeat(8000);
+    let spoilt = [
+        "ID OK - 6\r\na\tb\tc\n\r\n",               // no number of pages
+        "ID OK count=0 6\r\na\tb\tc\n\r\n",         // none at all
+        "ID OK count=1 4\r\na\tb\n\r\n",            // two columns
+        "ID OK count=1 5\r\na\tb\tc\r\n",           // half a row
+        "ID OK count=1 9\r\na\tb\tc\n\r\n\r\n\r\n", // longer than it is
+        "ID OK count=1 3000000000\r\na\tb\tc\n",    // longer than anything
+        "\x1b\x07 noise \r\n",                      // no answer
+        long.as_str(),                              // a line without an end
+        "ID OK count=1 600\r\na\tb\tc\n",           // it stops short
+        "ID OK count=2 6\r\na\tb\tc\n\r\nID ROWS pos=7 6\r\nd\te\tf\n\r\n", // a page that isn't there
+    ];
+    let mut end: Option<standin::EngineEnd> = None;
+    for (number, bytes) in spoilt.iter().enumerate() {
+        let id = format!("{:016x}", number + 1);
+        client.call(1, "report", &fields(&id, "15000"), QUERY).unwrap();
+        let mut first = end.take().unwrap_or_else(|| engines[0].accept().unwrap());
+        assert_eq!(next(&mut first, "serve").id(), id);
+        first.write_raw(bytes.replace("ID", &id).as_bytes()).unwrap();
+        first.until_closed();
+        let end = end.insert(engines[0].accept().unwrap());
+        let serve = next(end, "serve");
+        end.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
+        assert_eq!(client.answer().unwrap(), Answer::Result { id: 1, body: b"a\tb\tc\n".to_vec() });
+    }
+    assert_eq!(gateway.counters()["broken"], spoilt.len() as u64);
+}
+
+#[test]
+fn a_connection_that_has_fallen_silent_is_replaced() {
+    let (bulletin, engines) = stand_ins(1);
+    let mut noting = config(bulletin.address(), &addresses(&engines));
+    noting["settings"]["limits"]["dial-timeout-us"] = json!(100_000);
+    let gateway = Running::start(&noting);
+    let mut client = gateway.client();
+    client.call(1, "report", &fields("0000000000000001", "900"), QUERY).unwrap();
+    let mut silent = engines[0].accept().unwrap();
+    next(&mut silent, "serve");
+    assert!(refused(&client.answer().unwrap()));
+    client.call(2, "report", &fields("0000000000000002", "15000"), QUERY).unwrap();
+    next(&mut engines[0].accept().unwrap(), "serve");
+    silent.until_closed();
+}
+
 /// Found on a day when an engine stopped reading: requests left in the buffer went out after their final
 /// answer.
 #[test]
--- a/crates/msgpack-rpc/src/lib.rs
+++ b/crates/msgpack-rpc/src/lib.rs
@@ -5,6 +5,7 @@
 //! nothing between calls, and never looks past [`MOST_BYTES`].
 
 use rmp::{encode, Marker};
+use std::cell::Cell;
 use std::fmt;
 
 /// The longest message that is read: a statement of that length is no query that an engine takes.
@@ -13,6 +14,9 @@
 const MOST_DEPTH: usize = 16;
 /// The most fields that are kept of one message.
 const MOST_FIELDS: usize = 64;
+/// The most values that are looked at for one message: what has more is no request. It bounds the work that
+/// begins anew with each piece of a long one.
+pub const MOST_VALUES: usize = 4096;
 
 const REQUEST: u64 = 0;
 const NOTIFICATION: u64 = 2;
@@ -54,7 +58,7 @@
 
 /// The first message in `bytes` and its length.
 pub fn decode(bytes: &[u8]) -> Result<Option<(Message<'_>, usize)>, Malformed> {
-    let mut rest = Cursor { bytes, at: 0 };
+    let mut rest = Cursor { bytes, at: 0, looks: &Cell::new(0) };
     match rest.message() {
         Ok(message) if rest.at <= MOST_BYTES => Ok(Some((message, rest.at))),
         Err(Stop::Short) if bytes.len() < MOST_BYTES => Ok(None),
@@ -63,9 +67,11 @@
 }
 
 #[derive(Clone)]
-struct Cursor<'a> {
+struct Cursor<'a, 'n> {
     bytes: &'a [u8],
     at: usize,
+    /// Values looked at so far, with what clones of this looked at.
+    looks: &'n Cell<usize>,
 }
 
 /// A value, read as far as this protocol has use for it.
@@ -78,7 +84,7 @@
     Plain,
 }
 
-impl<'a> Cursor<'a> {
+impl<'a> Cursor<'a, '_> {
     fn take(&mut self, count: usize) -> Result<&'a [u8], Stop> {
         if count > MOST_BYTES {
             return Err(Stop::Malformed);
@@ -99,6 +105,10 @@
 
     /// The next value; of arrays and maps only the head.
     fn value(&mut self) -> Result<Value<'a>, Stop> {
+        self.looks.set(self.looks.get() + 1);
+        if self.looks.get() > MOST_VALUES {
+            return Err(Stop::Malformed);
+        }
         let text = |bytes| match std::str::from_utf8(bytes) {
             Ok(text) => Value::Text(text),
             Err(_) => Value::Bytes(bytes),
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -196,6 +196,7 @@
                 outcome: outcome(fields)?,
                 spent: fields.or("spent-us", 0)?,
                 complete: fields.or("complete", 0u8)? != 0,
+                told: false,
                 bill: fields.optional("stats")?.and_then(bill),
                 report: report(fields)?,
             }),
--- a/examples/toy-server/standin.rs
+++ b/examples/toy-server/standin.rs
@@ -21,6 +21,12 @@
     Ok(stream)
 }
 
+/// That a read failed since the gateway has closed the connection, not since nothing came.
+fn assert_closed(error: &io::Error) {
+    let silent = matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut);
+    assert!(!silent, "the gateway keeps the connection: {error}");
+}
+
 // ---- Engines ----
 
 pub struct Engine {
@@ -95,6 +101,15 @@
     pub fn write_raw(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.lines.get_mut().write_all(bytes)
     }
+
+    /// Passes over commands until the gateway has closed the connection.
+    pub fn until_closed(&mut self) {
+        loop {
+            if let Err(e) = self.command() {
+                return assert_closed(&e);
+            }
+        }
+    }
 }
 
 // ---- The bulletin ----
@@ -176,11 +191,21 @@
     }
 
     pub fn forget(&mut self, id: u64) -> io::Result<()> {
-        let mut out = vec![0x93, 2];
-        rmp::encode::write_str(&mut out, "forget").map_err(io::Error::other)?;
-        out.push(0x91);
-        rmp::encode::write_uint(&mut out, id).map_err(io::Error::other)?;
-        self.write_raw(&out)
+        self.write_raw(&forget(id))
+    }
+
+    /// Reads what is answered, until the gateway has ended the connection.
+    pub fn until_closed(&mut self) -> Vec<Answer> {
+        let mut answers = Vec::new();
+        loop {
+            match self.answer() {
+                Ok(answer) => answers.push(answer),
+                Err(e) => {
+                    assert_closed(&e);
+                    return answers;
+                }
+            }
+        }
     }
 
     pub fn ask_health(&mut self, id: u64) -> io::Result<()> {
@@ -248,6 +273,16 @@
     out
 }
 
+/// The bytes that take a request back.
+pub fn forget(id: u64) -> Vec<u8> {
+    let mut out = vec![0x93, 2];
+    // Writing to a vector cannot fail.
+    let _ = rmp::encode::write_str(&mut out, "forget");
+    out.push(0x91);
+    let _ = rmp::encode::write_uint(&mut out, id);
+    out
+}
+
 fn read_text(input: &mut BufReader<TcpStream>) -> io::Result<String> {
     let length = rmp::decode::read_str_len(input).map_err(|e| io::Error::other(e.to_string()))?;
     let mut text = vec![0; length as usize];
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -10,9 +10,7 @@
 
 // Tuned values. Each is a ratio of something told in the settings or learned, or a count of observations.
 
-/// Memory room at the start, in parts of an engine's memory: a priority gradient keeps throughput near its
-/// best up to three times the memory (paper, section 4.2).
-const START_ROOM: f64 = 3.0;
+const START_ROOM: f64 = 3.0; // Memories of an engine at the start: so far a gradient keeps pace (paper, 4.2)
 const START_BOUND: f64 = 2.0; // Threads a core of this gateway's share at the start: gains end there
 const LEAST_BOUND: f64 = 0.7; // Part of its start that pressure leaves of a bound: it must not choke
 const BOUND_STEP: f64 = 0.01; // Step by which calm widens the bounds
@@ -31,9 +29,8 @@
 const BAD_WEIGHT: f64 = 0.15; // Weight of a bad outcome in an engine's bad share: five in a row are enough
 const BAD_SHARE: f64 = 0.5; // Bad share that leads to quarantine: below it an engine is worth its price
 const PROBATION: u32 = 6; // Good answers in a row that end the probation after a quarantine
-/// First quarantine and its longest, in parts of the time an engine takes to warm up; doubles at a relapse.
-const QUARANTINE: f64 = 0.07;
-const LONGEST_QUARANTINE: f64 = 0.5;
+const QUARANTINE: f64 = 0.07; // The first, in parts of the time to warm up; each relapse doubles it
+const LONGEST_QUARANTINE: f64 = 0.5; // The longest, in the same parts
 const SILENCE: f64 = 3.0; // Note periods without a word after which an engine that holds work is silent
 const MOST_QUARANTINED: f64 = 0.5; // Share of engines in quarantine beyond which the cause must be shared
 const BAD_PLAN: f64 = 3.0; // Remaining time over that of a fresh attempt that shows a bad plan
@@ -50,16 +47,13 @@
 const SICK_FLEET: f64 = 0.3; // Bad share of all outcomes from which attempts fall: to its inverse, three here
 const BEAT_TICKS: u64 = 10; // Ticks between two looks at held requests, silent engines and overload
 const STRETCH_MEMORY: f64 = 0.2; // Time constant of latency memory, in parts of the time to warm up
-/// Threads a core of a whole engine that hold reports and loads back where shares are thin: others send
-/// unseen.
-const THIN_BOUND: f64 = 1.2;
+const THIN_BOUND: f64 = 1.2; // Threads a core that hold queries back where shares are thin
 const PROBE_SPEND: f64 = 0.02; // Part of all worth that probes may cost where shares are thin
 const ASKED: usize = 2; // Engines drawn for a query: two choices spread well even by reports that are late
 const REDRAWS: f64 = 1.0; // Draws for held requests that each arrival pays for
 const POOL: f64 = 3.0; // Threads a core of its share of all engines that a gateway may have out there
 const SAVED: f64 = 6.0; // Draws or probes that may be saved up
 const FRESH: f64 = 0.1; // Age up to which a report is fresh, in parts of latency memory
-const MOST_LOG_LINES: u32 = 200; // Log lines that one gateway writes at most
 const BEAT: u64 = 0; // Timer tag of the beat; a request's own bears `end_tag`
 
 impl Engine {
@@ -108,13 +102,10 @@
     thin: bool, // This gateway's share of an engine is under one query: the whole of it is looked at
     share: f64, // What both bounds are a part of: 1/peers of an engine, or all of it where that is thin
     tokens: Vec<(f64, Micros)>, // Tokens left to each tenant, and when they were last filled
-    taken: VecDeque<Micros>,
-    further: VecDeque<Micros>,
     beating: bool,
     subscribe_at: Option<Micros>,
     latency: f64,  // Time constant of latency memory
     pause: Micros, // For which an engine that refused as full or failed a probe is closed
-    log_lines: u32,
     actions: Vec<Action>,
 }
 
@@ -137,13 +128,10 @@
             share: if thin { 1.0 } else { 1.0 / set.peers },
             thin,
             tokens: set.tenants.iter().map(|t| (t.quota_per_s / set.peers, now)).collect(),
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
             beating: false,
             subscribe_at: (set.discovery == Discovery::Ask).then_some(now),
             latency,
             pause: (latency * if thin { 1.0 } else { FULL_PAUSE }) as Micros,
-            log_lines: 0,
             actions: Vec::new(),
             set,
         }
@@ -183,19 +171,14 @@
 
     fn take(&mut self, req: Request) {
         let class = self.set.classes[req.class].clone();
-        let known = &mut self.learned[req.class];
+        let known = &self.learned[req.class];
         let work = match req.work {
             Some(estimate) => estimate * known.work_ratio,
             None if known.work > 0.0 => known.work,
             None => class.aim as f64 * class.threads / 2.0,
         };
-        known.work = if known.work > 0.0 { known.work + LEARN * (work - known.work) } else { work };
-        let memory = match req.memory_mb {
-            Some(estimate) => estimate * known.memory_ratio,
-            None => known.memory.unwrap_or(0.0),
-        };
-        let (id, ideal) = (req.id, work / class.threads);
-        self.count(req.group, work, ideal, memory);
+        let memory = req.memory_mb.map_or(known.memory.unwrap_or(0.0), |mb| mb * known.memory_ratio);
+        let (id, class_id, group, ideal) = (req.id, req.class, req.group, work / class.threads);
         // Early, so that the answer is in the client's hands before it gives up, also where both were held
         // up.
         let margin =
@@ -207,7 +190,7 @@
         if let Some(key) = req.key.as_ref().filter(|_| class.ordered) {
             self.keys.entry(key.clone()).or_default().0.push_back(req.id);
         }
-        self.taken.push_back(self.now);
+        self.traffic.taken.push_back(self.now);
         self.actions.push(Action::SetTimer { after: end_by - self.now, tag: end_tag(req.id) });
         self.queue.insert((due, req.id), req.class);
         let held = Held { req, work, ideal, memory, due, end_by, worth, ..Default::default() };
@@ -216,6 +199,9 @@
         if self.now as f64 + ideal > end_by as f64 {
             return self.end(id, 0);
         }
+        let known = &mut self.learned[class_id].work;
+        *known = if *known > 0.0 { *known + LEARN * (work - *known) } else { work };
+        self.count(group, work, ideal, memory);
         self.draw(id);
         self.choose(id).into_iter().for_each(|engine| self.send(id, engine));
     }
@@ -385,7 +371,10 @@
             return None;
         }
         let (order, homes) = self.homes(held);
-        let among = |id: &EngineId| !self.thin || held.asked.contains(id);
+        // An engine that erred on it isn't asked for it again while there are others.
+        let erred = |id: &EngineId| held.erred_at().any(|other| other == *id);
+        let others = order.iter().any(|id| !erred(id));
+        let among = |id: &EngineId| (!self.thin || held.asked.contains(id)) && !(others && erred(id));
         let able = |e: &Engine| e.asked_at == 0 && self.rules_allow(held, e) && self.has_room(held, e);
         let able = self.engines.iter().filter(|(id, e)| among(id) && able(e));
         let priced = able.map(|(&id, e)| (self.cost(held, e, &order[..homes]), id));
@@ -461,8 +450,8 @@
             cost *= 1.0 + CROSSING * self.set.cross_zone_tariff;
         }
         // An engine on probation is tried at once: nothing else would tell that it is well again.
-        let price = if engine.probation > 0 { 0.0 } else { 1.0 / (1.0 - engine.bad).max(LEARN) };
-        cost * price
+        let good = (1.0 - engine.bad) * (1.0 - BAD_WEIGHT).powi(engine.doubts);
+        cost * if engine.probation > 0 { 0.0 } else { 1.0 / good.max(LEARN) }
     }
 
     /// Not in quarantine; on probation an engine gets one safe request at a time.
@@ -546,17 +535,16 @@
 
     /// Effects: what an earlier attempt may have done decides where a further one may go.
     fn effect_allows(&self, held: &Held, class: &Class, engine: &Engine) -> bool {
-        let out = held.attempts.iter().any(|a| a.state == State::Out);
-        if out && !self.set.may_duplicate {
-            return false;
-        }
         let same = |a: &Attempt| match class.scope {
             Scope::All => true,
             Scope::Zone => a.entry.zone == engine.entry.zone,
             Scope::Cell => a.entry.cell == engine.entry.cell,
         };
         let mut ran = held.attempts.iter().filter(|a| a.state != State::NeverRan);
-        self.may_repeat(held) && (class.effect != Effect::Keyed || ran.all(same))
+        let out = held.attempts.iter().any(|a| a.state == State::Out);
+        (!out || self.set.may_duplicate)
+            && self.may_repeat(held)
+            && (class.effect != Effect::Keyed || ran.all(same))
     }
 
     /// Order: only the first of its key that is not over, and after the pause that its forerunner left.
@@ -569,8 +557,8 @@
     fn budget_allows_further(&self) -> bool {
         let Some(budget) = self.set.attempt_budget else { return true };
         let since = self.now.saturating_sub(budget.span);
-        let taken = self.taken.iter().rev().take_while(|&&at| at > since).count() as f64;
-        let further = self.further.iter().rev().take_while(|&&at| at >= since).count() as f64;
+        let taken = self.traffic.taken.iter().rev().take_while(|&&at| at > since).count() as f64;
+        let further = self.traffic.further.iter().rev().take_while(|&&at| at >= since).count() as f64;
         further + 1.0 <= budget.spare + budget.ratio * taken
     }
 
@@ -611,7 +599,7 @@
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
         let Some(held) = self.requests.get_mut(&id) else { return };
         if !held.attempts.is_empty() {
-            self.further.push_back(self.now);
+            self.traffic.further.push_back(self.now);
         }
         if self.now < engine.cold_until {
             engine.cold_sends.push_back((self.now, usual));
@@ -621,7 +609,13 @@
         }
         engine.out.insert((id, held.attempts.len()), charge);
         engine.tally();
-        held.attempts.push(Attempt { entry: engine.entry, sent_at, state: State::Out, cancelled: false });
+        held.attempts.push(Attempt {
+            entry: engine.entry,
+            sent_at,
+            state: State::Out,
+            cancelled: false,
+            erred: false,
+        });
         self.queue.remove(&(held.due, id));
         (held.grant, held.rank) = (grant, None);
         let give_up_at = held.end_by;
@@ -636,18 +630,22 @@
         let Some(tried) = held.attempts.get_mut(end.attempt) else { return };
         let never_ran = matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
         tried.state = if never_ran { State::NeverRan } else { State::MayHaveRun };
+        tried.erred = end.outcome == Outcome::Error;
         let engine_id = tried.entry.engine;
         held.ended |= end.complete;
+        let unusable = held.erred_at_several();
         let (ended, class) = (held.ended, held.req.class);
         let (estimate, key) = ((held.req.work, held.req.memory_mb), held.req.key.clone());
         let rests_until = self.now + self.set.order_pause + self.set.tick;
-        if let Some(charge) = self.uncharge(engine_id, &end) {
-            if end.outcome == Outcome::Answered {
-                end.bill.into_iter().for_each(|bill| self.learn(class, estimate, bill));
-                self.learn_stretch(engine_id, &charge, end.spent, end.bill);
-            }
+        let charge = self.uncharge(engine_id, &end);
+        if let Some(charge) = charge.filter(|_| end.outcome == Outcome::Answered) {
+            end.bill.into_iter().for_each(|bill| self.learn(class, estimate, bill));
+            self.learn_stretch(engine_id, &charge, end.spent, end.bill);
+        }
+        // Whose fault an error is shows when the request is over, in `close`.
+        if end.outcome != Outcome::Error && !end.told {
+            self.judge(engine_id, end.outcome);
         }
-        self.judge(engine_id, end.outcome);
         end.report.into_iter().for_each(|report| self.heed_report(engine_id, report));
         if matches!(end.outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
             // What may still run holds its key back a while longer.
@@ -657,6 +655,7 @@
         self.rerank(engine_id);
         match ended {
             true => self.close(end.request),
+            false if unusable => self.end(end.request, 0),
             false => self.further_or_end(end.request),
         }
     }
@@ -665,6 +664,7 @@
     fn uncharge(&mut self, engine: EngineId, end: &Ended) -> Option<Charge> {
         let engine = self.engines.get_mut(&engine)?;
         let charge = engine.out.remove(&(end.request, end.attempt))?;
+        engine.doubts += (end.outcome == Outcome::Error) as i32;
         if end.outcome == Outcome::Full {
             // What refuses at once frees its charges at once and would draw the whole queue.
             let pause_ends = self.now + self.pause;
@@ -786,11 +786,8 @@
         held.ended = true;
         let class = &self.set.classes[held.req.class];
         let ran = held.attempts.iter().any(|a| a.state != State::NeverRan);
-        let may_refuse = match class.effect {
-            Effect::Safe => true,
-            Effect::Keyed => !ran || class.scope == Scope::All,
-            Effect::Unsafe => !ran,
-        };
+        let known_to_all = class.effect == Effect::Keyed && class.scope == Scope::All;
+        let may_refuse = !ran || class.effect == Effect::Safe || known_to_all;
         let retry_after = if self.set.may_advise { retry_after.min(self.set.max_advice) } else { 0 };
         self.actions.push(match may_refuse {
             true => Action::Refuse { request: id, retry_after },
@@ -812,8 +809,16 @@
             }
         }
         if held.attempts.iter().all(|a| a.state != State::Out) {
-            let key = self.requests.remove(&id).and_then(|held| held.req.key);
-            let line = key.and_then(|key| self.keys.get_mut(&key));
+            let Some(held) = self.requests.remove(&id) else { return };
+            // Errors are an engine's fault where no other engine made one of the same request. This guards
+            // against requests that no engine can use, which would shut out one after the other.
+            for engine_id in held.erred_at() {
+                self.engines.get_mut(&engine_id).into_iter().for_each(|e| e.doubts = (e.doubts - 1).max(0));
+                if !held.erred_at_several() {
+                    self.judge(engine_id, Outcome::Error);
+                }
+            }
+            let line = held.req.key.and_then(|key| self.keys.get_mut(&key));
             line.into_iter().for_each(|line| line.0.retain(|&other| other != id));
         }
     }
@@ -826,7 +831,7 @@
         engine.last_heard = now;
         if std::mem::take(&mut engine.silent) {
             (engine.quarantined_until, engine.probation, engine.strikes) = (now, 0, 0);
-            self.log(format!("engine {engine_id} speaks again"));
+            self.actions.push(Action::Log(format!("engine {engine_id} speaks again")));
         }
     }
 
@@ -858,7 +863,7 @@
         engine.probation = engine.probation.saturating_sub(1);
         if engine.probation == 0 && engine.strikes > 0 {
             (engine.bad, engine.strikes) = (0.0, 0);
-            self.log(format!("engine {engine_id} is back from probation"));
+            self.actions.push(Action::Log(format!("engine {engine_id} is back from probation")));
         }
     }
 
@@ -884,7 +889,7 @@
         engine.strikes += 1;
         engine.probation = PROBATION;
         if engine.strikes == 1 {
-            self.log(format!("engine {engine_id} quarantined: {symptom}"));
+            self.actions.push(Action::Log(format!("engine {engine_id} quarantined: {symptom}")));
         }
     }
 
@@ -962,8 +967,8 @@
         let (now, memory) = (self.now, self.latency);
         self.keys.retain(|_, (line, rests_until)| !line.is_empty() || *rests_until > now);
         let since = now.saturating_sub(self.set.attempt_budget.map_or(0, |budget| budget.span));
-        self.taken.retain(|&at| at >= since);
-        self.further.retain(|&at| at >= since);
+        self.traffic.taken.retain(|&at| at >= since);
+        self.traffic.further.retain(|&at| at >= since);
         let since = now.saturating_sub(self.set.fall_window);
         for engine in self.engines.values_mut() {
             engine.observe(now, memory, None);
@@ -994,13 +999,6 @@
         engine.entry = entry;
         engine.listed = entry.phase != Phase::Gone;
     }
-
-    fn log(&mut self, text: String) {
-        if self.log_lines < MOST_LOG_LINES {
-            self.log_lines += 1;
-            self.actions.push(Action::Log(text));
-        }
-    }
 }
 
 /// Placement, also when all allowed engines are down or full.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -202,6 +202,8 @@
     pub spent: Micros,
     /// The request has had its final answer.
     pub complete: bool,
+    /// What broke this was one event that another attempt's end has told of.
+    pub told: bool,
     pub bill: Option<Bill>,
     pub report: Option<LoadReport>,
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,6 +16,7 @@
     pub(crate) sent_at: Micros,
     pub(crate) state: State,
     pub(crate) cancelled: bool,
+    pub(crate) erred: bool,
 }
 
 #[derive(Default)]
@@ -36,6 +37,17 @@
     pub(crate) asked_at: Micros,
 }
 
+impl Held {
+    /// The engines that made an error of it.
+    pub(crate) fn erred_at(&self) -> impl Iterator<Item = EngineId> + use<'_> {
+        self.attempts.iter().filter(|a| a.erred).map(|a| a.entry.engine)
+    }
+
+    pub(crate) fn erred_at_several(&self) -> bool {
+        self.erred_at().any(|engine| Some(engine) != self.erred_at().next())
+    }
+}
+
 /// What an attempt that is out is charged with on its engine.
 pub(crate) struct Charge {
     pub(crate) class: usize,
@@ -70,6 +82,7 @@
     pub(crate) reported_at: Micros,
     pub(crate) asked_at: Micros,
     pub(crate) bad: f64,
+    pub(crate) doubts: i32, // Errors there of requests that are not over: whose fault they are is open
     pub(crate) quarantined_until: Micros,
     pub(crate) strikes: i32,
     pub(crate) probation: u32,
@@ -123,6 +136,9 @@
     /// Probes and further draws that may still be made.
     pub(crate) probes: f64,
     pub(crate) redraws: f64,
+    /// When requests were taken and further attempts sent, as far back as the budget looks.
+    pub(crate) taken: VecDeque<Micros>,
+    pub(crate) further: VecDeque<Micros>,
 }
 
 /// A number from 0 to 1 that looks drawn by chance.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -139,6 +139,7 @@
             outcome,
             spent,
             complete,
+            told: false,
             bill: None,
             report: None,
         }))
@@ -152,6 +153,7 @@
             outcome,
             spent,
             complete: true,
+            told: false,
             bill,
             report: None,
         }))
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -32,6 +32,7 @@
         outcome: Outcome::Answered,
         spent: 100 * MS,
         complete: true,
+        told: false,
         bill: None,
         report: Some(busy),
     }));
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -80,6 +80,51 @@
     assert!(share_of(&mut bench, 1, 300, 40) > 0, "it is tried again and returns");
 }
 
+/// Seen on a day with bad clients: what no engine could use went round and shut out one after the other.
+#[test]
+fn what_errs_at_two_engines_ends_and_neither_is_to_blame() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3), ready(4)]);
+    settle(&mut bench, 0, 40);
+    let deadline = bench.now + 4 * S;
+    let first: Vec<_> =
+        (100..140).flat_map(|id| sent(&bench.take(Request { group: id, ..lookup(id, deadline) }))).collect();
+    for (id, engine) in first {
+        let next = sent(&bench.end(id, 0, Outcome::Error, MS));
+        assert!(next.len() == 1 && next[0].1 != engine, "{id}: from {engine} to {next:?}");
+        assert_eq!(refused(&bench.end(id, 1, Outcome::Error, MS)), [id]);
+    }
+    let shares = |bench: &mut Bench| [1, 2, 3, 4].map(|engine| share_of(bench, engine, 300, 40));
+    let mut other = Bench::new(settings(), &[ready(1), ready(2), ready(3), ready(4)]);
+    settle(&mut other, 0, 40);
+    assert_eq!(shares(&mut bench), shares(&mut other), "as if nothing had been wrong");
+}
+
+/// Ten attempts that one reset takes along are one event.
+#[test]
+fn one_connection_that_breaks_says_no_more_than_one_bad_outcome() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3)]);
+    settle(&mut bench, 0, 40);
+    let deadline = bench.now + 4 * S;
+    let out: Vec<_> = (100..130)
+        .flat_map(|id| sent(&bench.take(Request { group: id, ..lookup(id, deadline) })))
+        .filter(|sent| sent.1 == 1)
+        .collect();
+    assert!(out.len() > 5);
+    for (at, (request, _)) in out.into_iter().enumerate() {
+        bench.tell(Event::Ended(Ended {
+            request,
+            attempt: 0,
+            outcome: Outcome::Broken,
+            spent: MS,
+            complete: false,
+            told: at > 0,
+            bill: None,
+            report: None,
+        }));
+    }
+    assert!(share_of(&mut bench, 1, 200, 40) > 0, "it stays in use");
+}
+
 #[test]
 fn when_all_engines_fail_most_work_they_stay_in_use_and_further_attempts_fall() {
     let mut bench = Bench::new(settings(), &[ready(1), ready(2), ready(3)]);
