--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -7,7 +7,7 @@
 use eideryard::interface::Micros;
 use eideryard_msgpack_rpc::{decode, write_health, Message};
 
-use crate::connection::{listen, Connection, Filled, Loop, Wake, Watched, MOST_READS};
+use crate::connection::{is_shortage, listen, Connection, Filled, Loop, Wake, Watched, MOST_READS};
 use crate::counters::Counters;
 use crate::deadlines::{DeadlineKey, Deadlines, Due};
 use crate::requests::{Call, Names};
@@ -121,7 +121,7 @@
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
-                Err(e) if matches!(e.raw_os_error(), Some(EMFILE | ENFILE)) => {
+                Err(e) if is_shortage(&e) => {
                     if !self.close_idlest(now, due, counters) {
                         return false;
                     }
@@ -343,11 +343,12 @@
         heard.extend(client.open.into_iter().filter_map(|(_, request)| request.map(Heard::Left)));
     }
 
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
     /// Whether all that was answered is written.
     pub fn is_written(&self) -> bool {
         self.table.iter().all(|(_, client)| client.connection.output.is_empty())
     }
 }
-
-const EMFILE: i32 = rustix::io::Errno::MFILE.raw_os_error();
-const ENFILE: i32 = rustix::io::Errno::NFILE.raw_os_error();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -217,6 +217,13 @@
     }
 }
 
+/// Whether an error says that this side has too few descriptors, addresses or memory.
+pub fn is_shortage(error: &io::Error) -> bool {
+    use rustix::io::Errno;
+    let short = [Errno::MFILE, Errno::NFILE, Errno::ADDRNOTAVAIL, Errno::NOBUFS, Errno::NOMEM];
+    short.iter().any(|errno| error.raw_os_error() == Some(errno.raw_os_error()))
+}
+
 /// Listens with the deepest queue that the system grants: what the system accepted is owed an answer.
 pub fn listen(events: &Loop, address: SocketAddr) -> io::Result<Watched<TcpListener>> {
     let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -28,6 +28,8 @@
     pub probes: u64,
     pub dials: u64,
     pub dials_failed: u64,
+    /// Dials that something was short for on this side.
+    pub dials_short: u64,
     pub list_events: u64,
     pub list_connections: u64,
     pub reloads: u64,
@@ -99,6 +101,7 @@
         write!(f, " broken={} cancelled={} unsent={}", a.broken, a.cancelled, a.unsent)?;
         write!(f, "; pages={} notes={} ranks={} probes={}", self.pages, self.notes, self.ranks, self.probes)?;
         write!(f, " dials={} dials_failed={}", self.dials, self.dials_failed)?;
+        write!(f, " dials_short={}", self.dials_short)?;
         write!(f, "; clients connections={} bytes_in={}", self.connections, self.bytes_in)?;
         write!(f, " health_asked={}", self.health_asked)?;
         let Ended { malformed, silent, hoarding, deaf, evicted } = self.ended;
--- a/crates/gateway/src/deadlines.rs
+++ b/crates/gateway/src/deadlines.rs
@@ -57,6 +57,10 @@
         key.map(|key| self.ahead.remove(&key));
     }
 
+    pub fn len(&self) -> usize {
+        self.ahead.len()
+    }
+
     pub fn next(&self) -> Option<Micros> {
         self.ahead.first_key_value().map(|((at, _), _)| *at)
     }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -9,7 +9,7 @@
 use eideryard::interface::{Bill, EngineId, LoadReport, Micros, Note, Outcome};
 use eideryard_engine_line::{self as line, decode, Answer, Fields, Serve, Word};
 
-use crate::connection::{Connection, Filled, Loop, Wake, MOST_READS};
+use crate::connection::{is_shortage, Connection, Filled, Loop, Wake, MOST_READS};
 use crate::counters::Counters;
 use crate::deadlines::{DeadlineKey, Deadlines, Due};
 use crate::table::{Key, Table};
@@ -193,6 +193,16 @@
         self.engines.keys().copied().collect()
     }
 
+    /// Whether an engine is listed, or a connection to it is still open.
+    pub fn knows(&self, engine: EngineId) -> bool {
+        self.engines.contains_key(&engine)
+    }
+
+    /// How many engines are known and connections to them are open.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.engines.len(), self.table.len())
+    }
+
     fn forget_unused(&mut self, engine: EngineId) {
         let unused = |e: &Engine| e.address.is_none() && e.conns.is_empty();
         if self.engines.get(&engine).is_some_and(unused) {
@@ -200,7 +210,7 @@
         }
     }
 
-    /// Sends an attempt; gives the connection that carries it, or none where none can be had.
+    /// Sends an attempt; gives the connection that carries it, or what became of the attempt.
     pub fn send(
         &mut self,
         now: Micros,
@@ -209,14 +219,14 @@
         serve: &Serve,
         due: &mut Deadlines,
         counters: &mut Counters,
-    ) -> Option<Key> {
+    ) -> Result<Key, Outcome> {
         let streams = self.limits.streams;
         let takes = |conn: &Conn| {
             let free = conn.open.len() + conn.probes.len() < streams && conn.ended.len() < MOST_ENDED;
             free && !conn.open.contains_key(serve.id) && !conn.ended.contains(serve.id)
         };
         let key = self.connection_to(now, engine, takes, due, counters)?;
-        let conn = self.table.get_mut(key)?;
+        let conn = self.table.get_mut(key).ok_or(Outcome::NoConnection)?;
         conn.is_used(due);
         let begin = conn.connection.end_of_output();
         serve.write(conn.connection.output.tail());
@@ -226,10 +236,11 @@
             Open { request, attempt, stage: Stage::Running, sent_at: now, sent, later_rank: None },
         );
         self.unflushed.push(key);
-        Some(key)
+        Ok(key)
     }
 
-    /// The first connection that takes more, else a new one.
+    /// The first connection that takes more, else a new one. What is short on this side (descriptors, memory)
+    /// says nothing of the engine, so that ends as never sent.
     fn connection_to(
         &mut self,
         now: Micros,
@@ -237,29 +248,31 @@
         takes: impl Fn(&Conn) -> bool,
         due: &mut Deadlines,
         counters: &mut Counters,
-    ) -> Option<Key> {
-        let known = self.engines.get_mut(&engine)?;
+    ) -> Result<Key, Outcome> {
+        let known = self.engines.get(&engine).ok_or(Outcome::NoConnection)?;
         let usable = |key: &&Key| self.table.get(**key).is_some_and(|conn| !conn.retired && takes(conn));
         if let Some(&key) = known.conns.iter().find(usable) {
-            return Some(key);
+            return Ok(key);
         }
+        let address = known.address.ok_or(Outcome::NoConnection)?;
         counters.dials += 1;
-        if self.table.len() >= self.limits.connections {
-            log::warn!("no connection to engine {engine}: {} are open, as many as may be", self.table.len());
-            counters.dials_failed += 1;
-            return None;
+        if self.table.len() >= self.limits.connections && !self.close_idlest(due) {
+            counters.dials_short += 1;
+            return Err(Outcome::Unsent);
         }
         let key = self.table.next_key();
-        let connection = match Connection::dial(&self.events, known.address?, Wake::Engine(key)) {
-            Ok(connection) => connection,
-            Err(e) => {
-                log::debug!("no connection to engine {engine}: {e}");
-                counters.dials_failed += 1;
-                return None;
+        let connection = Connection::dial(&self.events, address, Wake::Engine(key)).map_err(|e| {
+            log::debug!("no connection to engine {engine}: {e}");
+            let short = is_shortage(&e);
+            *if short { &mut counters.dials_short } else { &mut counters.dials_failed } += 1;
+            if short {
+                Outcome::Unsent
+            } else {
+                Outcome::NoConnection
             }
-        };
-        known.conns.push(key);
-        Some(self.table.insert(Conn {
+        })?;
+        self.engines.entry(engine).and_modify(|known| known.conns.push(key));
+        Ok(self.table.insert(Conn {
             engine,
             connection,
             open: BTreeMap::new(),
@@ -273,18 +286,27 @@
         }))
     }
 
-    /// Asks an engine for its load. False: no connection can be had.
+    /// Room for another connection, at the cost of one that carries nothing.
+    fn close_idlest(&mut self, due: &mut Deadlines) -> bool {
+        let idle = |conn: &Conn| conn.open.is_empty() && conn.probes.is_empty() && conn.connection.was_up();
+        let conns = self.table.iter().filter(|(_, conn)| idle(conn));
+        let Some((key, _)) = conns.min_by_key(|(_, conn)| conn.heard_at) else { return false };
+        self.close(key, Outcome::Unsent, due, &mut Vec::new());
+        true
+    }
+
+    /// Asks an engine for its load, or tells what became of that.
     pub fn probe(
         &mut self,
         now: Micros,
         engine: EngineId,
         due: &mut Deadlines,
         counters: &mut Counters,
-    ) -> bool {
+    ) -> Result<(), Outcome> {
         let streams = self.limits.streams;
         let takes = |conn: &Conn| conn.open.len() + conn.probes.len() < streams;
-        let Some(key) = self.connection_to(now, engine, takes, due, counters) else { return false };
-        let Some(conn) = self.table.get_mut(key) else { return false };
+        let key = self.connection_to(now, engine, takes, due, counters)?;
+        let conn = self.table.get_mut(key).ok_or(Outcome::NoConnection)?;
         self.probes_sent += 1;
         counters.probes += 1;
         let tag = format!("probe-{}", self.probes_sent);
@@ -294,7 +316,7 @@
         conn.probes.insert(tag.into(), deadline);
         conn.is_used(due);
         self.unflushed.push(key);
-        true
+        Ok(())
     }
 
     pub fn probe_late(&mut self, key: Key, number: u64, heard: &mut Vec<Heard>) {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -150,10 +150,31 @@
             }
             Wake::Stop => self.stop(),
             Wake::Reload => self.reload(),
-            Wake::Report => log::info!("counters: {}", self.counters),
+            Wake::Report => self.report(),
         }
     }
 
+    /// What was counted, and how much each table holds.
+    pub fn report(&self) {
+        let (counters, tables) = (&self.counters, self.tables().map(|(name, size)| format!("{name}={size}")));
+        log::info!("counters: {counters}; tables {}", tables.join(" "));
+    }
+
+    /// All that may grow, with its size: none of these may go on growing through a long day.
+    fn tables(&self) -> [(&'static str, usize); 7] {
+        let (engines, conns) = self.engines.sizes();
+        let (requests, ids) = self.requests.sizes();
+        [
+            ("clients", self.clients.len()),
+            ("requests", requests),
+            ("ids", ids),
+            ("engines", engines),
+            ("engine_conns", conns),
+            ("engine_names", self.engine_names.len()),
+            ("deadlines", self.due.len()),
+        ]
+    }
+
     fn accept(&mut self) {
         let now = self.clock.now();
         if !self.clients.accept(now, &mut self.due, &mut self.counters) {
@@ -276,7 +297,7 @@
         if let Some(request) = self.requests.get_mut(key) {
             request.answered = true;
             self.events.push_back(Event::ClientLeft { request: key.number() });
-            self.requests.give_back(key);
+            self.requests.give_back(key, &mut self.due);
         }
     }
 
@@ -348,7 +369,7 @@
             bill,
             report,
         }));
-        self.requests.give_back(key);
+        self.requests.give_back(key, &mut self.due);
     }
 
     /// No answer of an attempt is waited for any more: it ends with this outcome, or as never sent.
@@ -371,8 +392,7 @@
                 self.send(now, Key::from_number(request), engine, give_up_at)
             }
             Action::Probe { engine } => {
-                if !self.engines.probe(now, engine, &mut self.due, &mut self.counters) {
-                    let outcome = Outcome::NoConnection;
+                if let Err(outcome) = self.engines.probe(now, engine, &mut self.due, &mut self.counters) {
                     self.events.push_back(Event::Probed(Probed { engine, outcome, report: None }));
                 }
             }
@@ -386,7 +406,12 @@
                 self.turn_down(Key::from_number(request), "TryLater", advice);
             }
             Action::Fail { request } => self.turn_down(Key::from_number(request), "Failed", &[]),
-            Action::SetTimer { after, tag } => _ = self.due.set(now + after, Due::Timer(tag)),
+            Action::SetTimer { after, tag } => {
+                let timer = self.due.set(now + after, Due::Timer(tag));
+                // A request's own timer goes with it; others fire.
+                let request = tag.checked_sub(end_tag(0)).map(Key::from_number);
+                request.and_then(|key| self.requests.get_mut(key)).map(|r| r.timer.replace(timer));
+            }
             // The bulletin tells of changes by itself, whenever it can be reached.
             Action::Subscribe if self.link.is_up() => self.events.push_back(Event::ListChanges(Vec::new())),
             Action::Subscribe => self.events.push_back(Event::ListFailed),
@@ -419,18 +444,16 @@
             statement: &request.statement,
         };
         self.counters.sent += 1;
-        let in_time = wait_ms > 0;
-        let conn = match in_time {
-            true => {
+        let conn = match wait_ms {
+            0 => Err(Outcome::Unsent),
+            _ => {
                 let tried = (key, attempt);
                 self.engines.send(now, engine, tried, &serve, &mut self.due, &mut self.counters)
             }
-            false => None,
         };
-        let deadline = conn.map(|_| self.due.set(give_up_at, Due::Attempt(key, attempt)));
-        request.attempts.push(Attempt { conn, sent_at: now, deadline });
-        if conn.is_none() {
-            let outcome = if in_time { Outcome::NoConnection } else { Outcome::Unsent };
+        let deadline = conn.ok().map(|_| self.due.set(give_up_at, Due::Attempt(key, attempt)));
+        request.attempts.push(Attempt { conn: conn.ok(), sent_at: now, deadline });
+        if let Err(outcome) = conn {
             self.over(key, attempt, outcome, false, None, None);
         }
     }
@@ -443,7 +466,7 @@
                 _ => self.counters.failed += 1,
             }
         }
-        self.requests.give_back(key);
+        self.requests.give_back(key, &mut self.due);
     }
 
     /// Log lines of the module say numbers where an operator knows engines by name.
@@ -481,7 +504,9 @@
         // What the list ended comes after the list itself.
         self.events.push_back(event);
         self.hear_engines();
-        self.clients.well = self.stopping.is_none() && !self.engine_names.is_empty();
+        self.clients.well |= self.stopping.is_none() && !self.engine_names.is_empty();
+        // Engines come under new names all day: a name stays as long as its engine or a connection to it.
+        self.engine_names.retain(|&engine, _| self.engines.knows(engine));
     }
 
     fn entry(&mut self, listed: &Listed) -> Entry {
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -59,6 +59,6 @@
         looked = Instant::now();
         gateway.work(&mut wakes);
     }
-    log::info!("counters: {}", gateway.counters);
+    gateway.report();
     Ok(())
 }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -5,7 +5,7 @@
 
 use eideryard::interface::{Effect, Kind, Micros, Settings};
 
-use crate::deadlines::DeadlineKey;
+use crate::deadlines::{DeadlineKey, Deadlines};
 use crate::table::{Key, Table};
 
 /// Digits of an id and of a key, hex as the protocol has them.
@@ -140,6 +140,8 @@
     /// When the client's patience ends.
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
+    /// The module's own timer of it.
+    pub timer: Option<DeadlineKey>,
 }
 
 #[derive(Default)]
@@ -168,6 +170,7 @@
             answered: false,
             deadline,
             attempts: Vec::new(),
+            timer: None,
         }))
     }
 
@@ -175,19 +178,27 @@
         self.table.get_mut(key)
     }
 
+    /// How many requests are kept, and how many ids.
+    pub fn sizes(&self) -> (usize, usize) {
+        (self.table.len(), self.ids.len())
+    }
+
     /// Those that still owe an answer.
     pub fn owing(&self) -> Vec<Key> {
         self.table.iter().filter(|(_, request)| !request.answered).map(|(key, _)| key).collect()
     }
 
     /// Frees the slot of a request that is over, unless an attempt of it is still out.
-    pub fn give_back(&mut self, key: Key) {
+    pub fn give_back(&mut self, key: Key, due: &mut Deadlines) {
         let over = |r: &Request| r.answered && r.attempts.iter().all(|attempt| attempt.conn.is_none());
-        if self.table.get(key).is_some_and(over) {
-            self.over.extend(self.table.remove(key).map(|request| request.id));
-            if self.over.len() > MOST_OVER {
-                self.over.pop_front().map(|id| self.ids.remove(&id));
-            }
+        if !self.table.get(key).is_some_and(over) {
+            return;
+        }
+        let Some(request) = self.table.remove(key) else { return };
+        due.take_back(request.timer);
+        self.over.push_back(request.id);
+        if self.over.len() > MOST_OVER {
+            self.over.pop_front().map(|id| self.ids.remove(&id));
         }
     }
 }
@@ -195,6 +206,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::deadlines::Due;
 
     const ID: &str = "9b1f03aa5c7e2d41";
     const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
@@ -258,9 +270,13 @@
         };
         let first = requests.insert(client, 1, 0, read(ID)).unwrap();
         assert!(requests.insert(client, 2, 0, read(ID)).is_none(), "it is open");
-        let end = |requests: &mut Requests, key| {
-            requests.get_mut(key).unwrap().answered = true;
-            requests.give_back(key);
+        let mut due = Deadlines::new();
+        let mut end = |requests: &mut Requests, key| {
+            let request = requests.get_mut(key).unwrap();
+            request.answered = true;
+            request.timer = Some(due.set(1, Due::Timer(1)));
+            requests.give_back(key, &mut due);
+            assert_eq!(due.next(), None, "its timer goes with it");
         };
         end(&mut requests, first);
         assert!(requests.insert(client, 2, 0, read(ID)).is_none(), "it was open");
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -201,3 +201,18 @@
     let serve = next(&mut end, "serve");
     (end, serve)
 }
+
+/// Answers all that comes to an engine, as long as the test runs.
+pub fn answer_all(engine: Engine) {
+    std::thread::spawn(move || {
+        while let Ok(mut end) = engine.accept() {
+            std::thread::spawn(move || {
+                while let Ok(command) = end.command() {
+                    if command.verb() == "serve" {
+                        let _ = end.answer(command.id(), "OK", "count=1", "a\tb\tc\n");
+                    }
+                }
+            });
+        }
+    });
+}
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -4,7 +4,9 @@
 mod common;
 
 use common::standin::{self, Answer, Client, Engine};
-use common::{addresses, called, config, fields, host, next, refused_start, stand_ins, up, Running, QUERY};
+use common::{
+    addresses, answer_all, called, config, fields, host, next, refused_start, stand_ins, up, Running, QUERY,
+};
 use serde_json::json;
 use std::io::ErrorKind;
 
@@ -541,6 +543,73 @@
     assert_eq!(idle[1].answer().unwrap_err().kind(), ErrorKind::UnexpectedEof);
 }
 
+/// All day engines come under new names, some where another one was, and clients on new connections.
+#[test]
+fn no_table_grows_with_generations_of_engines_and_clients() {
+    const GENERATIONS: u64 = 300;
+    let (bulletin, engines) = stand_ins(2);
+    let mut gateway = Running::start(&config(bulletin.address(), &addresses(&engines[..1])));
+    let mut stream = bulletin.accept().unwrap();
+    let mut before = host("s-0", engines[0].address(), "removed");
+    for number in 0..GENERATIONS {
+        let address = engines[number as usize % 2].address();
+        let (name, no) = (format!("s-{number:08x}"), number + 2);
+        let hosts = [before, host(&name, address, "up")];
+        let item = json!({"no": no, "roster": {"seq": no, "whole": false, "hosts": hosts}});
+        stream.event(no, &item.to_string()).unwrap();
+        before = host(&name, address, "removed");
+        // A query shows that the change has come: it goes to the engine that is listed now, on a new connection
+        // also where the address is that of one that has gone.
+        let mut client = gateway.client();
+        let id = format!("{number:016x}");
+        loop {
+            client.ask_health(1).unwrap();
+            client.answer().unwrap();
+            if gateway.counters()["events"] == number + 1 {
+                break;
+            }
+        }
+        client.call(2, "report", &fields(&id, "15000"), QUERY).unwrap();
+        let mut end = engines[number as usize % 2].accept().unwrap();
+        let serve = next(&mut end, "serve");
+        assert_eq!(serve.id(), id);
+        end.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
+        assert!(matches!(client.answer().unwrap(), Answer::Result { .. }));
+    }
+    let counted = gateway.counters();
+    assert_eq!((counted["served"], counted["ids"]), (GENERATIONS, GENERATIONS));
+    for (name, most) in [
+        ("engines", 2),
+        ("engine_conns", 2),
+        ("engine_names", 2),
+        ("requests", 1),
+        ("clients", 4),
+        ("deadlines", 8),
+    ] {
+        assert!(counted[name] <= most, "{name}: {}", counted[name]);
+    }
+}
+
+#[test]
+fn descriptors_that_run_short_are_not_held_against_an_engine() {
+    let (bulletin, engines) = stand_ins(3);
+    let mut few = config(bulletin.address(), &addresses(&engines));
+    // One connection to engines is all that these limits leave.
+    few["limits"]["sockets"] = json!(50);
+    let mut gateway = Running::start(&few);
+    let mut client = gateway.client();
+    engines.into_iter().for_each(answer_all);
+    // An idle connection gives way to one that is needed.
+    for number in 1..=12u64 {
+        let id = format!("{number:016x}");
+        let statement = format!("SELECT * FROM sales_{number}.orders");
+        client.call(number, "report", &fields(&id, "15000"), statement.as_bytes()).unwrap();
+        assert!(matches!(client.answer().unwrap(), Answer::Result { .. }));
+    }
+    let counted = gateway.counters();
+    assert_eq!((counted["engine_conns"], counted["no_connection"], counted["served"]), (1, 0, 12));
+}
+
 #[test]
 fn a_configuration_that_cannot_be_used_is_named_and_ends_the_start() {
     let (bulletin, engines) = stand_ins(1);
