--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -15,6 +15,8 @@
     pub refused: u64,
     pub failed: u64,
     pub invalid: u64,
+    /// Of those refused, the ones whose statements found no room here.
+    pub no_room: u64,
     pub forgotten: u64,
     pub lost: u64,
     /// Answers, of those above, that came after the client's time.
@@ -95,6 +97,7 @@
             "requests taken={taken} served={served} refused={refused} failed={failed} invalid={invalid}"
         )?;
         write!(f, " forgotten={forgotten} lost={lost} open={} late={}", self.open(), self.late)?;
+        write!(f, " no_room={}", self.no_room)?;
         let a = &self.attempts;
         write!(f, "; attempts sent={} answered={} error={} full={}", self.sent, a.answered, a.error, a.full)?;
         write!(f, " timed_out={} no_connection={}", a.timed_out, a.no_connection)?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::deadlines::{Deadlines, Due};
 use crate::engines::{self, Engines};
 use crate::link::Link;
-use crate::requests::{place, Attempt, Call, Names, Requests};
+use crate::requests::{place, Attempt, Call, Names, NotTaken, Requests};
 use crate::table::Key;
 
 /// Descriptors for what is neither a client nor an engine: listener, bulletin, event loop, signals, standard
@@ -74,7 +74,7 @@
             clients: Clients::new(events, config.listen, config.sockets, config.memory_mb)?,
             engines: Engines::new(events, limits),
             link: Link::new(events, config.bulletin, config.known.no, config.host.dial_timeout, config.seed),
-            requests: Requests::default(),
+            requests: Requests::new(config.memory_mb),
             names,
             due: Deadlines::new(),
             counters: Counters::default(),
@@ -278,8 +278,15 @@
             memory_mb: call.memory_mb,
             group: call.group.unwrap_or(0),
         };
-        let Some(request) = self.requests.insert(client, id, deadline, call) else {
-            return self.invalid(client, id, "i");
+        let request = match self.requests.insert(client, id, deadline, call) {
+            Ok(request) => request,
+            Err(NotTaken::Again) => return self.invalid(client, id, "i"),
+            Err(NotTaken::NoRoom) => {
+                self.counters.refused += 1;
+                self.counters.no_room += 1;
+                self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &[]));
+                return;
+            }
         };
         self.clients.opened(client, id, request);
         self.events.push_back(Event::Arrived(Request { id: request.number(), ..arrived }));
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -144,21 +144,41 @@
     pub timer: Option<DeadlineKey>,
 }
 
-#[derive(Default)]
+/// Why a request that can be read isn't taken.
+#[derive(Debug, PartialEq)]
+pub enum NotTaken {
+    Again,
+    NoRoom,
+}
+
 pub struct Requests {
     table: Table<Request>,
+    /// Bytes of all statements in the table, and how many there may be.
+    held: usize,
+    most_held: usize,
     /// Ids of all requests in the table, and of the last that have left it, in that order.
     ids: BTreeSet<Box<str>>,
     over: VecDeque<Box<str>>,
 }
 
 impl Requests {
-    /// Nothing where a request of this id is open, or was a while ago: engines could not tell them apart.
-    pub fn insert(&mut self, client: Key, call: u32, deadline: Micros, read: Call) -> Option<Key> {
-        if !self.ids.insert(read.id.clone()) {
-            return None;
+    pub fn new(memory_mb: u64) -> Self {
+        let most_held = (memory_mb as usize) << 17;
+        Requests { table: Table::new(), held: 0, most_held, ids: BTreeSet::new(), over: VecDeque::new() }
+    }
+
+    /// Takes a request in, unless its id is open, or was a while ago: engines could not tell the two apart;
+    /// nor where statements take an eighth of the memory already, as each waits once more for its engine.
+    pub fn insert(&mut self, client: Key, call: u32, deadline: Micros, read: Call) -> Result<Key, NotTaken> {
+        if self.ids.contains(&read.id) {
+            return Err(NotTaken::Again);
+        }
+        if self.held + read.statement.len() > self.most_held {
+            return Err(NotTaken::NoRoom);
         }
-        Some(self.table.insert(Request {
+        self.held += read.statement.len();
+        self.ids.insert(read.id.clone());
+        Ok(self.table.insert(Request {
             client,
             call,
             id: read.id,
@@ -196,6 +216,7 @@
         }
         let Some(request) = self.table.remove(key) else { return };
         due.take_back(request.timer);
+        self.held -= request.statement.len();
         self.over.push_back(request.id);
         if self.over.len() > MOST_OVER {
             self.over.pop_front().map(|id| self.ids.remove(&id));
@@ -262,14 +283,14 @@
 
     #[test]
     fn an_id_is_taken_once_and_what_is_kept_of_them_has_a_bound() {
-        let mut requests = Requests::default();
+        let mut requests = Requests::new(1);
         let client = Table::new().insert(());
         let read = |id: &str| {
             let fields = FIELDS.map(|(own, usual)| (own, if own == "i" { id } else { usual }));
             Call::read(&names(), "load", &fields, b"COPY sales_17.orders").unwrap()
         };
         let first = requests.insert(client, 1, 0, read(ID)).unwrap();
-        assert!(requests.insert(client, 2, 0, read(ID)).is_none(), "it is open");
+        assert_eq!(requests.insert(client, 2, 0, read(ID)), Err(NotTaken::Again), "it is open");
         let mut due = Deadlines::new();
         let mut end = |requests: &mut Requests, key| {
             let request = requests.get_mut(key).unwrap();
@@ -279,7 +300,7 @@
             assert_eq!(due.next(), None, "its timer goes with it");
         };
         end(&mut requests, first);
-        assert!(requests.insert(client, 2, 0, read(ID)).is_none(), "it was open");
+        assert_eq!(requests.insert(client, 2, 0, read(ID)), Err(NotTaken::Again), "it was open");
         for number in 0..3 * MOST_OVER {
             let key = requests.insert(client, 3, 0, read(&format!("{number:016x}"))).unwrap();
             end(&mut requests, key);
@@ -289,4 +310,21 @@
             (0, MOST_OVER, MOST_OVER)
         );
     }
+
+    #[test]
+    fn statements_have_a_bound_for_all_together() {
+        let mut requests = Requests::new(1);
+        let client = Table::new().insert(());
+        let long = vec![b' '; 50_000];
+        let insert = |requests: &mut Requests, id: &str| {
+            let fields = FIELDS.map(|(own, usual)| (own, if own == "i" { id } else { usual }));
+            requests.insert(client, 1, 0, Call::read(&names(), "load", &fields, &long).unwrap())
+        };
+        let first = insert(&mut requests, "0000000000000001").unwrap();
+        insert(&mut requests, "0000000000000002").unwrap();
+        assert_eq!(insert(&mut requests, "0000000000000003"), Err(NotTaken::NoRoom));
+        requests.get_mut(first).unwrap().answered = true;
+        requests.give_back(first, &mut Deadlines::new());
+        insert(&mut requests, "0000000000000003").unwrap();
+    }
 }
