Pauses before a bulletin that only greets is called again; figures bounded also without settings

Tests: pauses of four streams in a row; fields at 1e300 and infinity with bare settings; a client that never reads its answers doesn't hold a stop up.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -90,8 +90,8 @@
         }
     }
 
-    /// The one place that gives the connection back. After one that brought something the next call follows
-    /// at once, else after a pause that grows.
+    /// The one place that gives the connection back. After one that brought an event the next call follows at
+    /// once, else after a pause that grows: one that greets and breaks off isn't called in a tight loop.
     fn hang_up(&mut self, reason: &str, now: Micros, due: &mut Deadlines) {
         log::info!("bulletin: {reason}; events up to {} are known", self.last);
         self.connection = None;
@@ -128,7 +128,6 @@
             let taken = reader.take(connection.input.filled(), &mut heard).map_err(|e| e.to_string());
             connection.input.clear();
             if !heard.is_empty() {
-                self.pause = 0;
                 due.renew(&mut self.deadline, now + SILENCE, Due::Bulletin);
             }
             for heard in heard.drain(..) {
@@ -142,6 +141,7 @@
                     return Err(format!("event {} came after {}", item.no, self.last));
                 }
                 self.last = item.no;
+                self.pause = 0;
                 counters.list_events += 1;
                 items.push(item);
             }
@@ -155,3 +155,41 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::connection::Wakes;
+    use calloop::EventLoop;
+    use std::io::{Read, Write};
+
+    /// Lets the link read until its stream has ended.
+    fn streamed(link: &mut Link, listener: &std::net::TcpListener, due: &mut Deadlines, text: &str) {
+        let (mut counters, mut items) = (Counters::default(), Vec::new());
+        link.call(0, due, &mut counters);
+        let (mut stream, _) = listener.accept().unwrap();
+        while link.connection.as_ref().is_some_and(|(connection, _)| connection.written == 0) {
+            link.read(0, due, &mut counters, &mut items);
+        }
+        assert!(stream.read(&mut [0; 512]).unwrap() > 0);
+        stream.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{text}").as_bytes()).unwrap();
+        drop(stream);
+        while link.is_up() {
+            link.read(0, due, &mut counters, &mut items);
+        }
+    }
+
+    #[test]
+    fn a_bulletin_that_greets_and_breaks_off_is_called_after_pauses_until_it_tells_something() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let events: EventLoop<Wakes> = EventLoop::try_new().unwrap();
+        let address = listener.local_addr().unwrap();
+        let (mut link, mut due) = (Link::new(&events.handle(), address, 0, SILENCE, 7), Deadlines::new());
+        let pauses = [": hello\n\n", ": hello\n\n", "data: {\"no\":1}\n\n", ": hello\n\n"].map(|text| {
+            streamed(&mut link, &listener, &mut due, text);
+            due.next()
+        });
+        assert!(pauses[0] == Some(0) && pauses[1] > Some(0) && pauses[2] == Some(0), "{pauses:?}");
+        assert!(pauses[3] > Some(0), "{pauses:?}");
+    }
+}
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -15,6 +15,9 @@
 /// so many times longer than the longest that the settings know.
 const MOST_OFF: f64 = 100.0;
 const MOST_WAITS: f64 = 2.0;
+/// The longest wait, in microseconds, and the largest memory where the settings tell none: a day, a terabyte.
+const USUAL_WAIT: f64 = 86_400e6;
+const USUAL_MEMORY_MB: f64 = 1e6;
 /// Ids of requests that are over, kept so that one that comes again is known: ids are new with every request.
 const MOST_OVER: usize = 4096;
 
@@ -33,12 +36,13 @@
 impl Names {
     pub fn new(settings: &Settings, host: &eideryard_settings::Host) -> Self {
         let largest = |of: fn(&Kind) -> f64| settings.kinds.iter().map(of).fold(1.0, f64::max);
-        // Without a deadline in the settings a client may wait for as long as it likes.
-        let longest = Some(host.longest_wait as f64).filter(|&wait| wait > 0.0).unwrap_or(f64::MAX);
+        // Where the settings don't tell, what can be reckoned with.
+        let told = |value: f64, usual| if value > 0.0 && value.is_finite() { value } else { usual };
+        let longest = told(host.longest_wait as f64, USUAL_WAIT);
         Names {
             longest_wait: MOST_WAITS * longest,
             most_work: MOST_OFF * longest * largest(|kind| kind.cores),
-            most_memory_mb: MOST_OFF * largest(|kind| kind.memory_mb),
+            most_memory_mb: MOST_OFF * told(largest(|kind| kind.memory_mb), USUAL_MEMORY_MB),
             classes: host.classes.clone(),
             keyed: settings.classes.iter().map(|class| class.effect == Effect::Keyed).collect(),
             tenants: host.tenants.clone(),
@@ -281,6 +285,23 @@
         }
     }
 
+    #[test]
+    fn bounds_are_finite_also_where_the_settings_tell_none() {
+        let tree = eideryard_settings::Tree::from_pairs([
+            ("grades.count", "1"),
+            ("grades.0.name", "report"),
+            ("limits.dial-timeout-us", "1000"),
+        ]);
+        let host = eideryard_settings::host(&tree).unwrap();
+        let names = Names::new(&eideryard_settings::settings(&tree).unwrap(), &host);
+        for (name, value) in [("d", "1e300"), ("h", "1e300"), ("h", "inf"), ("ram", "inf"), ("ram", "1e300")]
+        {
+            let fields = FIELDS.map(|(own, usual)| (own, if own == name { value } else { usual }));
+            assert_eq!(Call::read(&names, "report", &fields, b"SELECT 1").unwrap_err(), name, "{value}");
+        }
+        assert!(Call::read(&names, "report", &FIELDS, b"SELECT 1").is_ok());
+    }
+
     #[test]
     fn an_id_is_taken_once_and_what_is_kept_of_them_has_a_bound() {
         let mut requests = Requests::new(1);
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -522,6 +522,39 @@
     assert_eq!((counted["refused"], counted["open"]), (1, 0));
 }
 
+#[test]
+fn a_client_that_does_not_read_holds_no_stop_up() {
+    const ROUNDS: u64 = 12;
+    let (_bulletin, mut engines, mut gateway, mut deaf) = up();
+    // Longest results, of eight pages each, far more than the buffers of a connection take.
+    let page = "a\tb\tc\n".repeat(1000);
+    let engine = engines.remove(0);
+    std::thread::spawn(move || {
+        while let Ok(mut end) = engine.accept() {
+            let page = page.clone();
+            std::thread::spawn(move || {
+                while let Ok(command) = end.command() {
+                    let _ = match command.verb() {
+                        "serve" => end.answer(command.id(), "OK", "count=8", &page),
+                        "read" => {
+                            end.answer(command.id(), "ROWS", &format!("pos={}", command.words[2]), &page)
+                        }
+                        _ => Ok(()),
+                    };
+                }
+            });
+        }
+    });
+    for number in 0..32 * ROUNDS {
+        let id = format!("{number:016x}");
+        deaf.call(number, "report", &fields(&id, "15000"), QUERY).unwrap();
+        while number % 32 == 31 && gateway.counters()["open"] > 0 {}
+    }
+    gateway.terminate();
+    let (status, counted) = gateway.ended();
+    assert!(status.success() && counted["open"] == 0, "{status} {counted:?}");
+}
+
 #[test]
 fn idle_clients_give_way_when_descriptors_run_short() {
     let (bulletin, engines) = stand_ins(1);
