--- a/crates/engine-line/tests/codec.rs
+++ b/crates/engine-line/tests/codec.rs
@@ -35,6 +35,9 @@
         &long,
     ];
     cases.into_iter().for_each(|bytes| assert_eq!(decode(bytes), Err(Malformed), "{bytes:?}"));
+    let longest = |length: usize| format!("x OK - {length}\r\n").into_bytes();
+    assert_eq!(decode(&longest(MOST_PAYLOAD)), Ok(None));
+    assert_eq!(decode(&longest(MOST_PAYLOAD + 1)), Err(Malformed));
 }
 
 #[test]
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -555,6 +555,23 @@
     assert!(status.success() && counted["open"] == 0, "{status} {counted:?}");
 }
 
+#[test]
+fn messages_that_are_not_whole_have_a_bound_for_all_together() {
+    let (bulletin, engines) = stand_ins(1);
+    let mut small = config(bulletin.address(), &addresses(&engines));
+    small["limits"]["memory_mb"] = json!(1);
+    let mut gateway = Running::start(&small);
+    // A body of 900,000 bytes is announced, a third of it comes.
+    let mut hoarder = gateway.client();
+    let head = [0x94, 0, 1, 0xa6, b'r', b'e', b'p', b'o', b'r', b't', 0x92, 0x80, 0xc6, 0, 0x0d, 0xbb, 0xa0];
+    let _ = hoarder.write_raw(&[&head[..], &[b' '; 300_000]].concat());
+    hoarder.until_closed();
+    let mut client = gateway.client();
+    client.ask_health(1).unwrap();
+    assert_eq!(client.answer().unwrap(), Answer::Health { id: 1, well: true });
+    assert_eq!(gateway.counters()["hoarding"], 1);
+}
+
 #[test]
 fn idle_clients_give_way_when_descriptors_run_short() {
     let (bulletin, engines) = stand_ins(1);
--- a/crates/msgpack-rpc/tests/codec.rs
+++ b/crates/msgpack-rpc/tests/codec.rs
@@ -66,6 +66,22 @@
     assert_eq!(decode(&long), Err(Malformed));
 }
 
+/// Each piece of a long message begins the work anew, so what one message may cost has a bound.
+#[test]
+fn a_message_of_more_values_than_any_request_has_is_an_error_before_it_is_whole() {
+    let forget = |count: u32| {
+        let mut bytes = vec![0x93, 2, 0xa6, b'f', b'o', b'r', b'g', b'e', b't', 0xdd];
+        bytes.extend(count.to_be_bytes());
+        bytes.resize(bytes.len() + count as usize, 1);
+        bytes
+    };
+    let ids = vec![1; 1000];
+    assert_eq!(decode(&forget(1000)), Ok(Some((Message::Forget { ids }, forget(1000).len()))));
+    let long = forget(1_000_000);
+    assert_eq!(decode(&long[..MOST_VALUES / 2]), Ok(None));
+    assert_eq!(decode(&long[..2 * MOST_VALUES]), Err(Malformed));
+}
+
 #[test]
 fn junk_never_panics() {
     let mut rng = fastrand::Rng::with_seed(17);
