--- a/crates/engine-line/src/lib.rs
+++ b/crates/engine-line/src/lib.rs
@@ -120,11 +120,6 @@
     pub statement: &'a [u8],
 }
 
-/// Whether a text can stand as one word, or as the value of a field, without being taken for something else.
-pub fn is_word(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic() && !matches!(byte, b',' | b'='))
-}
-
 impl Serve<'_> {
     pub fn write(&self, out: &mut Vec<u8>) {
         let mut line = String::with_capacity(128);
--- a/crates/engine-line/tests/codec.rs
+++ b/crates/engine-line/tests/codec.rs
@@ -83,9 +83,3 @@
     write_gauges(&mut out, "t");
     assert_eq!(out, b"cancel a\r\nweigh a 3\r\nread a 1\r\nrelease a\r\ngauges t\r\n");
 }
-
-#[test]
-fn words_that_would_be_read_as_something_else_are_told_apart() {
-    assert!(is_word("9b1f03aa5c7e2d41") && is_word("t/kd6b-5"));
-    ["", "a b", "a,b", "a=b", "a\r\nb", "é"].iter().for_each(|text| assert!(!is_word(text), "{text:?}"));
-}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -263,13 +263,12 @@
         let key = self.table.next_key();
         let connection = Connection::dial(&self.events, address, Wake::Engine(key)).map_err(|e| {
             log::debug!("no connection to engine {engine}: {e}");
-            let short = is_shortage(&e);
-            *if short { &mut counters.dials_short } else { &mut counters.dials_failed } += 1;
-            if short {
-                Outcome::Unsent
-            } else {
-                Outcome::NoConnection
-            }
+            let (count, outcome) = match is_shortage(&e) {
+                true => (&mut counters.dials_short, Outcome::Unsent),
+                false => (&mut counters.dials_failed, Outcome::NoConnection),
+            };
+            *count += 1;
+            outcome
         })?;
         self.engines.entry(engine).and_modify(|known| known.conns.push(key));
         Ok(self.table.insert(Conn {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -560,7 +560,7 @@
             Ok(config) => {
                 self.counters.reloads += 1;
                 log::info!("reloaded; the bulletin is at {}", config.bulletin);
-                self.link.move_to(config.bulletin, self.clock.now(), &mut self.due, &mut self.counters);
+                self.link.move_to(config.bulletin, self.clock.now(), &mut self.due);
             }
             Err(message) => {
                 self.counters.reloads_failed += 1;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -66,18 +66,12 @@
 
     /// Another address, by a new configuration: what is there tells the events that come now, so the old link
     /// ends, whatever it is about.
-    pub fn move_to(
-        &mut self,
-        address: SocketAddr,
-        now: Micros,
-        due: &mut Deadlines,
-        counters: &mut Counters,
-    ) {
+    pub fn move_to(&mut self, address: SocketAddr, now: Micros, due: &mut Deadlines) {
         if self.address != address {
             self.address = address;
+            // Without a pause the next call follows at once.
             self.pause = 0;
             self.hang_up("its address has changed", now, due);
-            self.call(now, due, counters);
         }
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -202,15 +202,20 @@
     (end, serve)
 }
 
-/// Answers all that comes to an engine, as long as the test runs.
-pub fn answer_all(engine: Engine) {
+/// Answers all that comes to an engine with so many pages of one kind, as long as the test runs.
+pub fn answer_all(engine: Engine, pages: usize, page: String) {
     std::thread::spawn(move || {
         while let Ok(mut end) = engine.accept() {
+            let page = page.clone();
             std::thread::spawn(move || {
                 while let Ok(command) = end.command() {
-                    if command.verb() == "serve" {
-                        let _ = end.answer(command.id(), "OK", "count=1", "a\tb\tc\n");
-                    }
+                    let _ = match command.verb() {
+                        "serve" => end.answer(command.id(), "OK", &format!("count={pages}"), &page),
+                        "read" => {
+                            end.answer(command.id(), "ROWS", &format!("pos={}", command.words[2]), &page)
+                        }
+                        _ => Ok(()),
+                    };
                 }
             });
         }
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/gateway/tests/gateway.rs
@@ -527,24 +527,7 @@
     const ROUNDS: u64 = 12;
     let (_bulletin, mut engines, mut gateway, mut deaf) = up();
     // Longest results, of eight pages each, far more than the buffers of a connection take.
-    let page = "a\tb\tc\n".repeat(1000);
-    let engine = engines.remove(0);
-    std::thread::spawn(move || {
-        while let Ok(mut end) = engine.accept() {
-            let page = page.clone();
-            std::thread::spawn(move || {
-                while let Ok(command) = end.command() {
-                    let _ = match command.verb() {
-                        "serve" => end.answer(command.id(), "OK", "count=8", &page),
-                        "read" => {
-                            end.answer(command.id(), "ROWS", &format!("pos={}", command.words[2]), &page)
-                        }
-                        _ => Ok(()),
-                    };
-                }
-            });
-        }
-    });
+    answer_all(engines.remove(0), 8, "a\tb\tc\n".repeat(1000));
     for number in 0..32 * ROUNDS {
         let id = format!("{number:016x}");
         deaf.call(number, "report", &fields(&id, "15000"), QUERY).unwrap();
@@ -648,7 +631,7 @@
     few["limits"]["sockets"] = json!(50);
     let mut gateway = Running::start(&few);
     let mut client = gateway.client();
-    engines.into_iter().for_each(answer_all);
+    engines.into_iter().for_each(|engine| answer_all(engine, 1, "a\tb\tc\n".into()));
     // An idle connection gives way to one that is needed.
     for number in 1..=12u64 {
         let id = format!("{number:016x}");
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -131,32 +131,28 @@
         attempt: usize,
         outcome: Outcome,
         spent: Micros,
+    ) -> Vec<Action> {
+        self.end_with(request, attempt, outcome, spent, |_| ())
+    }
+
+    /// An end that bears more than its outcome.
+    pub fn end_with(
+        &mut self,
+        request: RequestId,
+        attempt: usize,
+        outcome: Outcome,
+        spent: Micros,
+        more: impl FnOnce(&mut Ended),
     ) -> Vec<Action> {
         let complete = outcome == Outcome::Answered;
-        self.tell(Event::Ended(Ended {
-            request,
-            attempt,
-            outcome,
-            spent,
-            complete,
-            told: false,
-            bill: None,
-            report: None,
-        }))
+        let mut ended =
+            Ended { request, attempt, outcome, spent, complete, told: false, bill: None, report: None };
+        more(&mut ended);
+        self.tell(Event::Ended(ended))
     }
 
     pub fn answer_with(&mut self, request: RequestId, spent: Micros, bill: Bill) -> Vec<Action> {
-        let (outcome, bill) = (Outcome::Answered, Some(bill));
-        self.tell(Event::Ended(Ended {
-            request,
-            attempt: 0,
-            outcome,
-            spent,
-            complete: true,
-            told: false,
-            bill,
-            report: None,
-        }))
+        self.end_with(request, 0, Outcome::Answered, spent, |ended| ended.bill = Some(bill))
     }
 
     pub fn note(&mut self, request: RequestId, attempt: usize, note: Note) -> Vec<Action> {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -26,16 +26,7 @@
     bench.take(report(50, bench.now + 20 * S, 100.0));
     let busy = LoadReport { cores_busy: Some(1.0), ..LoadReport::default() };
     bench.take(lookup(51, bench.now + 4 * S));
-    bench.tell(Event::Ended(Ended {
-        request: 51,
-        attempt: 0,
-        outcome: Outcome::Answered,
-        spent: 100 * MS,
-        complete: true,
-        told: false,
-        bill: None,
-        report: Some(busy),
-    }));
+    bench.end_with(51, 0, Outcome::Answered, 100 * MS, |ended| ended.report = Some(busy));
     assert_eq!(reports_out(&mut bench, 8_000.0, 6), 2, "three times the memory");
     assert_eq!(sent(&bench.take(lookup(60, bench.now + 4 * S))).len(), 1);
 }
@@ -49,16 +40,10 @@
         for id in 0..40 {
             bench.take(lookup(id, bench.now + 4 * S));
             bench.now += 100 * MS;
-            bench.tell(Event::Ended(Ended {
-                request: id,
-                attempt: 0,
-                outcome: Outcome::Answered,
-                spent: if id < 20 { 50 * MS } else { 150 * MS },
-                complete: true,
-                told: false,
-                bill: None,
-                report: in_flight.map(|_| LoadReport { in_flight, ..LoadReport::default() }),
-            }));
+            let spent = if id < 20 { 50 * MS } else { 150 * MS };
+            bench.end_with(id, 0, Outcome::Answered, spent, |ended| {
+                ended.report = in_flight.map(|_| LoadReport { in_flight, ..LoadReport::default() });
+            });
         }
         bench.take(report(50, bench.now + 20 * S, 100.0));
         reports_out(&mut bench, 8_000.0, 6)
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -111,16 +111,7 @@
         .collect();
     assert!(out.len() > 5);
     for (at, (request, _)) in out.into_iter().enumerate() {
-        bench.tell(Event::Ended(Ended {
-            request,
-            attempt: 0,
-            outcome: Outcome::Broken,
-            spent: MS,
-            complete: false,
-            told: at > 0,
-            bill: None,
-            report: None,
-        }));
+        bench.end_with(request, 0, Outcome::Broken, MS, |ended| ended.told = at > 0);
     }
     assert!(share_of(&mut bench, 1, 200, 40) > 0, "it stays in use");
 }
