--- /dev/null
+++ b/crates/command/src/main.rs
@@ -0,0 +1,60 @@
+//! The program `eideryard`: its command line. Exit codes: 0, 1 (it failed), 2 (wrong use).
+
+mod arguments;
+mod check;
+mod logger;
+mod records;
+
+use arguments::{Arguments, Command, RecordsCommand};
+use clap::{CommandFactory, Parser};
+use eideryard_operator::Operator;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let done = match arguments.command.unwrap_or(Command::Run) {
+        Command::Run => return run(arguments.operator.as_deref()),
+        Command::Check { files } => check::check(&files),
+        Command::Records { what } => match what {
+            RecordsCommand::Verify { directories } => records::verify(&directories),
+            RecordsCommand::Tally { json, directories } => records::tally(&directories, json),
+            RecordsCommand::Dump { directories } => records::dump(&directories),
+        },
+        Command::Completions { shell } => {
+            let mut command = Arguments::command();
+            clap_complete::generate(shell, &mut command, "eideryard", &mut std::io::stdout());
+            Ok(())
+        }
+        Command::Man => clap_mangen::Man::new(Arguments::command())
+            .render(&mut std::io::stdout())
+            .map_err(|e| e.to_string()),
+        Command::Reference => {
+            print!("{}", eideryard_lines::reference(eideryard_operator::TABLE));
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("eideryard: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// The gateway itself: what fails goes to its log.
+fn run(operator: Option<&str>) -> ExitCode {
+    logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref());
+    let served = || {
+        let config = eideryard_gateway::config::Config::from_environment()?;
+        let operator = operator.map_or_else(|| Ok(Operator::default()), Operator::from_file)?;
+        eideryard_gateway::serve(config, &operator).map_err(|e| e.to_string())
+    };
+    match served() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            log::error!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/gateway/tests/gateway.rs
+++ b/crates/command/tests/gateway.rs
@@ -425,7 +425,7 @@
     let serve = next(&mut end, "serve");
     end.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
     assert!(matches!(client.answer().unwrap(), Answer::Result { id: 1, .. }));
-    assert_eq!(gateway.counters()["events"], 3);
+    assert_eq!(gateway.counters()["list_events"], 3);
 }
 
 #[test]
@@ -598,7 +598,7 @@
         loop {
             client.ask_health(1).unwrap();
             client.answer().unwrap();
-            if gateway.counters()["events"] == number + 1 {
+            if gateway.counters()["list_events"] == number + 1 {
                 break;
             }
         }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -2,7 +2,7 @@
 //! lives in a slot of the table; [`Clients::close`] is the one place where it is given back.
 
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{IpAddr, SocketAddr, TcpListener};
 
 use eideryard::interface::Micros;
 use eideryard_msgpack_rpc::{decode, write_health, Message};
@@ -27,6 +27,7 @@
 
 struct Client {
     connection: Connection,
+    address: IpAddr,
     /// Requests without an answer yet: the client's number of each, and its slot once it has one.
     open: Vec<(u32, Option<Key>)>,
     /// It has asked for something that is owed an answer.
@@ -72,10 +73,19 @@
     unread: usize,
     /// What the question after this gateway's health is answered.
     pub well: bool,
+    /// Connections that have come, with their address, and gone, where that is recorded; the owner empties it.
+    pub changes: Vec<(Key, Option<IpAddr>)>,
+    tells: bool,
 }
 
 impl Clients {
-    pub fn new(events: &Loop, address: SocketAddr, sockets: usize, memory_mb: u64) -> io::Result<Self> {
+    pub fn new(
+        events: &Loop,
+        address: SocketAddr,
+        sockets: usize,
+        memory_mb: u64,
+        tells: bool,
+    ) -> io::Result<Self> {
         Ok(Clients {
             events: events.clone(),
             listener: listen(events, address)?,
@@ -88,6 +98,8 @@
             most_unread: (memory_mb as usize) << 17,
             unread: 0,
             well: false,
+            changes: Vec::new(),
+            tells,
         })
     }
 
@@ -103,12 +115,13 @@
                 return false;
             }
             match self.listener.file.accept() {
-                Ok((stream, _)) => {
+                Ok((stream, from)) => {
                     let key = self.table.next_key();
                     match Connection::accepted(&self.events, stream, Wake::Client(key)) {
                         Ok(connection) => {
                             self.table.insert(Client {
                                 connection,
+                                address: from.ip(),
                                 open: Vec::new(),
                                 asked: false,
                                 closing: false,
@@ -116,6 +129,7 @@
                                 deadline: Some(due.set(now + MOST_SILENCE, Due::Client(key))),
                             });
                             counters.connections += 1;
+                            self.changes.extend(self.tells.then_some((key, Some(from.ip()))));
                         }
                         Err(e) => log::warn!("a client's connection is of no use: {e}"),
                     }
@@ -337,12 +351,18 @@
     /// The one place that gives a client's connection back.
     fn close(&mut self, key: Key, due: &mut Deadlines, heard: &mut Vec<Heard>) {
         let Some(client) = self.table.remove(key) else { return };
+        self.changes.extend(self.tells.then_some((key, None)));
         due.take_back(client.deadline);
         self.unsent = self.unsent.saturating_sub(client.connection.output.len());
         self.unread -= client.connection.input.len();
         heard.extend(client.open.into_iter().filter_map(|(_, request)| request.map(Heard::Left)));
     }
 
+    /// Where the connections that are open come from.
+    pub fn addresses(&self) -> impl Iterator<Item = (Key, IpAddr)> + '_ {
+        self.table.iter().map(|(key, client)| (key, client.address))
+    }
+
     pub fn len(&self) -> usize {
         self.table.len()
     }
--- a/crates/gateway/src/counters.rs
+++ b/crates/gateway/src/counters.rs
@@ -89,28 +89,87 @@
     }
 }
 
+/// A word that begins a group of counters in the log, and the counters.
+type Group = (&'static str, &'static [(&'static str, fn(&Counters) -> u64)]);
+
+const GROUPS: &[Group] = &[
+    (
+        "requests ",
+        &[
+            ("taken", |c| c.taken),
+            ("served", |c| c.served),
+            ("refused", |c| c.refused),
+            ("failed", |c| c.failed),
+            ("invalid", |c| c.invalid),
+            ("forgotten", |c| c.forgotten),
+            ("lost", |c| c.lost),
+            ("open", Counters::open),
+            ("late", |c| c.late),
+            ("no_room", |c| c.no_room),
+        ],
+    ),
+    (
+        "attempts ",
+        &[
+            ("sent", |c| c.sent),
+            ("answered", |c| c.attempts.answered),
+            ("error", |c| c.attempts.error),
+            ("full", |c| c.attempts.full),
+            ("timed_out", |c| c.attempts.timed_out),
+            ("no_connection", |c| c.attempts.no_connection),
+            ("broken", |c| c.attempts.broken),
+            ("cancelled", |c| c.attempts.cancelled),
+            ("unsent", |c| c.attempts.unsent),
+        ],
+    ),
+    (
+        "",
+        &[
+            ("pages", |c| c.pages),
+            ("notes", |c| c.notes),
+            ("ranks", |c| c.ranks),
+            ("probes", |c| c.probes),
+            ("dials", |c| c.dials),
+            ("dials_failed", |c| c.dials_failed),
+            ("dials_short", |c| c.dials_short),
+        ],
+    ),
+    (
+        "clients ",
+        &[
+            ("connections", |c| c.connections),
+            ("bytes_in", |c| c.bytes_in),
+            ("health_asked", |c| c.health_asked),
+        ],
+    ),
+    (
+        "ended ",
+        &[
+            ("malformed", |c| c.ended.malformed),
+            ("silent", |c| c.ended.silent),
+            ("hoarding", |c| c.ended.hoarding),
+            ("deaf", |c| c.ended.deaf),
+            ("evicted", |c| c.ended.evicted),
+        ],
+    ),
+    ("bulletin ", &[("list_events", |c| c.list_events), ("list_connections", |c| c.list_connections)]),
+    ("", &[("reloads", |c| c.reloads), ("reloads_failed", |c| c.reloads_failed)]),
+];
+
+impl Counters {
+    /// Every counter by its name.
+    pub fn pairs(&self) -> impl Iterator<Item = (&'static str, u64)> + '_ {
+        GROUPS.iter().flat_map(|(_, counters)| counters.iter()).map(|(name, value)| (*name, value(self)))
+    }
+}
+
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let Counters { taken, served, refused, failed, invalid, forgotten, lost, .. } = self;
-        write!(
-            f,
-            "requests taken={taken} served={served} refused={refused} failed={failed} invalid={invalid}"
-        )?;
-        write!(f, " forgotten={forgotten} lost={lost} open={} late={}", self.open(), self.late)?;
-        write!(f, " no_room={}", self.no_room)?;
-        let a = &self.attempts;
-        write!(f, "; attempts sent={} answered={} error={} full={}", self.sent, a.answered, a.error, a.full)?;
-        write!(f, " timed_out={} no_connection={}", a.timed_out, a.no_connection)?;
-        write!(f, " broken={} cancelled={} unsent={}", a.broken, a.cancelled, a.unsent)?;
-        write!(f, "; pages={} notes={} ranks={} probes={}", self.pages, self.notes, self.ranks, self.probes)?;
-        write!(f, " dials={} dials_failed={}", self.dials, self.dials_failed)?;
-        write!(f, " dials_short={}", self.dials_short)?;
-        write!(f, "; clients connections={} bytes_in={}", self.connections, self.bytes_in)?;
-        write!(f, " health_asked={}", self.health_asked)?;
-        let Ended { malformed, silent, hoarding, deaf, evicted } = self.ended;
-        write!(f, "; ended malformed={malformed} silent={silent} hoarding={hoarding}")?;
-        write!(f, " deaf={deaf} evicted={evicted}")?;
-        write!(f, "; bulletin events={} connections={}", self.list_events, self.list_connections)?;
-        write!(f, "; reloads={} reloads_failed={}", self.reloads, self.reloads_failed)
+        for (at, (word, counters)) in GROUPS.iter().enumerate() {
+            let pairs: Vec<String> =
+                counters.iter().map(|(name, value)| format!("{name}={}", value(self))).collect();
+            write!(f, "{}{word}{}", if at > 0 { "; " } else { "" }, pairs.join(" "))?;
+        }
+        Ok(())
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,6 +10,8 @@
 use eideryard_bulletin::{Item, Listed, State};
 use eideryard_engine_line::Serve;
 use eideryard_msgpack_rpc::{write_error, write_result};
+use eideryard_operator::Operator;
+use eideryard_record::{AnswerKind, Host, Listed as Told, NotTaken as Untaken, Offer, OpenRequest};
 
 use crate::clients::{self, Clients};
 use crate::clock::Clock;
@@ -19,8 +21,9 @@
 use crate::deadlines::{Deadlines, Due};
 use crate::engines::{self, Engines};
 use crate::link::Link;
-use crate::requests::{place, Attempt, Call, Names, NotTaken, Requests};
+use crate::requests::{self, place, Attempt, Call, Names, NotTaken, Requests};
 use crate::table::Key;
+use crate::tap::Tap;
 
 /// Descriptors for what is neither a client nor an engine: listener, bulletin, event loop, signals, standard
 /// ones.
@@ -45,12 +48,14 @@
     requests: Requests,
     names: Names,
     pub counters: Counters,
+    tap: Tap,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     may_cancel: bool,
     longest_wait: Micros,
-    /// Names of engines by their numbers.
+    /// Names of engines by their numbers, and what the list said last of each.
     engine_names: BTreeMap<EngineId, String>,
+    last_listed: BTreeMap<EngineId, Told>,
     from_clients: Vec<clients::Heard>,
     from_engines: Vec<engines::Heard>,
     /// After SIGTERM: when the last answer must be out; and whether clients come no more.
@@ -60,7 +65,7 @@
 }
 
 impl Gateway {
-    pub fn start(config: Config, clock: Clock, events: &Loop) -> io::Result<Self> {
+    pub fn start(config: Config, operator: &Operator, clock: Clock, events: &Loop) -> io::Result<Self> {
         let names = Names::new(&config.settings, &config.host);
         let limits = engines::Limits {
             dial_timeout: config.host.dial_timeout,
@@ -70,19 +75,22 @@
             connections: (config.sockets / 2).saturating_sub(OTHER_SOCKETS).max(1),
         };
         let now = clock.now();
+        let tap = Tap::start(&config.name, now, names.of_record(), operator.record.as_ref());
         let mut gateway = Gateway {
-            clients: Clients::new(events, config.listen, config.sockets, config.memory_mb)?,
+            clients: Clients::new(events, config.listen, config.sockets, config.memory_mb, tap.is_on())?,
             engines: Engines::new(events, limits),
             link: Link::new(events, config.bulletin, config.known.no, config.host.dial_timeout, config.seed),
             requests: Requests::new(config.memory_mb),
             names,
             due: Deadlines::new(),
             counters: Counters::default(),
+            tap,
             events: VecDeque::new(),
             actions: Vec::new(),
             may_cancel: config.settings.may_cancel,
             longest_wait: config.host.longest_wait,
             engine_names: BTreeMap::new(),
+            last_listed: BTreeMap::new(),
             from_clients: Vec::new(),
             from_engines: Vec::new(),
             stopping: None,
@@ -91,6 +99,7 @@
             module: decide::Gateway::new(config.settings, config.seed, now),
             clock,
         };
+        gateway.tell_state();
         config.known.items.into_iter().for_each(|item| gateway.listed(item));
         gateway.link.call(now, &mut gateway.due, &mut gateway.counters);
         gateway.settle();
@@ -103,7 +112,7 @@
         if !again.is_empty() {
             return Some(Duration::ZERO);
         }
-        let next = self.due.next()?;
+        let next = self.due.next().into_iter().chain(self.tap.due()).min()?;
         Some(Duration::from_micros(next.saturating_sub(self.clock.now())))
     }
 
@@ -121,6 +130,9 @@
             self.fell_due(due);
             self.settle();
         }
+        self.tell_changes();
+        self.tell_state();
+        self.tap.flush(self.clock.now());
         wakes.append(&mut again);
     }
 
@@ -145,7 +157,9 @@
             }
             Wake::Bulletin => {
                 let mut items = Vec::new();
+                let before = (self.link.is_heard(), self.counters.list_events);
                 self.link.read(now, &mut self.due, &mut self.counters, &mut items);
+                self.tell_link(now, before, &items);
                 items.into_iter().for_each(|item| self.listed(item));
             }
             Wake::Stop => self.stop(),
@@ -154,6 +168,80 @@
         }
     }
 
+    // ---- What is recorded ----
+
+    /// What is known, at the beginning of a segment of the record.
+    fn tell_state(&mut self) {
+        let now = self.clock.now();
+        if !self.tap.wants_state(now) {
+            return;
+        }
+        let engines = self.last_listed.values().cloned().map(Host::Engine);
+        let connections = self
+            .clients
+            .addresses()
+            .map(|(key, address)| Host::Connected { connection: key.number(), address });
+        let open = self.requests.open().map(|(key, request)| {
+            let out = request.attempts.iter().rev().find(|attempt| attempt.conn.is_some());
+            Host::Open(OpenRequest {
+                offer: offer(key, request),
+                class: request.class,
+                tenant: request.tenant,
+                arrived_at: request.taken_at,
+                deadline: request.deadline,
+                attempts: request.attempts.len() as u64,
+                out: out.map(|attempt| (attempt.engine, attempt.sent_at)),
+            })
+        });
+        let link = Host::Link { up: self.link.is_heard() };
+        self.tap.state(now, engines.chain(connections).chain(open).chain([link]));
+    }
+
+    /// Connections of clients that have come and gone.
+    fn tell_changes(&mut self) {
+        let now = self.clock.now();
+        for (key, came_from) in self.clients.changes.drain(..) {
+            let connection = key.number();
+            self.tap.host(
+                now,
+                match came_from {
+                    Some(address) => Host::Connected { connection, address },
+                    None => Host::Disconnected { connection },
+                },
+            );
+        }
+    }
+
+    fn tell_link(&mut self, now: Micros, (was_heard, had): (bool, u64), items: &[Item]) {
+        if self.link.is_heard() != was_heard {
+            self.tap.host(now, Host::Link { up: !was_heard });
+        }
+        if had != self.counters.list_events {
+            items.iter().for_each(|item| self.tap.host(now, Host::ListEvent { number: item.no }));
+        }
+    }
+
+    /// A request that was taken has had its end.
+    fn tell_end(&mut self, key: Key, how: AnswerKind, late: bool) {
+        let now = self.clock.now();
+        let Some(request) = self.requests.get_mut(key) else { return };
+        let (class, tenant) = (request.class, request.tenant);
+        self.tap.host(now, Host::Answered { request: key.number(), class, tenant, how, late });
+    }
+
+    fn tell_untaken(&mut self, how: Untaken, of: Option<(usize, usize)>) {
+        let (class, tenant) = (of.map(|of| of.0), of.map(|of| of.1));
+        self.tap.host(self.clock.now(), Host::NotTaken { how, class, tenant });
+    }
+
+    /// The last word of the record and of the log.
+    pub fn end(&mut self) {
+        self.tell_changes();
+        let counters = self.counters.pairs().map(|(name, value)| (name.to_string(), value)).collect();
+        self.tap.host(self.clock.now(), Host::Ended { counters });
+        self.report();
+    }
+
     /// What was counted, and how much each table holds.
     pub fn report(&self) {
         let (counters, tables) = (&self.counters, self.tables().map(|(name, size)| format!("{name}={size}")));
@@ -180,6 +268,7 @@
         if !self.clients.accept(now, &mut self.due, &mut self.counters) {
             self.due.set(now + ACCEPT_PAUSE, Due::Accept);
         }
+        self.tell_changes();
     }
 
     fn fell_due(&mut self, due: Due) {
@@ -194,7 +283,11 @@
             }
             Due::Conn(key) => self.engines.conn_due(key, &mut self.due, &mut self.from_engines),
             Due::Probe(key, number) => self.engines.probe_late(key, number, &mut self.from_engines),
-            Due::Bulletin => self.link.due(now, &mut self.due, &mut self.counters),
+            Due::Bulletin => {
+                let before = (self.link.is_heard(), self.counters.list_events);
+                self.link.due(now, &mut self.due, &mut self.counters);
+                self.tell_link(now, before, &[]);
+            }
             Due::Accept => self.accept(),
             Due::LastClients => self.no_more_clients = true,
             Due::Leave => self.out_of_time = true,
@@ -213,6 +306,7 @@
         loop {
             while let Some(event) = self.events.pop_front() {
                 let now = self.clock.now();
+                self.tap.event(now, &event);
                 let mut actions = std::mem::take(&mut self.actions);
                 self.module.handle(now, event, &mut actions);
                 actions.drain(..).for_each(|action| self.act(now, action));
@@ -241,7 +335,7 @@
                 clients::Heard::Call { client, id, call } => self.called(client, id, call),
                 clients::Heard::Forgotten(request) => {
                     self.counters.forgotten += 1;
-                    self.left(request);
+                    self.left(request, AnswerKind::Forgotten);
                 }
                 clients::Heard::Spoilt(request) => {
                     self.events.push_back(Event::ClientLeft { request: request.number() });
@@ -249,7 +343,7 @@
                 }
                 clients::Heard::Left(request) => {
                     self.counters.lost += 1;
-                    self.left(request);
+                    self.left(request, AnswerKind::Lost);
                 }
             }
         }
@@ -264,9 +358,11 @@
             (Some(false), _) => return self.invalid(client, id, "one behind it"),
             (None, _) => {
                 self.counters.lost += 1;
+                self.tell_untaken(Untaken::Gone, None);
                 return;
             }
         };
+        let of = (call.class, call.tenant);
         let deadline = now + call.wait;
         let arrived = Request {
             id: 0,
@@ -278,17 +374,22 @@
             memory_mb: call.memory_mb,
             group: call.group.unwrap_or(0),
         };
-        let request = match self.requests.insert(client, id, deadline, call) {
+        let request = match self.requests.insert(client, id, now, deadline, call) {
             Ok(request) => request,
             Err(NotTaken::Again) => return self.invalid(client, id, "i"),
             Err(NotTaken::NoRoom) => {
                 self.counters.refused += 1;
                 self.counters.no_room += 1;
+                self.tell_untaken(Untaken::NoRoom, Some(of));
                 self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &[]));
                 return;
             }
         };
         self.clients.opened(client, id, request);
+        if self.tap.is_on() {
+            let offered = self.requests.get_mut(request).map(|own| Host::Offered(offer(request, own)));
+            offered.into_iter().for_each(|offered| self.tap.host(now, offered));
+        }
         self.events.push_back(Event::Arrived(Request { id: request.number(), ..arrived }));
     }
 
@@ -296,11 +397,13 @@
     fn invalid(&mut self, client: Key, id: u32, field: &str) {
         log::debug!("a request can't be used: {field}");
         self.counters.invalid += 1;
+        self.tell_untaken(Untaken::Invalid, None);
         self.clients.answer(client, id, |out| write_error(out, id, "Invalid", &[("field", field)]));
     }
 
     /// Nobody waits for this any more.
-    fn left(&mut self, key: Key) {
+    fn left(&mut self, key: Key, how: AnswerKind) {
+        self.tell_end(key, how, false);
         if let Some(request) = self.requests.get_mut(key) {
             request.answered = true;
             self.events.push_back(Event::ClientLeft { request: key.number() });
@@ -333,21 +436,23 @@
     /// The first good answer goes to the client.
     fn serve(&mut self, key: Key, pages: &[Vec<u8>]) {
         let pages = pages.iter().map(Vec::as_slice);
-        if self.answer(key, |out, call| write_result(out, call, pages)) {
+        if self.answer(key, AnswerKind::Served, |out, call| write_result(out, call, pages)) {
             self.counters.served += 1;
         }
     }
 
     /// A request's final answer, unless it has had one or nobody waits. True: it is on its way to the client.
-    fn answer(&mut self, key: Key, write: impl FnOnce(&mut Vec<u8>, u32)) -> bool {
+    fn answer(&mut self, key: Key, how: AnswerKind, write: impl FnOnce(&mut Vec<u8>, u32)) -> bool {
         let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) else {
             return false;
         };
         request.answered = true;
-        self.counters.late += (self.clock.now() > request.deadline) as u64;
+        let late = self.clock.now() > request.deadline;
+        self.counters.late += late as u64;
         let call = request.call;
         let told = self.clients.answer(request.client, call, |out| write(out, call));
         self.counters.lost += !told as u64;
+        self.tell_end(key, if told { how } else { AnswerKind::Lost }, late);
         told
     }
 
@@ -391,6 +496,9 @@
     // ---- Actions ----
 
     fn act(&mut self, now: Micros, action: Action) {
+        if !matches!(action, Action::Send { .. }) {
+            self.tap.action(now, &action);
+        }
         match action {
             Action::Terms { request, grant_mb, rank } => {
                 self.terms(Key::from_number(request), grant_mb, rank)
@@ -439,6 +547,8 @@
 
     fn send(&mut self, now: Micros, key: Key, engine: EngineId, give_up_at: Micros) {
         let Some(request) = self.requests.get_mut(key) else { return };
+        // Here and not with the other actions: one for a request that is no more sends nothing.
+        self.tap.action(now, &Action::Send { request: key.number(), engine, give_up_at });
         let attempt = request.attempts.len();
         let wait_ms = give_up_at.saturating_sub(now) / 1000;
         let serve = Serve {
@@ -459,7 +569,7 @@
             }
         };
         let deadline = conn.ok().map(|_| self.due.set(give_up_at, Due::Attempt(key, attempt)));
-        request.attempts.push(Attempt { conn: conn.ok(), sent_at: now, deadline });
+        request.attempts.push(Attempt { engine, conn: conn.ok(), sent_at: now, deadline });
         if let Err(outcome) = conn {
             self.over(key, attempt, outcome, false, None, None);
         }
@@ -467,9 +577,10 @@
 
     /// Refused or failed.
     fn turn_down(&mut self, key: Key, word: &str, fields: &[(&str, &str)]) {
-        if self.answer(key, |out, call| write_error(out, call, word, fields)) {
-            match word {
-                "TryLater" => self.counters.refused += 1,
+        let how = if word == "TryLater" { AnswerKind::Refused } else { AnswerKind::Failed };
+        if self.answer(key, how, |out, call| write_error(out, call, word, fields)) {
+            match how {
+                AnswerKind::Refused => self.counters.refused += 1,
                 _ => self.counters.failed += 1,
             }
         }
@@ -497,6 +608,7 @@
                     .inspect_err(|e| log::warn!("engine {}: {e}", listed.host))
                     .ok(),
             };
+            self.tell_listed(entry, listed);
             let (due, heard) = (&mut self.due, &mut self.from_engines);
             self.engines.listed(entry.engine, address, entry.booted_at, due, heard);
         }
@@ -514,6 +626,24 @@
         self.clients.well |= self.stopping.is_none() && !self.engine_names.is_empty();
         // Engines come under new names all day: a name stays as long as its engine or a connection to it.
         self.engine_names.retain(|&engine, _| self.engines.knows(engine));
+        self.last_listed.retain(|&engine, _| self.engines.knows(engine));
+    }
+
+    fn tell_listed(&mut self, entry: &Entry, listed: &Listed) {
+        if !self.tap.is_on() {
+            return;
+        }
+        let told = Told {
+            engine: entry.engine,
+            name: listed.host.clone(),
+            address: listed.dial.clone(),
+            zone: entry.zone,
+            kind: entry.kind,
+            phase: entry.phase,
+            booted_at: entry.booted_at,
+        };
+        self.tap.host(self.clock.now(), Host::Engine(told.clone()));
+        self.last_listed.insert(entry.engine, told);
     }
 
     fn entry(&mut self, listed: &Listed) -> Entry {
@@ -559,11 +689,13 @@
         match Config::from_environment() {
             Ok(config) => {
                 self.counters.reloads += 1;
+                self.tap.host(self.clock.now(), Host::Reloaded { done: true });
                 log::info!("reloaded; the bulletin is at {}", config.bulletin);
                 self.link.move_to(config.bulletin, self.clock.now(), &mut self.due);
             }
             Err(message) => {
                 self.counters.reloads_failed += 1;
+                self.tap.host(self.clock.now(), Host::Reloaded { done: false });
                 log::error!("not reloaded, the old configuration stays: {message}");
             }
         }
@@ -581,6 +713,7 @@
         let last = now + LAST_CLIENTS + self.longest_wait.min(LONGEST_STOP) - STOP_MARGIN;
         log::info!("stopping; {} requests are open", self.counters.open());
         self.stopping = Some(last);
+        self.tap.host(now, Host::Stopping);
         self.clients.well = false;
         self.due.set(now + LAST_CLIENTS, Due::LastClients);
         self.due.set(last, Due::LastAnswers);
@@ -594,3 +727,9 @@
         answered && (self.clients.is_written() || self.out_of_time)
     }
 }
+
+/// What the record says of a request beside what the module is told.
+fn offer(key: Key, request: &requests::Request) -> Offer {
+    let id = u64::from_str_radix(&request.id, 16).unwrap_or_default();
+    Offer { request: key.number(), id, connection: request.client.number() }
+}
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,22 +1,23 @@
-//! eideryard: a workload manager in front of analytic engines, as one program on real sockets.
+//! eideryard's gateway: a workload manager in front of analytic engines, on real sockets round the decision
+//! module.
 
 mod clients;
 mod clock;
-mod config;
+pub mod config;
 mod connection;
 mod counters;
 mod deadlines;
 mod engines;
 mod gateway;
 mod link;
-mod logger;
 mod requests;
 mod table;
+mod tap;
 
 use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
 use connection::{Wake, Wakes};
-use std::process::ExitCode;
+use eideryard_operator::Operator;
 use std::time::{Duration, Instant};
 
 /// Least time between two looks at the sockets, in ticks of the settings: what comes in between is read,
@@ -24,18 +25,8 @@
 /// waits for nothing.
 const TICKS_BETWEEN_LOOKS: u64 = 4;
 
-fn main() -> ExitCode {
-    logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref());
-    match config::Config::from_environment().and_then(|config| serve(config).map_err(|e| e.to_string())) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            log::error!("{message}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn serve(config: config::Config) -> Result<(), Box<dyn std::error::Error>> {
+/// Serves until SIGTERM or SIGINT, and what was open then has ended.
+pub fn serve(config: config::Config, operator: &Operator) -> Result<(), Box<dyn std::error::Error>> {
     let mut events: EventLoop<Wakes> = EventLoop::try_new()?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP, Signal::SIGUSR1])?;
     events.handle().insert_source(signals, |event, _, wakes| {
@@ -46,7 +37,8 @@
         });
     })?;
     let spacing = Duration::from_micros(TICKS_BETWEEN_LOOKS * config.settings.tick);
-    let mut gateway = gateway::Gateway::start(config, clock::Clock::start(), &events.handle())?;
+    let clock = clock::Clock::start();
+    let mut gateway = gateway::Gateway::start(config, operator, clock, &events.handle())?;
     let mut wakes = Wakes::new();
     let mut looked = Instant::now();
     while !gateway.is_done() {
@@ -59,6 +51,6 @@
         looked = Instant::now();
         gateway.work(&mut wakes);
     }
-    gateway.report();
+    gateway.end();
     Ok(())
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -22,6 +22,8 @@
     events: Loop,
     address: SocketAddr,
     connection: Option<(Connection, Reader)>,
+    /// Something came on this connection.
+    heard: bool,
     /// The number of the last event that was handed on.
     last: u64,
     /// How long a call may take to come up.
@@ -37,6 +39,7 @@
             events: events.clone(),
             address,
             connection: None,
+            heard: false,
             last,
             dial_timeout,
             pause: 0,
@@ -49,6 +52,11 @@
         self.connection.is_some()
     }
 
+    /// Whether the bulletin speaks: a connection that is only being made proves nothing.
+    pub fn is_heard(&self) -> bool {
+        self.heard
+    }
+
     /// Calls the bulletin for all events after the last.
     pub fn call(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters) {
         due.take_back(self.deadline.take());
@@ -89,6 +97,7 @@
     fn hang_up(&mut self, reason: &str, now: Micros, due: &mut Deadlines) {
         log::info!("bulletin: {reason}; events up to {} are known", self.last);
         self.connection = None;
+        self.heard = false;
         let pause = (self.pause as f64 * (0.5 + 0.5 * self.rng.f64())) as Micros;
         due.renew(&mut self.deadline, now + pause, Due::Bulletin);
         self.pause = (2 * self.pause).clamp(FIRST_PAUSE, LONGEST_PAUSE);
@@ -122,6 +131,7 @@
             let taken = reader.take(connection.input.filled(), &mut heard).map_err(|e| e.to_string());
             connection.input.clear();
             if !heard.is_empty() {
+                self.heard = true;
                 due.renew(&mut self.deadline, now + SILENCE, Due::Bulletin);
             }
             for heard in heard.drain(..) {
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use eideryard::interface::{Effect, Kind, Micros, Settings};
+use eideryard::interface::{Effect, EngineId, Kind, Micros, Settings};
 
 use crate::deadlines::{DeadlineKey, Deadlines};
 use crate::table::{Key, Table};
@@ -52,6 +52,18 @@
     }
 }
 
+impl Names {
+    /// As the record tells them.
+    pub fn of_record(&self) -> eideryard_record::Names {
+        eideryard_record::Names {
+            classes: self.classes.clone(),
+            tenants: self.tenants.clone(),
+            zones: self.zones.clone(),
+            kinds: self.kinds.clone(),
+        }
+    }
+}
+
 /// The place of a name in a list of them.
 pub fn place(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|own| own == name)
@@ -123,6 +135,7 @@
 }
 
 pub struct Attempt {
+    pub engine: EngineId,
     /// The connection that carries it, while it is out.
     pub conn: Option<Key>,
     pub sent_at: Micros,
@@ -135,6 +148,8 @@
     pub call: u32,
     pub id: Box<str>,
     pub class: usize,
+    pub tenant: usize,
+    pub taken_at: Micros,
     pub key: Option<Box<str>>,
     pub statement: Box<[u8]>,
     pub grant_mb: u64,
@@ -173,7 +188,14 @@
 
     /// Takes a request in, unless its id is open, or was a while ago: engines could not tell the two apart;
     /// nor where statements take an eighth of the memory already, as each waits once more for its engine.
-    pub fn insert(&mut self, client: Key, call: u32, deadline: Micros, read: Call) -> Result<Key, NotTaken> {
+    pub fn insert(
+        &mut self,
+        client: Key,
+        call: u32,
+        taken_at: Micros,
+        deadline: Micros,
+        read: Call,
+    ) -> Result<Key, NotTaken> {
         if self.ids.contains(&read.id) {
             return Err(NotTaken::Again);
         }
@@ -187,6 +209,8 @@
             call,
             id: read.id,
             class: read.class,
+            tenant: read.tenant,
+            taken_at,
             key: read.key,
             statement: read.statement,
             grant_mb: 0,
@@ -207,9 +231,14 @@
         (self.table.len(), self.ids.len())
     }
 
+    /// Those that wait for an answer.
+    pub fn open(&self) -> impl Iterator<Item = (Key, &Request)> {
+        self.table.iter().filter(|(_, request)| !request.answered)
+    }
+
     /// Those that still owe an answer.
     pub fn owing(&self) -> Vec<Key> {
-        self.table.iter().filter(|(_, request)| !request.answered).map(|(key, _)| key).collect()
+        self.open().map(|(key, _)| key).collect()
     }
 
     /// Frees the slot of a request that is over, unless an attempt of it is still out.
@@ -310,8 +339,8 @@
             let fields = FIELDS.map(|(own, usual)| (own, if own == "i" { id } else { usual }));
             Call::read(&names(), "load", &fields, b"COPY sales_17.orders").unwrap()
         };
-        let first = requests.insert(client, 1, 0, read(ID)).unwrap();
-        assert_eq!(requests.insert(client, 2, 0, read(ID)), Err(NotTaken::Again), "it is open");
+        let first = requests.insert(client, 1, 0, 0, read(ID)).unwrap();
+        assert_eq!(requests.insert(client, 2, 0, 0, read(ID)), Err(NotTaken::Again), "it is open");
         let mut due = Deadlines::new();
         let mut end = |requests: &mut Requests, key| {
             let request = requests.get_mut(key).unwrap();
@@ -321,9 +350,9 @@
             assert_eq!(due.next(), None, "its timer goes with it");
         };
         end(&mut requests, first);
-        assert_eq!(requests.insert(client, 2, 0, read(ID)), Err(NotTaken::Again), "it was open");
+        assert_eq!(requests.insert(client, 2, 0, 0, read(ID)), Err(NotTaken::Again), "it was open");
         for number in 0..3 * MOST_OVER {
-            let key = requests.insert(client, 3, 0, read(&format!("{number:016x}"))).unwrap();
+            let key = requests.insert(client, 3, 0, 0, read(&format!("{number:016x}"))).unwrap();
             end(&mut requests, key);
         }
         assert_eq!(
@@ -339,7 +368,7 @@
         let long = vec![b' '; 50_000];
         let insert = |requests: &mut Requests, id: &str| {
             let fields = FIELDS.map(|(own, usual)| (own, if own == "i" { id } else { usual }));
-            requests.insert(client, 1, 0, Call::read(&names(), "load", &fields, &long).unwrap())
+            requests.insert(client, 1, 0, 0, Call::read(&names(), "load", &fields, &long).unwrap())
         };
         let first = insert(&mut requests, "0000000000000001").unwrap();
         insert(&mut requests, "0000000000000002").unwrap();
--- /dev/null
+++ b/crates/record/src/codec.rs
@@ -0,0 +1,834 @@
+//! Entries to bytes and back, without I/O. Times are told as differences from the entry before, requests by
+//! the distance of their generation from the last one named; both start anew in each frame, so that a frame
+//! can be read alone.
+
+use crate::entry::{AnswerKind, Entry, EntryRef, Host, Listed, Names, NotTaken, Offer, OpenRequest};
+use crate::tally::{Lane, Tally, Totals, MOST_LANES};
+use eideryard::interface as i;
+use eideryard::interface::{Action, Event, Micros, Outcome, Phase};
+use std::net::IpAddr;
+
+/// Names and texts longer than this are cut where they are written and refused where they are read.
+pub const MOST_TEXT: usize = 1024;
+/// Items of one list; a list of engines that is longer goes on in a further entry.
+pub const MOST_ITEMS: usize = 65_536;
+
+/// Why bytes are no entries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Unreadable {
+    #[error("an entry stops short")]
+    Short,
+    #[error("kind {0} of entry is not known")]
+    Kind(u8),
+    #[error("a value out of range")]
+    Value,
+    #[error("a text that is not UTF-8")]
+    Text,
+}
+
+mod kind {
+    pub const FULL_LIST: u8 = 1;
+    pub const LIST_CHANGES: u8 = 2;
+    pub const LIST_FAILED: u8 = 3;
+    pub const ARRIVED: u8 = 4;
+    pub const STREAM_BEGAN: u8 = 5;
+    pub const NOTED: u8 = 6;
+    pub const ENDED: u8 = 7;
+    pub const PROBED: u8 = 8;
+    pub const CLIENT_LEFT: u8 = 9;
+    pub const TIMER: u8 = 10;
+    pub const TERMS: u8 = 20;
+    pub const SEND: u8 = 21;
+    pub const PROBE: u8 = 22;
+    pub const CANCEL: u8 = 23;
+    pub const REFUSE: u8 = 24;
+    pub const FAIL: u8 = 25;
+    pub const SET_TIMER: u8 = 26;
+    pub const SUBSCRIBE: u8 = 27;
+    pub const LOG: u8 = 28;
+    pub const BEGIN: u8 = 40;
+    pub const NAMES: u8 = 41;
+    pub const ENGINE: u8 = 42;
+    pub const OPEN: u8 = 43;
+    pub const TALLY: u8 = 44;
+    pub const STATE_WHOLE: u8 = 45;
+    pub const CONNECTED: u8 = 46;
+    pub const DISCONNECTED: u8 = 47;
+    pub const OFFERED: u8 = 48;
+    pub const NOT_TAKEN: u8 = 49;
+    pub const ANSWERED: u8 = 50;
+    pub const LINK: u8 = 51;
+    pub const LIST_EVENT: u8 = 52;
+    pub const RELOADED: u8 = 53;
+    pub const STOPPING: u8 = 54;
+    pub const END: u8 = 55;
+    pub const GAP: u8 = 56;
+}
+
+// ---- Numbers ----
+
+fn put_number(out: &mut Vec<u8>, mut value: u64) {
+    while value >= 0x80 {
+        out.push(value as u8 | 0x80);
+        value >>= 7;
+    }
+    out.push(value as u8);
+}
+
+fn put_signed(out: &mut Vec<u8>, value: i64) {
+    put_number(out, (value << 1 ^ value >> 63) as u64);
+}
+
+/// A fraction: whole thousandths as a number, which most are, else all its bits.
+fn put_real(out: &mut Vec<u8>, value: f64) {
+    let milli = value * 1e3;
+    let whole = (0.0..1e15).contains(&milli).then(|| milli.round() as u64);
+    match whole.filter(|&whole| (whole as f64 / 1e3).to_bits() == value.to_bits()) {
+        Some(whole) if whole % 1000 == 0 => put_number(out, (whole / 1000) << 2),
+        Some(whole) => put_number(out, whole << 2 | 1),
+        None => {
+            out.push(2);
+            out.extend_from_slice(&value.to_bits().to_le_bytes());
+        }
+    }
+}
+
+fn put_reals(out: &mut Vec<u8>, values: &[Option<f64>]) {
+    let present = values.iter().enumerate().fold(0u8, |bits, (at, v)| bits | (v.is_some() as u8) << at);
+    out.push(present);
+    values.iter().flatten().for_each(|value| put_real(out, *value));
+}
+
+fn put_text(out: &mut Vec<u8>, text: &str) {
+    let mut cut = text.len().min(MOST_TEXT);
+    while !text.is_char_boundary(cut) {
+        cut -= 1;
+    }
+    put_number(out, cut as u64);
+    out.extend_from_slice(&text.as_bytes()[..cut]);
+}
+
+fn put_texts(out: &mut Vec<u8>, texts: &[String]) {
+    put_number(out, texts.len() as u64);
+    texts.iter().for_each(|text| put_text(out, text));
+}
+
+/// An optional small number: 0 is none.
+fn put_optional(out: &mut Vec<u8>, value: Option<usize>) {
+    put_number(out, value.map_or(0, |value| value as u64 + 1));
+}
+
+fn put_tally(out: &mut Vec<u8>, tally: &Tally) {
+    put_number(out, tally.entries);
+    put_number(out, Totals::NAMES.len() as u64);
+    tally.totals.pairs().for_each(|(_, value)| put_number(out, value));
+    for lanes in [&tally.classes, &tally.tenants] {
+        put_number(out, lanes.len() as u64);
+        lanes.iter().flat_map(|lane| lane.values()).for_each(|value| put_number(out, value));
+    }
+}
+
+fn put_entry(out: &mut Vec<u8>, entry: &i::Entry) {
+    out.extend_from_slice(&entry.engine.to_le_bytes());
+    put_number(out, entry.zone as u64);
+    put_number(out, entry.kind as u64);
+    put_number(out, entry.cell as u64);
+    out.push(phase_byte(entry.phase));
+    put_number(out, entry.booted_at);
+}
+
+fn put_report(out: &mut Vec<u8>, report: &Option<i::LoadReport>) {
+    match report {
+        None => out.push(0),
+        Some(r) => {
+            let fields = [r.in_flight, r.waiting_for_memory, r.cores_busy, r.memory_granted, r.disks_busy];
+            out.push(1);
+            put_reals(out, &fields);
+        }
+    }
+}
+
+fn phase_byte(phase: Phase) -> u8 {
+    match phase {
+        Phase::Ready => 0,
+        Phase::Draining => 1,
+        Phase::Gone => 2,
+    }
+}
+
+const OUTCOMES: [Outcome; 8] = [
+    Outcome::Answered,
+    Outcome::Error,
+    Outcome::Full,
+    Outcome::TimedOut,
+    Outcome::NoConnection,
+    Outcome::Broken,
+    Outcome::Cancelled,
+    Outcome::Unsent,
+];
+
+fn outcome_byte(outcome: Outcome) -> u8 {
+    OUTCOMES.iter().position(|own| *own == outcome).unwrap_or_default() as u8
+}
+
+// ---- Writing ----
+
+/// What entries of one frame are told in relation to.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Context {
+    pub at: Micros,
+    /// The upper half of the last request named: the generation of its slot.
+    generation: u32,
+}
+
+impl Context {
+    pub fn new(at: Micros) -> Self {
+        Context { at, generation: 0 }
+    }
+
+    fn put_request(&mut self, out: &mut Vec<u8>, request: u64) {
+        let generation = (request >> 32) as u32;
+        put_signed(out, generation.wrapping_sub(self.generation) as i32 as i64);
+        put_number(out, request & 0xffff_ffff);
+        self.generation = generation;
+    }
+
+    fn put_offer(&mut self, out: &mut Vec<u8>, offer: &Offer) {
+        self.put_request(out, offer.request);
+        out.extend_from_slice(&offer.id.to_le_bytes());
+        put_number(out, offer.connection & 0xffff_ffff);
+        put_number(out, offer.connection >> 32);
+    }
+
+    /// Writes an entry behind what is there.
+    pub fn put(&mut self, out: &mut Vec<u8>, at: Micros, entry: EntryRef) {
+        out.push(0);
+        let place = out.len() - 1;
+        put_signed(out, at.wrapping_sub(self.at) as i64);
+        self.at = at;
+        out[place] = match entry {
+            EntryRef::In(event) => self.put_event(out, at, event),
+            EntryRef::Out(action) => self.put_action(out, at, action),
+            EntryRef::Host(host) => self.put_host(out, at, host),
+        };
+    }
+
+    fn put_event(&mut self, out: &mut Vec<u8>, at: Micros, event: &Event) -> u8 {
+        match event {
+            Event::FullList(entries) | Event::ListChanges(entries) => {
+                put_number(out, entries.len() as u64);
+                entries.iter().for_each(|entry| put_entry(out, entry));
+                if matches!(event, Event::FullList(_)) {
+                    kind::FULL_LIST
+                } else {
+                    kind::LIST_CHANGES
+                }
+            }
+            Event::ListFailed => kind::LIST_FAILED,
+            Event::Arrived(r) => {
+                self.put_request(out, r.id);
+                put_number(out, r.class as u64);
+                put_number(out, r.tenant as u64);
+                put_signed(out, r.deadline.wrapping_sub(at) as i64);
+                put_reals(out, &[r.work, r.memory_mb]);
+                put_number(out, r.group);
+                put_text(out, r.key.as_deref().unwrap_or(""));
+                kind::ARRIVED
+            }
+            Event::StreamBegan { request } => {
+                self.put_request(out, *request);
+                kind::STREAM_BEGAN
+            }
+            Event::Noted { request, attempt, note } => {
+                self.put_request(out, *request);
+                put_number(out, *attempt as u64);
+                match note {
+                    i::Note::Progress(share) => {
+                        out.push(0);
+                        put_real(out, *share);
+                    }
+                    i::Note::Spilling(short) => {
+                        out.push(1);
+                        put_real(out, *short);
+                    }
+                    i::Note::WaitsForMemory => out.push(2),
+                    i::Note::WaitsForLoad => out.push(3),
+                }
+                kind::NOTED
+            }
+            Event::Ended(e) => {
+                self.put_request(out, e.request);
+                put_number(out, e.attempt as u64);
+                let flags = (e.complete as u8) << 4 | (e.told as u8) << 5 | (e.bill.is_some() as u8) << 6;
+                out.push(outcome_byte(e.outcome) | flags);
+                put_number(out, e.spent);
+                if let Some(bill) = e.bill {
+                    put_real(out, bill.work);
+                    put_real(out, bill.memory_mb);
+                }
+                put_report(out, &e.report);
+                kind::ENDED
+            }
+            Event::Probed(p) => {
+                out.extend_from_slice(&p.engine.to_le_bytes());
+                out.push(outcome_byte(p.outcome));
+                put_report(out, &p.report);
+                kind::PROBED
+            }
+            Event::ClientLeft { request } => {
+                self.put_request(out, *request);
+                kind::CLIENT_LEFT
+            }
+            Event::Timer { tag } => {
+                self.put_tag(out, *tag);
+                kind::TIMER
+            }
+        }
+    }
+
+    /// Tags of requests' own timers are told like requests, other tags as they are.
+    fn put_tag(&mut self, out: &mut Vec<u8>, tag: u64) {
+        match tag.checked_sub(i::end_tag(0)).filter(|request| request >> 32 != 0) {
+            Some(request) => {
+                out.push(1);
+                self.put_request(out, request);
+            }
+            None => {
+                out.push(0);
+                put_number(out, tag);
+            }
+        }
+    }
+
+    fn put_action(&mut self, out: &mut Vec<u8>, at: Micros, action: &Action) -> u8 {
+        match action {
+            Action::Terms { request, grant_mb, rank } => {
+                self.put_request(out, *request);
+                put_real(out, *grant_mb);
+                out.push(*rank);
+                kind::TERMS
+            }
+            Action::Send { request, engine, give_up_at } => {
+                self.put_request(out, *request);
+                out.extend_from_slice(&engine.to_le_bytes());
+                put_signed(out, give_up_at.wrapping_sub(at) as i64);
+                kind::SEND
+            }
+            Action::Probe { engine } => {
+                out.extend_from_slice(&engine.to_le_bytes());
+                kind::PROBE
+            }
+            Action::Cancel { request, attempt } => {
+                self.put_request(out, *request);
+                put_number(out, *attempt as u64);
+                kind::CANCEL
+            }
+            Action::Refuse { request, retry_after } => {
+                self.put_request(out, *request);
+                put_number(out, *retry_after);
+                kind::REFUSE
+            }
+            Action::Fail { request } => {
+                self.put_request(out, *request);
+                kind::FAIL
+            }
+            Action::SetTimer { after, tag } => {
+                put_number(out, *after);
+                self.put_tag(out, *tag);
+                kind::SET_TIMER
+            }
+            Action::Subscribe => kind::SUBSCRIBE,
+            Action::Log(text) => {
+                put_text(out, text);
+                kind::LOG
+            }
+        }
+    }
+
+    fn put_host(&mut self, out: &mut Vec<u8>, at: Micros, host: &Host) -> u8 {
+        match host {
+            Host::Begin { name, epoch, segment } => {
+                put_text(out, name);
+                put_number(out, *epoch);
+                put_number(out, *segment);
+                kind::BEGIN
+            }
+            Host::Names(names) => {
+                let lists = [&names.classes, &names.tenants, &names.zones, &names.kinds];
+                lists.iter().for_each(|list| put_texts(out, list));
+                kind::NAMES
+            }
+            Host::Engine(e) => {
+                out.extend_from_slice(&e.engine.to_le_bytes());
+                put_text(out, &e.name);
+                put_text(out, &e.address);
+                put_number(out, e.zone as u64);
+                put_number(out, e.kind as u64);
+                out.push(phase_byte(e.phase));
+                put_number(out, e.booted_at);
+                kind::ENGINE
+            }
+            Host::Open(o) => {
+                self.put_offer(out, &o.offer);
+                put_number(out, o.class as u64);
+                put_number(out, o.tenant as u64);
+                put_signed(out, at.wrapping_sub(o.arrived_at) as i64);
+                put_signed(out, o.deadline.wrapping_sub(at) as i64);
+                put_number(out, o.attempts);
+                match o.out {
+                    None => out.push(0),
+                    Some((engine, since)) => {
+                        out.push(1);
+                        out.extend_from_slice(&engine.to_le_bytes());
+                        put_signed(out, at.wrapping_sub(since) as i64);
+                    }
+                }
+                kind::OPEN
+            }
+            Host::Tally(tally) => {
+                put_tally(out, tally);
+                kind::TALLY
+            }
+            Host::StateWhole => kind::STATE_WHOLE,
+            Host::Connected { connection, address } => {
+                put_number(out, connection & 0xffff_ffff);
+                put_number(out, connection >> 32);
+                match address {
+                    IpAddr::V4(a) => {
+                        out.push(4);
+                        out.extend_from_slice(&a.octets());
+                    }
+                    IpAddr::V6(a) => {
+                        out.push(6);
+                        out.extend_from_slice(&a.octets());
+                    }
+                }
+                kind::CONNECTED
+            }
+            Host::Disconnected { connection } => {
+                put_number(out, connection & 0xffff_ffff);
+                put_number(out, connection >> 32);
+                kind::DISCONNECTED
+            }
+            Host::Offered(offer) => {
+                self.put_offer(out, offer);
+                kind::OFFERED
+            }
+            Host::NotTaken { how, class, tenant } => {
+                out.push(match how {
+                    NotTaken::Invalid => 0,
+                    NotTaken::NoRoom => 1,
+                    NotTaken::Gone => 2,
+                });
+                put_optional(out, *class);
+                put_optional(out, *tenant);
+                kind::NOT_TAKEN
+            }
+            Host::Answered { request, class, tenant, how, late } => {
+                self.put_request(out, *request);
+                put_number(out, *class as u64);
+                put_number(out, *tenant as u64);
+                out.push(*how as u8 | (*late as u8) << 4);
+                kind::ANSWERED
+            }
+            Host::Link { up } => {
+                out.push(*up as u8);
+                kind::LINK
+            }
+            Host::ListEvent { number } => {
+                put_number(out, *number);
+                kind::LIST_EVENT
+            }
+            Host::Reloaded { done } => {
+                out.push(*done as u8);
+                kind::RELOADED
+            }
+            Host::Stopping => kind::STOPPING,
+            Host::Ended { counters } => {
+                put_number(out, counters.len() as u64);
+                for (name, value) in counters {
+                    put_text(out, name);
+                    put_number(out, *value);
+                }
+                kind::END
+            }
+            Host::Gap { from, to, entries, counted } => {
+                put_signed(out, at.wrapping_sub(*from) as i64);
+                put_signed(out, at.wrapping_sub(*to) as i64);
+                put_number(out, *entries);
+                put_tally(out, counted);
+                kind::GAP
+            }
+        }
+    }
+}
+
+// ---- Reading ----
+
+/// Reads the entries of one frame, one after the other.
+pub struct Decoder<'a> {
+    rest: &'a [u8],
+    context: Context,
+}
+
+type Read<T> = Result<T, Unreadable>;
+
+impl<'a> Decoder<'a> {
+    pub fn new(payload: &'a [u8], context: Context) -> Self {
+        Decoder { rest: payload, context }
+    }
+
+    /// What is left unread, and what it is told in relation to: enough to go on later.
+    pub fn state(&self) -> (usize, Context) {
+        (self.rest.len(), self.context)
+    }
+
+    fn byte(&mut self) -> Read<u8> {
+        let (first, rest) = self.rest.split_first().ok_or(Unreadable::Short)?;
+        self.rest = rest;
+        Ok(*first)
+    }
+
+    fn bytes<const N: usize>(&mut self) -> Read<[u8; N]> {
+        let (first, rest) = self.rest.split_first_chunk::<N>().ok_or(Unreadable::Short)?;
+        self.rest = rest;
+        Ok(*first)
+    }
+
+    fn number(&mut self) -> Read<u64> {
+        let mut value = 0u64;
+        for (at, byte) in self.rest.iter().enumerate().take(10) {
+            value |= ((byte & 0x7f) as u64) << (7 * at);
+            if byte & 0x80 == 0 {
+                self.rest = &self.rest[at + 1..];
+                return Ok(value);
+            }
+        }
+        Err(if self.rest.len() < 10 { Unreadable::Short } else { Unreadable::Value })
+    }
+
+    fn signed(&mut self) -> Read<i64> {
+        let value = self.number()?;
+        Ok((value >> 1) as i64 ^ -((value & 1) as i64))
+    }
+
+    /// A time told as a distance from another.
+    fn after(&mut self, at: Micros) -> Read<Micros> {
+        Ok(at.wrapping_add(self.signed()? as u64))
+    }
+
+    fn before(&mut self, at: Micros) -> Read<Micros> {
+        Ok(at.wrapping_sub(self.signed()? as u64))
+    }
+
+    fn small(&mut self) -> Read<u32> {
+        self.number()?.try_into().map_err(|_| Unreadable::Value)
+    }
+
+    fn place(&mut self) -> Read<usize> {
+        Ok(self.small()? as usize)
+    }
+
+    fn optional(&mut self) -> Read<Option<usize>> {
+        Ok(self.place()?.checked_sub(1))
+    }
+
+    fn length(&mut self, most: usize) -> Read<usize> {
+        self.place().and_then(|length| if length <= most { Ok(length) } else { Err(Unreadable::Value) })
+    }
+
+    fn flag(&mut self) -> Read<bool> {
+        match self.byte()? {
+            0 => Ok(false),
+            1 => Ok(true),
+            _ => Err(Unreadable::Value),
+        }
+    }
+
+    fn real(&mut self) -> Read<f64> {
+        if self.rest.first() == Some(&2) {
+            self.byte()?;
+            return Ok(f64::from_bits(u64::from_le_bytes(self.bytes()?)));
+        }
+        let value = self.number()?;
+        match value & 3 {
+            0 => Ok((value >> 2) as f64),
+            1 => Ok((value >> 2) as f64 / 1e3),
+            _ => Err(Unreadable::Value),
+        }
+    }
+
+    fn reals<const N: usize>(&mut self) -> Read<[Option<f64>; N]> {
+        let present = self.byte()?;
+        if present >> N != 0 {
+            return Err(Unreadable::Value);
+        }
+        let mut values = [None; N];
+        for (at, value) in values.iter_mut().enumerate() {
+            if present >> at & 1 == 1 {
+                *value = Some(self.real()?);
+            }
+        }
+        Ok(values)
+    }
+
+    fn text(&mut self) -> Read<&'a str> {
+        let length = self.length(MOST_TEXT)?;
+        let (text, rest) = self.rest.split_at_checked(length).ok_or(Unreadable::Short)?;
+        self.rest = rest;
+        std::str::from_utf8(text).map_err(|_| Unreadable::Text)
+    }
+
+    fn texts(&mut self) -> Read<Vec<String>> {
+        (0..self.length(MOST_ITEMS)?).map(|_| self.text().map(str::to_string)).collect()
+    }
+
+    fn engine(&mut self) -> Read<u32> {
+        Ok(u32::from_le_bytes(self.bytes()?))
+    }
+
+    fn request(&mut self) -> Read<u64> {
+        let step = self.signed()?;
+        let step = i32::try_from(step).map_err(|_| Unreadable::Value)?;
+        self.context.generation = self.context.generation.wrapping_add(step as u32);
+        Ok((self.context.generation as u64) << 32 | self.small()? as u64)
+    }
+
+    fn connection(&mut self) -> Read<u64> {
+        Ok(self.small()? as u64 | (self.small()? as u64) << 32)
+    }
+
+    fn offer(&mut self) -> Read<Offer> {
+        let request = self.request()?;
+        Ok(Offer { request, id: u64::from_le_bytes(self.bytes()?), connection: self.connection()? })
+    }
+
+    fn phase(&mut self) -> Read<Phase> {
+        match self.byte()? {
+            0 => Ok(Phase::Ready),
+            1 => Ok(Phase::Draining),
+            2 => Ok(Phase::Gone),
+            _ => Err(Unreadable::Value),
+        }
+    }
+
+    fn outcome(&self, byte: u8) -> Read<Outcome> {
+        OUTCOMES.get(byte as usize).copied().ok_or(Unreadable::Value)
+    }
+
+    fn report(&mut self) -> Read<Option<i::LoadReport>> {
+        if !self.flag()? {
+            return Ok(None);
+        }
+        let [in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy] = self.reals()?;
+        Ok(Some(i::LoadReport { in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy }))
+    }
+
+    fn tag(&mut self) -> Read<u64> {
+        match self.flag()? {
+            true => Ok(i::end_tag(self.request()?)),
+            false => self.number(),
+        }
+    }
+
+    fn entries(&mut self) -> Read<Vec<i::Entry>> {
+        let entry = |d: &mut Self| {
+            Ok(i::Entry {
+                engine: d.engine()?,
+                zone: d.small()?,
+                kind: d.small()?,
+                cell: d.small()?,
+                phase: d.phase()?,
+                booted_at: d.number()?,
+            })
+        };
+        (0..self.length(MOST_ITEMS)?).map(|_| entry(self)).collect()
+    }
+
+    fn tally(&mut self) -> Read<Tally> {
+        let entries = self.number()?;
+        let mut totals = Totals::default();
+        // A later program may count more; what this one doesn't know is passed over.
+        let count = self.length(MOST_ITEMS)?;
+        let mut values = totals.values_mut();
+        for _ in 0..count {
+            let value = self.number()?;
+            values.next().into_iter().for_each(|own| *own = value);
+        }
+        drop(values);
+        let [classes, tenants] = [self.lanes()?, self.lanes()?];
+        Ok(Tally { entries, totals, classes, tenants })
+    }
+
+    fn lanes(&mut self) -> Read<Vec<Lane>> {
+        let lane = |d: &mut Self| {
+            let mut values = [0; 7];
+            for value in &mut values {
+                *value = d.number()?;
+            }
+            Ok(Lane::from_values(values))
+        };
+        (0..self.length(MOST_LANES)?).map(|_| lane(self)).collect()
+    }
+
+    /// The next entry and its time; nothing at the end.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Read<Option<(Micros, Entry)>> {
+        if self.rest.is_empty() {
+            return Ok(None);
+        }
+        let kind = self.byte()?;
+        let at = self.after(self.context.at)?;
+        self.context.at = at;
+        let entry = match kind {
+            0..=19 => Entry::In(self.event(kind, at)?),
+            20..=39 => Entry::Out(self.action(kind, at)?),
+            _ => Entry::Host(self.host(kind, at)?),
+        };
+        Ok(Some((at, entry)))
+    }
+
+    fn event(&mut self, kind: u8, at: Micros) -> Read<Event> {
+        Ok(match kind {
+            kind::FULL_LIST => Event::FullList(self.entries()?),
+            kind::LIST_CHANGES => Event::ListChanges(self.entries()?),
+            kind::LIST_FAILED => Event::ListFailed,
+            kind::ARRIVED => {
+                let (id, class, tenant) = (self.request()?, self.place()?, self.place()?);
+                let deadline = self.after(at)?;
+                let [work, memory_mb] = self.reals()?;
+                let group = self.number()?;
+                let key = Some(self.text()?).filter(|key| !key.is_empty()).map(str::to_string);
+                Event::Arrived(i::Request { id, class, tenant, key, deadline, work, memory_mb, group })
+            }
+            kind::STREAM_BEGAN => Event::StreamBegan { request: self.request()? },
+            kind::NOTED => {
+                let (request, attempt) = (self.request()?, self.place()?);
+                let note = match self.byte()? {
+                    0 => i::Note::Progress(self.real()?),
+                    1 => i::Note::Spilling(self.real()?),
+                    2 => i::Note::WaitsForMemory,
+                    3 => i::Note::WaitsForLoad,
+                    _ => return Err(Unreadable::Value),
+                };
+                Event::Noted { request, attempt, note }
+            }
+            kind::ENDED => {
+                let (request, attempt, flags) = (self.request()?, self.place()?, self.byte()?);
+                let outcome = self.outcome(flags & 15)?;
+                let spent = self.number()?;
+                let bill = match flags >> 6 & 1 {
+                    1 => Some(i::Bill { work: self.real()?, memory_mb: self.real()? }),
+                    _ => None,
+                };
+                let (complete, told) = (flags >> 4 & 1 == 1, flags >> 5 & 1 == 1);
+                let report = self.report()?;
+                Event::Ended(i::Ended { request, attempt, outcome, spent, complete, told, bill, report })
+            }
+            kind::PROBED => {
+                let (engine, outcome) = (self.engine()?, self.byte()?);
+                let outcome = self.outcome(outcome)?;
+                Event::Probed(i::Probed { engine, outcome, report: self.report()? })
+            }
+            kind::CLIENT_LEFT => Event::ClientLeft { request: self.request()? },
+            kind::TIMER => Event::Timer { tag: self.tag()? },
+            kind => return Err(Unreadable::Kind(kind)),
+        })
+    }
+
+    fn action(&mut self, kind: u8, at: Micros) -> Read<Action> {
+        Ok(match kind {
+            kind::TERMS => {
+                Action::Terms { request: self.request()?, grant_mb: self.real()?, rank: self.byte()? }
+            }
+            kind::SEND => {
+                Action::Send { request: self.request()?, engine: self.engine()?, give_up_at: self.after(at)? }
+            }
+            kind::PROBE => Action::Probe { engine: self.engine()? },
+            kind::CANCEL => Action::Cancel { request: self.request()?, attempt: self.place()? },
+            kind::REFUSE => Action::Refuse { request: self.request()?, retry_after: self.number()? },
+            kind::FAIL => Action::Fail { request: self.request()? },
+            kind::SET_TIMER => Action::SetTimer { after: self.number()?, tag: self.tag()? },
+            kind::SUBSCRIBE => Action::Subscribe,
+            kind::LOG => Action::Log(self.text()?.to_string()),
+            kind => return Err(Unreadable::Kind(kind)),
+        })
+    }
+
+    fn host(&mut self, kind: u8, at: Micros) -> Read<Host> {
+        Ok(match kind {
+            kind::BEGIN => {
+                let name = self.text()?.to_string();
+                Host::Begin { name, epoch: self.number()?, segment: self.number()? }
+            }
+            kind::NAMES => {
+                let [classes, tenants, zones, kinds] =
+                    [self.texts()?, self.texts()?, self.texts()?, self.texts()?];
+                Host::Names(Names { classes, tenants, zones, kinds })
+            }
+            kind::ENGINE => Host::Engine(Listed {
+                engine: self.engine()?,
+                name: self.text()?.to_string(),
+                address: self.text()?.to_string(),
+                zone: self.small()?,
+                kind: self.small()?,
+                phase: self.phase()?,
+                booted_at: self.number()?,
+            }),
+            kind::OPEN => {
+                let (offer, class, tenant) = (self.offer()?, self.place()?, self.place()?);
+                let (arrived_at, deadline) = (self.before(at)?, self.after(at)?);
+                let attempts = self.number()?;
+                let out = match self.flag()? {
+                    true => Some((self.engine()?, self.before(at)?)),
+                    false => None,
+                };
+                Host::Open(OpenRequest { offer, class, tenant, arrived_at, deadline, attempts, out })
+            }
+            kind::TALLY => Host::Tally(Box::new(self.tally()?)),
+            kind::STATE_WHOLE => Host::StateWhole,
+            kind::CONNECTED => {
+                let connection = self.connection()?;
+                let address = match self.byte()? {
+                    4 => IpAddr::from(self.bytes::<4>()?),
+                    6 => IpAddr::from(self.bytes::<16>()?),
+                    _ => return Err(Unreadable::Value),
+                };
+                Host::Connected { connection, address }
+            }
+            kind::DISCONNECTED => Host::Disconnected { connection: self.connection()? },
+            kind::OFFERED => Host::Offered(self.offer()?),
+            kind::NOT_TAKEN => {
+                let how = match self.byte()? {
+                    0 => NotTaken::Invalid,
+                    1 => NotTaken::NoRoom,
+                    2 => NotTaken::Gone,
+                    _ => return Err(Unreadable::Value),
+                };
+                Host::NotTaken { how, class: self.optional()?, tenant: self.optional()? }
+            }
+            kind::ANSWERED => {
+                let (request, class, tenant) = (self.request()?, self.place()?, self.place()?);
+                let flags = self.byte()?;
+                let how = AnswerKind::ALL.get((flags & 15) as usize).copied().ok_or(Unreadable::Value)?;
+                Host::Answered { request, class, tenant, how, late: flags >> 4 == 1 }
+            }
+            kind::LINK => Host::Link { up: self.flag()? },
+            kind::LIST_EVENT => Host::ListEvent { number: self.number()? },
+            kind::RELOADED => Host::Reloaded { done: self.flag()? },
+            kind::STOPPING => Host::Stopping,
+            kind::END => {
+                let count = self.length(MOST_ITEMS)?;
+                let pair = |d: &mut Self| Ok((d.text()?.to_string(), d.number()?));
+                Host::Ended { counters: (0..count).map(|_| pair(self)).collect::<Read<_>>()? }
+            }
+            kind::GAP => Host::Gap {
+                from: self.before(at)?,
+                to: self.before(at)?,
+                entries: self.number()?,
+                counted: Box::new(self.tally()?),
+            },
+            kind => return Err(Unreadable::Kind(kind)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/record/src/entry.rs
@@ -0,0 +1,178 @@
+//! What a record holds, entry by entry.
+
+use crate::tally::Tally;
+use eideryard::interface::{Action, EngineId, Event, Micros, RequestId};
+use std::net::IpAddr;
+
+/// Names by the places that the module numbers them with.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+/// An engine as the list tells of it, with its name and address.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listed {
+    pub engine: EngineId,
+    pub name: String,
+    pub address: String,
+    pub zone: u32,
+    pub kind: u32,
+    pub phase: eideryard::interface::Phase,
+    pub booted_at: Micros,
+}
+
+/// How a request that was taken ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum AnswerKind {
+    Served,
+    Refused,
+    Failed,
+    Forgotten,
+    Lost,
+}
+
+impl AnswerKind {
+    pub const ALL: [AnswerKind; 5] = [
+        AnswerKind::Served,
+        AnswerKind::Refused,
+        AnswerKind::Failed,
+        AnswerKind::Forgotten,
+        AnswerKind::Lost,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            AnswerKind::Served => "served",
+            AnswerKind::Refused => "refused",
+            AnswerKind::Failed => "failed",
+            AnswerKind::Forgotten => "forgotten",
+            AnswerKind::Lost => "lost",
+        }
+    }
+}
+
+/// Why something that a client sent never became a request with a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotTaken {
+    /// It can't be used.
+    Invalid,
+    /// Statements of open requests filled their part of the memory; it was refused.
+    NoRoom,
+    /// Its connection had ended.
+    Gone,
+}
+
+/// A request as its client sent it, beside what the module is told of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Offer {
+    pub request: RequestId,
+    /// The id that its client gave it.
+    pub id: u64,
+    /// The connection it came on, as a number that [`Host::Connected`] gave.
+    pub connection: u64,
+}
+
+/// A request that was open when a segment began.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OpenRequest {
+    pub offer: Offer,
+    pub class: usize,
+    pub tenant: usize,
+    pub arrived_at: Micros,
+    pub deadline: Micros,
+    pub attempts: u64,
+    /// Where its last attempt runs, and since when.
+    pub out: Option<(EngineId, Micros)>,
+}
+
+/// What a host knows beside the module's events and actions.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Host {
+    /// A segment begins: the state that follows, up to `StateWhole`, is what was known then.
+    Begin {
+        name: String,
+        epoch: Micros,
+        segment: u64,
+    },
+    Names(Names),
+    Engine(Listed),
+    Open(OpenRequest),
+    /// All that was counted since the start of the gateway.
+    Tally(Box<Tally>),
+    StateWhole,
+    Connected {
+        connection: u64,
+        address: IpAddr,
+    },
+    Disconnected {
+        connection: u64,
+    },
+    Offered(Offer),
+    NotTaken {
+        how: NotTaken,
+        class: Option<usize>,
+        tenant: Option<usize>,
+    },
+    /// A request that was taken has had its end. Late: after its client's time.
+    Answered {
+        request: RequestId,
+        class: usize,
+        tenant: usize,
+        how: AnswerKind,
+        late: bool,
+    },
+    /// The link to the bulletin is up, or broke off.
+    Link {
+        up: bool,
+    },
+    /// An event of the bulletin was taken in.
+    ListEvent {
+        number: u64,
+    },
+    Reloaded {
+        done: bool,
+    },
+    Stopping,
+    /// The gateway ended by itself, with its own counters at that time.
+    Ended {
+        counters: Vec<(String, u64)>,
+    },
+    /// Entries that could not be written: how many, from when to when, and what they had counted.
+    Gap {
+        from: Micros,
+        to: Micros,
+        entries: u64,
+        counted: Box<Tally>,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub enum Entry {
+    /// What the module was told.
+    In(Event),
+    /// What it answered.
+    Out(Action),
+    Host(Host),
+}
+
+/// The same, borrowed: what is recorded is only looked at.
+#[derive(Clone, Copy, Debug)]
+pub enum EntryRef<'a> {
+    In(&'a Event),
+    Out(&'a Action),
+    Host(&'a Host),
+}
+
+impl Entry {
+    pub fn as_ref(&self) -> EntryRef<'_> {
+        match self {
+            Entry::In(event) => EntryRef::In(event),
+            Entry::Out(action) => EntryRef::Out(action),
+            Entry::Host(host) => EntryRef::Host(host),
+        }
+    }
+}
