Stand-ins as a package with scenarios, and the fleet's state and episodes folded from records

Need: the toy engine answered one query at a time on each connection, so tests of load measured the toy; and nothing turned a record into what happened.

Change: crates/standin runs queries side by side on a stated number of cores with memory, ranks, cold starts, kills, resets, stalls, errors and busy answers; a bulletin and open-loop clients that check each answer; scenarios in the line-based form. crates/fleet folds records into state, series and episodes of trouble. The toy server is a scenario now, and examples/play runs one with its gateways.

--- a/crates/command/tests/common/mod.rs
+++ b/crates/command/tests/common/mod.rs
@@ -1,7 +1,6 @@
 //! Starts the program against stand-ins on loopback, on ports that the system gives.
 
-#[path = "../../../../examples/toy-server/standin.rs"]
-pub mod standin;
+pub use eideryard_standin::scripted as standin;
 
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
--- /dev/null
+++ b/crates/fleet/src/state.rs
@@ -0,0 +1,566 @@
+//! The fleet's state at an instant, for each start of each gateway, and the facts that entries tell of.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::IpAddr;
+
+use eideryard::interface::{Action, EngineId, Event, Micros, Outcome, Phase, RequestId};
+use eideryard_record::reader::What;
+use eideryard_record::tally::Counted;
+use eideryard_record::{AnswerKind, Entry, Host, Listed, Names, NotTaken, Source};
+use hdrhistogram::Histogram;
+
+/// Open requests of one gateway that are kept; a gateway's own limits are far below.
+const MOST_OPEN: usize = 1 << 17;
+/// Attempts of one request that are kept.
+const MOST_ATTEMPTS: usize = 32;
+/// Outcomes of an engine that are shown.
+pub const RECENT: usize = 12;
+/// Latencies from 1 ms to an hour, in milliseconds, to two digits.
+const LONGEST_MS: u64 = 3_600_000;
+/// Classes that latencies are kept of.
+const MOST_CLASSES: usize = 256;
+
+/// Something that happened, in words that need no state.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Fact {
+    Began {
+        restart_of: Option<usize>,
+    },
+    Taken {
+        class: usize,
+        tenant: usize,
+        from: Option<IpAddr>,
+    },
+    /// Ended; the time is since it was taken, where that is known.
+    Ended {
+        request: RequestId,
+        id: Option<u64>,
+        class: usize,
+        tenant: usize,
+        how: AnswerKind,
+        late: bool,
+        took: Option<Micros>,
+        attempts: usize,
+    },
+    Refused {
+        class: Option<usize>,
+        tenant: Option<usize>,
+    },
+    Sent {
+        engine: EngineId,
+        class: usize,
+        again: bool,
+    },
+    Out {
+        engine: EngineId,
+        outcome: Outcome,
+        spent: Micros,
+    },
+    Listed {
+        engine: EngineId,
+        phase: Phase,
+        started_anew: bool,
+    },
+    Quarantine {
+        engine: EngineId,
+        begins: bool,
+    },
+    Roster {
+        heard: bool,
+    },
+    RosterEvent {
+        number: u64,
+    },
+    Stopping,
+    Over,
+    /// Entries are missing from then on, up to now; how many, where that is known.
+    Missing {
+        from: Micros,
+        entries: Option<u64>,
+    },
+    /// The record stops here without an end.
+    Breaks,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Said {
+    pub source: usize,
+    pub at: Micros,
+    pub fact: Fact,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Attempt {
+    pub engine: EngineId,
+    pub sent_at: Micros,
+    pub ended: Option<(Outcome, Micros)>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub id: u64,
+    pub class: usize,
+    pub tenant: usize,
+    pub from: Option<IpAddr>,
+    pub arrived_at: Micros,
+    pub grant_mb: f64,
+    pub rank: u8,
+    pub attempts: Vec<Attempt>,
+    /// Attempts of before a segment began, of which only the number is known.
+    pub earlier: usize,
+    /// The module was told of it: its class is known.
+    arrived: bool,
+    answered: bool,
+}
+
+impl Request {
+    pub fn tries(&self) -> usize {
+        self.earlier + self.attempts.len()
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Engine {
+    pub name: String,
+    pub address: String,
+    pub phase: Phase,
+    pub booted_at: Micros,
+    pub in_flight: usize,
+    pub granted_mb: f64,
+    pub threads_hint: Option<f64>,
+    /// What is out there by rank.
+    pub ranks: [u32; 4],
+    pub quarantined: bool,
+    /// Ended attempts by outcome, in the order of the tally.
+    pub outcomes: [u64; 8],
+    pub sent: u64,
+    pub recent: VecDeque<Outcome>,
+    pub last_answer: Option<Micros>,
+}
+
+pub struct Start {
+    pub name: String,
+    pub epoch: Micros,
+    pub names: Names,
+    pub counted: Counted,
+    pub engines: BTreeMap<EngineId, Engine>,
+    pub open: HashMap<RequestId, Request>,
+    /// Those that were open before the segment that begins; what it doesn't tell again has ended unseen.
+    before: HashMap<RequestId, Request>,
+    connections: HashMap<u64, IpAddr>,
+    /// Latency of served requests by class, in milliseconds.
+    pub latency: Vec<Histogram<u64>>,
+    pub heard_roster: bool,
+    pub stopping: bool,
+    /// The counters that it ended with.
+    pub own: Option<Vec<(String, u64)>>,
+    pub first_at: Micros,
+    pub last_at: Micros,
+    /// Totals hold, up to the last entry: nothing was skipped since the last tally.
+    pub exact: bool,
+    pub left_out: u64,
+    pub entries: u64,
+    damaged_since: Option<Micros>,
+    told_break: bool,
+}
+
+impl Start {
+    fn new(source: &Source, at: Micros) -> Self {
+        Start {
+            name: source.name.clone(),
+            epoch: source.epoch,
+            names: Names::default(),
+            counted: Counted::default(),
+            engines: BTreeMap::new(),
+            open: HashMap::new(),
+            before: HashMap::new(),
+            connections: HashMap::new(),
+            latency: Vec::new(),
+            heard_roster: false,
+            stopping: false,
+            own: None,
+            first_at: at,
+            last_at: at,
+            exact: true,
+            left_out: 0,
+            entries: 0,
+            damaged_since: None,
+            told_break: false,
+        }
+    }
+
+    pub fn class(&self, at: usize) -> String {
+        self.names.classes.get(at).cloned().unwrap_or_else(|| format!("class {at}"))
+    }
+
+    pub fn tenant(&self, at: usize) -> String {
+        self.names.tenants.get(at).cloned().unwrap_or_else(|| format!("tenant {at}"))
+    }
+
+    pub fn engine(&self, engine: EngineId) -> String {
+        let name = self.engines.get(&engine).map(|own| own.name.clone()).filter(|name| !name.is_empty());
+        name.unwrap_or_else(|| format!("engine {engine:08x}"))
+    }
+}
+
+#[derive(Default)]
+pub struct Fleet {
+    /// One for each source, in the order of the records; nothing where it has told nothing yet.
+    pub starts: Vec<Option<Start>>,
+    /// The latest time told by any.
+    pub now: Micros,
+}
+
+type Tell<'a> = &'a mut dyn FnMut(Said);
+
+impl Fleet {
+    pub fn start(&self, source: usize) -> Option<&Start> {
+        self.starts.get(source).and_then(Option::as_ref)
+    }
+
+    pub fn known(&self) -> impl Iterator<Item = (usize, &Start)> {
+        self.starts.iter().enumerate().filter_map(|(at, start)| Some((at, start.as_ref()?)))
+    }
+
+    /// Starts that run as far as the records tell: of each gateway the last, unless it has ended.
+    pub fn running(&self) -> impl Iterator<Item = (usize, &Start)> {
+        self.known().filter(|(_, start)| start.own.is_none() && !self.superseded(start))
+    }
+
+    fn superseded(&self, start: &Start) -> bool {
+        self.known().any(|(_, other)| other.name == start.name && other.epoch > start.epoch)
+    }
+
+    pub fn take(&mut self, sources: &[Source], source: usize, at: Micros, what: &What, tell: Tell) {
+        if self.starts.len() < sources.len() {
+            self.starts.resize_with(sources.len(), || None);
+        }
+        self.now = self.now.max(at);
+        if self.starts[source].is_none() {
+            let new = &sources[source];
+            let mut restart_of = None;
+            for (number, start) in self.starts.iter_mut().enumerate() {
+                let Some(start) = start.as_mut().filter(|start| start.name == new.name) else { continue };
+                restart_of = Some(number);
+                if start.own.is_none() && !std::mem::replace(&mut start.told_break, true) {
+                    tell(Said { source: number, at: start.last_at, fact: Fact::Breaks });
+                    let fact = Fact::Missing { from: start.last_at, entries: None };
+                    tell(Said { source: number, at, fact });
+                }
+            }
+            self.starts[source] = Some(Start::new(new, at));
+            tell(Said { source, at, fact: Fact::Began { restart_of } });
+        }
+        let Some(start) = &mut self.starts[source] else { return };
+        match what {
+            What::Damaged => {
+                start.exact = false;
+                start.damaged_since.get_or_insert(start.last_at);
+            }
+            What::Entry(entry) => {
+                if let Some(from) = start.damaged_since.take() {
+                    tell(Said { source, at, fact: Fact::Missing { from, entries: None } });
+                }
+                start.last_at = start.last_at.max(at);
+                start.entries += 1;
+                start.take(source, at, entry, tell);
+            }
+        }
+    }
+
+    /// What has neither ended nor been told of for a while before the end of all records has broken off.
+    pub fn finish(&mut self, tell: Tell) {
+        let now = self.now;
+        for (source, start) in self.starts.iter_mut().enumerate() {
+            let Some(start) = start else { continue };
+            if start.own.is_none() && !start.told_break && start.last_at + BREAK < now {
+                start.told_break = true;
+                tell(Said { source, at: start.last_at, fact: Fact::Breaks });
+                let fact = Fact::Missing { from: start.last_at, entries: None };
+                tell(Said { source, at: now, fact });
+            }
+        }
+    }
+}
+
+/// A gateway's record tells something more often than this, as its module's beat is recorded.
+const BREAK: Micros = 3_000_000;
+
+impl Start {
+    fn take(&mut self, source: usize, at: Micros, entry: &Entry, tell: Tell) {
+        let in_state = self.counted.is_state();
+        self.counted.read(entry.as_ref());
+        let mut say = |fact| tell(Said { source, at, fact });
+        match entry {
+            Entry::In(event) => self.event(at, event, &mut say),
+            Entry::Out(action) => self.action(at, action, &mut say),
+            Entry::Host(host) => self.host(at, host, in_state, &mut say),
+        }
+    }
+
+    fn event(&mut self, at: Micros, event: &Event, say: &mut dyn FnMut(Fact)) {
+        match event {
+            Event::Arrived(arrived) => {
+                let from = self.open.get(&arrived.id).and_then(|open| open.from);
+                say(Fact::Taken { class: arrived.class, tenant: arrived.tenant, from });
+                if let Some(open) = self.open.get_mut(&arrived.id) {
+                    (open.class, open.tenant, open.arrived) = (arrived.class, arrived.tenant, true);
+                    if open.answered {
+                        self.close(arrived.id);
+                    }
+                }
+            }
+            Event::Ended(ended) => {
+                let Some(open) = self.open.get_mut(&ended.request) else { return };
+                let place = ended.attempt.checked_sub(open.earlier);
+                let Some(tried) = place.and_then(|place| open.attempts.get_mut(place)) else { return };
+                tried.ended = Some((ended.outcome, at));
+                let (engine, rank, grant) = (tried.engine, open.rank, open.grant_mb);
+                let done = open.answered && open.attempts.iter().all(|attempt| attempt.ended.is_some());
+                if done {
+                    self.open.remove(&ended.request);
+                }
+                if let Some(own) = self.engines.get_mut(&engine) {
+                    own.leave(rank, grant);
+                    own.outcomes[ended.outcome as usize] += 1;
+                    own.recent.push_back(ended.outcome);
+                    if own.recent.len() > RECENT {
+                        own.recent.pop_front();
+                    }
+                    if ended.outcome == Outcome::Answered {
+                        own.last_answer = Some(at);
+                    }
+                    own.threads_hint = ended.report.and_then(|report| report.in_flight).or(own.threads_hint);
+                }
+                say(Fact::Out { engine, outcome: ended.outcome, spent: ended.spent });
+            }
+            _ => {}
+        }
+    }
+
+    fn action(&mut self, at: Micros, action: &Action, say: &mut dyn FnMut(Fact)) {
+        match action {
+            Action::Terms { request, grant_mb, rank } => {
+                let Some(open) = self.open.get_mut(request) else { return };
+                let (old_rank, old_grant) = (open.rank, open.grant_mb);
+                (open.rank, open.grant_mb) = (*rank, *grant_mb);
+                let out = open.attempts.iter().filter(|attempt| attempt.ended.is_none());
+                for engine in out.map(|attempt| attempt.engine) {
+                    if let Some(own) = self.engines.get_mut(&engine) {
+                        own.leave(old_rank, old_grant);
+                        own.enter(*rank, *grant_mb);
+                    }
+                }
+            }
+            Action::Send { request, engine, .. } => {
+                let own = self.engines.entry(*engine).or_default();
+                own.sent += 1;
+                let Some(open) = self.open.get_mut(request) else { return };
+                own.enter(open.rank, open.grant_mb);
+                let again = open.tries() > 0;
+                if open.attempts.len() >= MOST_ATTEMPTS {
+                    open.attempts.remove(0);
+                    open.earlier += 1;
+                }
+                open.attempts.push(Attempt { engine: *engine, sent_at: at, ended: None });
+                say(Fact::Sent { engine: *engine, class: open.class, again });
+            }
+            Action::Log(text) => {
+                // The module tells of quarantines in words: `engine N quarantined: ...`, `engine N is back ...`.
+                let mut words = text.split(' ');
+                let engine = (words.next() == Some("engine")).then(|| words.next()?.parse().ok()).flatten();
+                let begins = match words.next() {
+                    Some("quarantined:") => true,
+                    Some("is" | "speaks") => false,
+                    _ => return,
+                };
+                let Some(engine) = engine else { return };
+                if let Some(own) = self.engines.get_mut(&engine) {
+                    own.quarantined = begins;
+                    say(Fact::Quarantine { engine, begins });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn host(&mut self, at: Micros, host: &Host, in_state: bool, say: &mut dyn FnMut(Fact)) {
+        match host {
+            Host::Begin { .. } => {
+                self.before = std::mem::take(&mut self.open);
+                self.connections.clear();
+                for own in self.engines.values_mut() {
+                    (own.in_flight, own.granted_mb, own.ranks) = (0, 0.0, [0; 4]);
+                }
+            }
+            Host::StateWhole => {
+                // Answered ones stay while attempts of theirs are out: the state doesn't tell of them.
+                let late =
+                    std::mem::take(&mut self.before).into_iter().filter(|(_, request)| request.answered);
+                for (key, request) in late {
+                    for attempt in request.attempts.iter().filter(|attempt| attempt.ended.is_none()) {
+                        self.engines.entry(attempt.engine).or_default().enter(request.rank, request.grant_mb);
+                    }
+                    self.open.insert(key, request);
+                }
+            }
+            Host::Names(names) => self.names = names.clone(),
+            Host::Tally(_) => self.exact = true,
+            Host::Engine(listed) => self.listed(listed, in_state, say),
+            Host::Open(told) => {
+                let known = self.before.remove(&told.offer.request);
+                let (grant_mb, rank) = known.as_ref().map_or((0.0, 0), |own| (own.grant_mb, own.rank));
+                let attempts = match known {
+                    Some(known) => known.attempts,
+                    None => {
+                        let out = told.out.into_iter();
+                        out.map(|(engine, sent_at)| Attempt { engine, sent_at, ended: None }).collect()
+                    }
+                };
+                for attempt in attempts.iter().filter(|attempt| attempt.ended.is_none()) {
+                    self.engines.entry(attempt.engine).or_default().enter(rank, grant_mb);
+                }
+                let request = Request {
+                    id: told.offer.id,
+                    class: told.class,
+                    tenant: told.tenant,
+                    from: self.connections.get(&told.offer.connection).copied(),
+                    arrived_at: told.arrived_at,
+                    grant_mb,
+                    rank,
+                    earlier: (told.attempts as usize).saturating_sub(attempts.len()),
+                    attempts,
+                    arrived: true,
+                    answered: false,
+                };
+                self.keep(told.offer.request, request);
+            }
+            Host::Connected { connection, address } => {
+                if self.connections.len() < MOST_OPEN {
+                    self.connections.insert(*connection, *address);
+                }
+            }
+            Host::Disconnected { connection } => _ = self.connections.remove(connection),
+            Host::Offered(offer) => {
+                let request = Request {
+                    id: offer.id,
+                    class: 0,
+                    tenant: 0,
+                    from: self.connections.get(&offer.connection).copied(),
+                    arrived_at: at,
+                    grant_mb: 0.0,
+                    rank: 0,
+                    attempts: Vec::new(),
+                    earlier: 0,
+                    arrived: false,
+                    answered: false,
+                };
+                self.keep(offer.request, request);
+            }
+            Host::NotTaken { how, class, tenant } => {
+                if *how == NotTaken::NoRoom {
+                    say(Fact::Refused { class: *class, tenant: *tenant });
+                }
+            }
+            Host::Answered { request, class, tenant, how, late } => {
+                let open = self.open.get_mut(request);
+                let took = open.as_ref().map(|open| at.saturating_sub(open.arrived_at));
+                let (id, attempts) = open.as_ref().map_or((None, 0), |open| (Some(open.id), open.tries()));
+                if *how == AnswerKind::Served && *class < MOST_CLASSES {
+                    while self.latency.len() <= *class {
+                        // The bounds are constants that fit.
+                        self.latency.extend(Histogram::new_with_bounds(1, LONGEST_MS, 2).ok());
+                    }
+                    took.into_iter().for_each(|took| self.latency[*class].saturating_record(took / 1000));
+                }
+                let (class, tenant, how, late) = (*class, *tenant, *how, *late);
+                say(Fact::Ended { request: *request, id, class, tenant, how, late, took, attempts });
+                if let Some(open) = open {
+                    open.answered = true;
+                    // The module is told of one that was given back at once only after its end.
+                    if open.arrived {
+                        self.close(*request);
+                    }
+                }
+            }
+            Host::Link { up } => {
+                if self.heard_roster != *up || in_state {
+                    self.heard_roster = *up;
+                    if !in_state {
+                        say(Fact::Roster { heard: *up });
+                    }
+                }
+            }
+            Host::ListEvent { number } => say(Fact::RosterEvent { number: *number }),
+            Host::Stopping => {
+                self.stopping = true;
+                say(Fact::Stopping);
+            }
+            Host::Ended { counters } => {
+                self.own = Some(counters.clone());
+                say(Fact::Over);
+            }
+            Host::Gap { from, entries, .. } => {
+                self.left_out += entries;
+                say(Fact::Missing { from: *from, entries: Some(*entries) });
+            }
+            Host::Reloaded { .. } => {}
+        }
+    }
+
+    fn listed(&mut self, listed: &Listed, in_state: bool, say: &mut dyn FnMut(Fact)) {
+        let known = self.engines.get(&listed.engine);
+        let started_anew = known.is_some_and(|own| {
+            listed.booted_at > own.booted_at || (!listed.address.is_empty() && own.address != listed.address)
+        });
+        let changed = known.is_none_or(|own| own.phase != listed.phase || own.name != listed.name);
+        let own = self.engines.entry(listed.engine).or_default();
+        if started_anew {
+            // Another process: what its predecessor did is not held against it.
+            own.recent.clear();
+            own.quarantined = false;
+        }
+        own.name.clone_from(&listed.name);
+        if !listed.address.is_empty() {
+            own.address.clone_from(&listed.address);
+        }
+        (own.phase, own.booted_at) = (listed.phase, listed.booted_at);
+        if (changed || started_anew) && !in_state {
+            say(Fact::Listed { engine: listed.engine, phase: listed.phase, started_anew });
+        }
+    }
+
+    fn keep(&mut self, key: RequestId, request: Request) {
+        if self.open.len() < MOST_OPEN {
+            self.open.insert(key, request);
+        }
+    }
+
+    /// Forgets a request that was answered, unless an attempt of it is still out.
+    fn close(&mut self, key: RequestId) {
+        let out = |request: &Request| request.attempts.iter().any(|attempt| attempt.ended.is_none());
+        if self.open.get(&key).is_some_and(|request| !out(request)) {
+            self.open.remove(&key);
+        }
+    }
+
+    /// Requests that wait for their answer.
+    pub fn waiting(&self) -> usize {
+        self.open.values().filter(|request| !request.answered).count()
+    }
+}
+
+impl Engine {
+    fn enter(&mut self, rank: u8, grant_mb: f64) {
+        self.in_flight += 1;
+        self.granted_mb += grant_mb;
+        self.ranks[rank.min(3) as usize] += 1;
+    }
+
+    fn leave(&mut self, rank: u8, grant_mb: f64) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        self.granted_mb = (self.granted_mb - grant_mb).max(0.0);
+        let place = &mut self.ranks[rank.min(3) as usize];
+        *place = place.saturating_sub(1);
+    }
+}
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -19,14 +19,11 @@
 const MOST_DEPTH: usize = 8;
 const MOST_FILES: usize = 64;
 
-/// Reads a text and all that it includes, and checks it against a table. `open` gives the text of an included
-/// file, by the name of the one that includes it and its own.
-pub fn read(
-    file: &str,
-    text: &str,
-    table: &'static [Spec],
-    open: &dyn Fn(&str, &str) -> Result<(String, String), String>,
-) -> Result<Vec<Setting>, Fault> {
+/// Gives the name and the text of an included file, by the name of the one that includes it and its own.
+pub type Open = dyn Fn(&str, &str) -> Result<(String, String), String>;
+
+/// Reads a text and all that it includes, and checks it against a table.
+pub fn read(file: &str, text: &str, table: &'static [Spec], open: &Open) -> Result<Vec<Setting>, Fault> {
     let mut files = 1;
     let statements = included(file, text, 0, &mut files, open)?;
     table::check(&statements, table)
@@ -37,7 +34,7 @@
     text: &str,
     depth: usize,
     files: &mut usize,
-    open: &dyn Fn(&str, &str) -> Result<(String, String), String>,
+    open: &Open,
 ) -> Result<Vec<Statement>, Fault> {
     let mut whole = Vec::new();
     for statement in grammar::parse(file, text)? {
--- a/crates/lines/src/value.rs
+++ b/crates/lines/src/value.rs
@@ -50,7 +50,7 @@
 
 /// A number in the largest unit that leaves no fraction, as a person would write it.
 fn in_units(value: u64, units: &[(&str, u64)]) -> String {
-    let fits = units.iter().filter(|(_, unit)| value % unit == 0 && value >= *unit);
+    let fits = units.iter().filter(|(_, unit)| value.is_multiple_of(*unit) && value >= *unit);
     match fits.max_by_key(|(_, unit)| *unit) {
         Some((name, unit)) => format!("{}{name}", value / unit),
         None => value.to_string(),
--- a/crates/record/src/reader.rs
+++ b/crates/record/src/reader.rs
@@ -224,6 +224,9 @@
     }
 }
 
+/// A start of a gateway, and its segments: number, path and size of each.
+type Segments = BTreeMap<(Micros, String, PathBuf), Vec<(u64, PathBuf, u64)>>;
+
 /// All records of some directories as one stream, by time.
 pub struct Merged {
     sources: Vec<Source>,
@@ -267,7 +270,7 @@
 
     /// Looks for new segments and new starts.
     fn look(&mut self) -> Result<(), Unusable> {
-        let mut found: BTreeMap<(Micros, String, PathBuf), Vec<(u64, PathBuf, u64)>> = BTreeMap::new();
+        let mut found = Segments::new();
         for directory in &self.directories {
             let unusable = |error| Unusable::Io { path: directory.clone(), error };
             for file in std::fs::read_dir(directory).map_err(unusable)? {
--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -4,7 +4,7 @@
 //! it is then.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{sync_channel, Receiver, SyncSender, TrySendError};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
@@ -197,10 +197,8 @@
         let Some(mut batch) = self.batch.take() else { return };
         self.segment_bytes += batch.bytes.len() as u64;
         batch.after.clone_from(&self.tally);
-        let sent = self.filled.as_ref().map(|filled| filled.try_send(batch));
-        if let Some(Err(TrySendError::Disconnected(_)) | Err(TrySendError::Full(_))) = sent {
-            self.stale = true;
-        }
+        // The channel holds as many as there are, so it is never full; the writer ends only with the program.
+        self.stale |= self.filled.as_ref().is_some_and(|filled| filled.try_send(batch).is_err());
     }
 
     /// When [`Recorder::flush`] has something to do, if nothing else happens.
--- /dev/null
+++ b/crates/standin/src/bulletin.rs
@@ -0,0 +1,118 @@
+//! The bulletin on a socket: numbered events of the list, to whoever reads, from the event on that it knows.
+
+use serde_json::{json, Value};
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{spawn_local, JoinHandle};
+use tokio::time::timeout;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    Up,
+    /// Connections are refused, those that are open end.
+    Down,
+    /// Connections come up and nothing is said on them.
+    Silent,
+}
+
+pub struct Bulletin {
+    pub address: SocketAddr,
+    events: RefCell<Vec<Value>>,
+    told: watch::Sender<usize>,
+    mood: Cell<Mood>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl Bulletin {
+    pub async fn start(wanted: Option<SocketAddr>) -> io::Result<Rc<Self>> {
+        let listener =
+            TcpListener::bind(wanted.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))).await?;
+        let bulletin = Rc::new(Bulletin {
+            address: listener.local_addr()?,
+            events: RefCell::new(Vec::new()),
+            told: watch::Sender::new(0),
+            mood: Cell::new(Mood::Up),
+            tasks: RefCell::new(Vec::new()),
+        });
+        bulletin.clone().serve(listener);
+        Ok(bulletin)
+    }
+
+    fn serve(self: Rc<Self>, listener: TcpListener) {
+        let own = self.clone();
+        let task = spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let task = spawn_local(own.clone().reader(stream));
+                own.tasks.borrow_mut().push(task);
+            }
+        });
+        self.tasks.borrow_mut().push(task);
+    }
+
+    /// The next event of the list; gives its number.
+    pub fn tell(&self, whole: bool, hosts: Vec<Value>) -> usize {
+        let mut events = self.events.borrow_mut();
+        let number = events.len() + 1;
+        events.push(json!({"no": number, "roster": {"seq": number, "whole": whole, "hosts": hosts}}));
+        self.told.send_replace(number);
+        number
+    }
+
+    /// What a gateway that starts now is told of the past.
+    pub fn known(&self) -> Value {
+        let events = self.events.borrow();
+        json!({"no": events.len(), "items": *events})
+    }
+
+    async fn reader(self: Rc<Self>, stream: TcpStream) {
+        // It ends when the other side has gone.
+        let _ = self.read(stream).await;
+    }
+
+    async fn read(&self, stream: TcpStream) -> io::Result<()> {
+        let mut lines = BufReader::new(stream);
+        let mut after = 0usize;
+        loop {
+            let mut line = String::new();
+            if lines.read_line(&mut line).await? <= 2 {
+                break;
+            }
+            if let Some(("Last-Event-ID", number)) = line.trim_end().split_once(": ") {
+                after = number.parse().map_err(io::Error::other)?;
+            }
+        }
+        let mut stream = lines.into_inner();
+        let mut news = self.told.subscribe();
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n").await?;
+        loop {
+            if self.mood.get() == Mood::Up {
+                let text: String = {
+                    let events = self.events.borrow();
+                    let news = events.iter().enumerate().skip(after);
+                    news.map(|(at, event)| format!("id: {}\ndata: {event}\n\n", at + 1)).collect()
+                };
+                after = self.events.borrow().len();
+                stream.write_all(if text.is_empty() { b": still here\n\n" } else { text.as_bytes() }).await?;
+            }
+            // A comment comes each second.
+            let _ = timeout(Duration::from_secs(1), news.changed()).await;
+        }
+    }
+
+    pub async fn set(self: &Rc<Self>, mood: Mood) -> io::Result<()> {
+        let before = self.mood.replace(mood);
+        if mood == Mood::Down {
+            self.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+        } else if before == Mood::Down {
+            tokio::task::yield_now().await;
+            self.clone().serve(TcpListener::bind(self.address).await?);
+        }
+        Ok(())
+    }
+}
--- a/examples/toy-server/standin.rs
+++ b/crates/standin/src/scripted.rs
@@ -1,7 +1,5 @@
-//! A stand-in for what is round a gateway, written from the protocol's words: an engine's end of a
-//! connection, the bulletin's, and a client's. The toy server of the examples and the tests of the gateway
-//! are made of these. Every wait ends after [`PATIENCE`], so that nothing hangs.
-#![allow(dead_code)]
+//! Single ends of connections, moved by hand: an engine's, the bulletin's, and a client's. Every wait ends after
+//! [`PATIENCE`], so that nothing hangs.
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -222,39 +220,53 @@
 
     /// The next answer; an error of kind `UnexpectedEof` once the gateway has closed the connection.
     pub fn answer(&mut self) -> io::Result<Answer> {
-        let wrong = |what: &str| io::Error::other(format!("no answer: {what}"));
-        let input = &mut self.stream;
-        if input.fill_buf()?.is_empty() {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        let array = |input: &mut BufReader<TcpStream>| {
-            rmp::decode::read_array_len(input).map_err(|e| wrong(&e.to_string()))
-        };
-        if array(input)? != 4 || rmp::decode::read_int::<u64, _>(input).ok() != Some(1) {
-            return Err(wrong("its head"));
-        }
-        let id = rmp::decode::read_int(input).map_err(|e| wrong(&e.to_string()))?;
-        if input.fill_buf()?.first() == Some(&0xc0) {
+        read_answer(&mut self.stream)
+    }
+}
+
+/// The first answer in some bytes and its length, or nothing where it isn't whole.
+pub fn parse_answer(bytes: &[u8]) -> io::Result<Option<(Answer, usize)>> {
+    let mut rest = bytes;
+    match read_answer(&mut rest) {
+        Ok(answer) => Ok(Some((answer, bytes.len() - rest.len()))),
+        Err(_) if rest.is_empty() => Ok(None),
+        Err(e) if e.kind() == io::ErrorKind::UnexpectedEof => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+fn read_answer(input: &mut impl BufRead) -> io::Result<Answer> {
+    let wrong = |what: &str| io::Error::other(format!("no answer: {what}"));
+    if input.fill_buf()?.is_empty() {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    fn array(input: &mut impl BufRead) -> io::Result<u32> {
+        rmp::decode::read_array_len(input).map_err(|e| io::Error::other(e.to_string()))
+    }
+    if array(input)? != 4 || rmp::decode::read_int::<u64, _>(input).ok() != Some(1) {
+        return Err(wrong("its head"));
+    }
+    let id = rmp::decode::read_int(input).map_err(|e| wrong(&e.to_string()))?;
+    if input.fill_buf()?.first() == Some(&0xc0) {
+        input.consume(1);
+        array(input)?;
+        let marker = *input.fill_buf()?.first().ok_or(io::ErrorKind::UnexpectedEof)?;
+        if matches!(marker, 0xc2 | 0xc3) {
             input.consume(1);
-            array(input)?;
-            let marker = *input.fill_buf()?.first().ok_or(io::ErrorKind::UnexpectedEof)?;
-            if matches!(marker, 0xc2 | 0xc3) {
-                input.consume(1);
-                read_map(input)?;
-                return Ok(Answer::Health { id, well: marker == 0xc3 });
-            }
-            let length = rmp::decode::read_bin_len(input).map_err(|e| wrong(&e.to_string()))?;
-            let mut body = vec![0; length as usize];
-            input.read_exact(&mut body)?;
             read_map(input)?;
-            return Ok(Answer::Result { id, body });
+            return Ok(Answer::Health { id, well: marker == 0xc3 });
         }
-        array(input)?;
-        let word = read_text(input)?;
-        let fields = read_map(input)?;
-        input.read_exact(&mut [0])?;
-        Ok(Answer::Error { id, word, fields })
+        let length = rmp::decode::read_bin_len(input).map_err(|e| wrong(&e.to_string()))?;
+        let mut body = vec![0; length as usize];
+        input.read_exact(&mut body)?;
+        read_map(input)?;
+        return Ok(Answer::Result { id, body });
     }
+    array(input)?;
+    let word = read_text(input)?;
+    let fields = read_map(input)?;
+    input.read_exact(&mut [0])?;
+    Ok(Answer::Error { id, word, fields })
 }
 
 /// The bytes of one request.
@@ -283,14 +295,14 @@
     out
 }
 
-fn read_text(input: &mut BufReader<TcpStream>) -> io::Result<String> {
+fn read_text(input: &mut impl BufRead) -> io::Result<String> {
     let length = rmp::decode::read_str_len(input).map_err(|e| io::Error::other(e.to_string()))?;
     let mut text = vec![0; length as usize];
     input.read_exact(&mut text)?;
     String::from_utf8(text).map_err(io::Error::other)
 }
 
-fn read_map(input: &mut BufReader<TcpStream>) -> io::Result<Vec<(String, String)>> {
+fn read_map(input: &mut impl BufRead) -> io::Result<Vec<(String, String)>> {
     let count = rmp::decode::read_map_len(input).map_err(|e| io::Error::other(e.to_string()))?;
     (0..count).map(|_| Ok((read_text(input)?, read_text(input)?))).collect()
 }
