Report of an incident as one HTML page, and requests found by their id

Need: who answers a carrier after an incident needs one page that says what happened in plain words.

Change: crates/report makes a self-contained page from folded records: a head line, what is not known, a timeline of episodes and their overlaps, plots by class, tenant and engine, tables and the requests that were not simply served. Plots are SVG in the page's own templates, so that light, dark, print and screen readers are served by one style sheet. 'eideryard report' and 'records find' are new; spans of time begin at the last segment before them.

--- a/crates/command/src/arguments.rs
+++ b/crates/command/src/arguments.rs
@@ -1,6 +1,7 @@
 //! What the command line takes.
 
-use clap::{Parser, Subcommand};
+use crate::moment::{self, Moment};
+use clap::{Args, Parser, Subcommand};
 use std::path::PathBuf;
 
 /// A workload manager in front of analytic engines.
@@ -37,6 +38,16 @@
         #[command(subcommand)]
         what: RecordsCommand,
     },
+    /// Make one HTML page of an incident from gateways' records
+    Report {
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+        /// Where the page goes
+        #[arg(long, value_name = "FILE.html")]
+        out: PathBuf,
+        #[command(flatten)]
+        span: Span,
+    },
     /// Print completions for a shell
     Completions { shell: clap_complete::Shell },
     /// Print the manual page
@@ -45,6 +56,17 @@
     Reference,
 }
 
+/// A part of the records, by time.
+#[derive(Args, Clone, Copy, Default)]
+pub struct Span {
+    /// Leave out what came before: HH:MM[:SS] on the records' last day, or a Unix time in seconds; UTC
+    #[arg(long, value_name = "TIME", value_parser = moment::parse)]
+    pub from: Option<Moment>,
+    /// Leave out what came after
+    #[arg(long, value_name = "TIME", value_parser = moment::parse)]
+    pub to: Option<Moment>,
+}
+
 #[derive(Subcommand)]
 pub enum RecordsCommand {
     /// Read all of it, say what is damaged or missing, and hold what was counted against the gateways' own
@@ -61,6 +83,13 @@
         #[arg(required = true, value_name = "DIR")]
         directories: Vec<PathBuf>,
     },
+    /// Print the life of the requests with this id (16 hex digits)
+    Find {
+        #[arg(value_name = "ID")]
+        id: String,
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+    },
     /// Print every entry, one a line
     Dump {
         #[arg(required = true, value_name = "DIR")]
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -3,7 +3,9 @@
 mod arguments;
 mod check;
 mod logger;
+mod moment;
 mod records;
+mod view;
 
 use arguments::{Arguments, Command, RecordsCommand};
 use clap::{CommandFactory, Parser};
@@ -18,8 +20,15 @@
         Command::Records { what } => match what {
             RecordsCommand::Verify { directories } => records::verify(&directories),
             RecordsCommand::Tally { json, directories } => records::tally(&directories, json),
+            RecordsCommand::Find { id, directories } => records::find(&id, &directories),
             RecordsCommand::Dump { directories } => records::dump(&directories),
         },
+        Command::Report { directories, out, span } => view::fold(&directories, span).and_then(|view| {
+            let page = eideryard_report::page(&view);
+            std::fs::write(&out, page).map_err(|e| format!("{}: {e}", out.display()))?;
+            println!("{}", eideryard_report::story::headline(&view));
+            Ok(())
+        }),
         Command::Completions { shell } => {
             let mut command = Arguments::command();
             clap_complete::generate(shell, &mut command, "eideryard", &mut std::io::stdout());
--- a/crates/command/src/records.rs
+++ b/crates/command/src/records.rs
@@ -2,9 +2,10 @@
 
 use eideryard_record::entry::EntryRef;
 use eideryard_record::reader::What;
-use eideryard_record::tally::{Counted, Totals};
+use eideryard_record::tally::Counted;
 use eideryard_record::{Entry, Host, Merged};
 use serde_json::{json, Map, Value};
+use std::collections::BTreeSet;
 use std::io::{BufWriter, Write};
 use std::path::PathBuf;
 
@@ -115,11 +116,34 @@
         };
         writeln!(out, "{line}").map_err(|e| e.to_string())?;
     }
-    debug_assert!(!Totals::NAMES.is_empty());
     out.flush().map_err(|e| e.to_string())
 }
 
 pub fn dump(directories: &[PathBuf]) -> Result<(), String> {
+    print(directories, |_, _| true)
+}
+
+/// The life of the requests that clients named so: from their offers to the ends of their last attempts.
+pub fn find(id: &str, directories: &[PathBuf]) -> Result<(), String> {
+    let wanted = u64::from_str_radix(id, 16).ok().filter(|_| id.len() == 16);
+    let wanted = wanted.ok_or_else(|| format!("'{id}' is no id; expected 16 hex digits"))?;
+    let mut known = BTreeSet::new();
+    print(directories, |source, entry| {
+        let offered = match entry {
+            Entry::Host(Host::Offered(offer)) => Some(offer),
+            Entry::Host(Host::Open(open)) => Some(&open.offer),
+            _ => None,
+        };
+        known.extend(offered.filter(|offer| offer.id == wanted).map(|offer| (source, offer.request)));
+        entry.request().is_some_and(|request| known.contains(&(source, request)))
+    })?;
+    match known.is_empty() {
+        true => Err(format!("no record tells of {id}")),
+        false => Ok(()),
+    }
+}
+
+fn print(directories: &[PathBuf], mut wanted: impl FnMut(usize, &Entry) -> bool) -> Result<(), String> {
     let mut merged = Merged::open(directories).map_err(|e| e.to_string())?;
     let mut out = BufWriter::new(std::io::stdout().lock());
     while let Some(told) = merged.next().map_err(|e| e.to_string())? {
@@ -129,6 +153,7 @@
             What::Damaged => {
                 writeln!(out, "{seconds}.{micros:06} {name} -- something before this can't be read")
             }
+            What::Entry(entry) if !wanted(told.source, entry) => Ok(()),
             What::Entry(entry) => match entry.as_ref() {
                 EntryRef::In(event) => writeln!(out, "{seconds}.{micros:06} {name} in {event:?}"),
                 EntryRef::Out(action) => writeln!(out, "{seconds}.{micros:06} {name} out {action:?}"),
--- /dev/null
+++ b/crates/command/src/view.rs
@@ -0,0 +1,29 @@
+//! Records to views: what the report and the console show.
+
+use crate::arguments::Span;
+use eideryard_fleet::View;
+use eideryard_record::Merged;
+use std::path::PathBuf;
+
+/// Folds what records hold of a span of time, each from the last segment that begins before it.
+pub fn fold(directories: &[PathBuf], span: Span) -> Result<View, String> {
+    let mut merged = Merged::open(directories).map_err(|e| e.to_string())?;
+    let last = merged.last_at().map_err(|e| e.to_string())?;
+    let from = span.from.map(|from| from.on_day_of(last));
+    let to = span.to.map_or(u64::MAX, |to| to.on_day_of(last));
+    if from.is_some_and(|from| from >= to) {
+        return Err("--from is not before --to".into());
+    }
+    if let Some(from) = from {
+        merged = Merged::open_from(directories, from).map_err(|e| e.to_string())?;
+    }
+    let mut view = View::new();
+    while let Some(told) = merged.next().map_err(|e| e.to_string())? {
+        if told.at > to {
+            break;
+        }
+        view.take(merged.sources(), told.source, told.at, &told.what);
+    }
+    view.finish();
+    Ok(view)
+}
--- a/crates/fleet/src/episodes.rs
+++ b/crates/fleet/src/episodes.rs
@@ -21,6 +21,8 @@
 const USUAL_SPAN: f64 = 60.0;
 /// Seconds of past that make something usual.
 const LEAST_PAST: u32 = 3;
+/// Seconds with traffic after which what was never seen is new, not just the beginning.
+const MUCH_PAST: u32 = 5;
 /// So many times the usual is over it.
 const OVER: f64 = 3.0;
 /// Fewer refusals or resends in a window than this are never an episode, nor a smaller share of all than this.
@@ -126,6 +128,11 @@
 }
 
 impl Usual {
+    /// Of something new: nothing is usual, once there was a past without it.
+    fn new(past: u32) -> Self {
+        Usual { mean: 0.0, seen: if past >= MUCH_PAST { LEAST_PAST } else { 0 } }
+    }
+
     fn learn(&mut self, value: f64) {
         self.seen = self.seen.saturating_add(1);
         self.mean += (value - self.mean) / (self.seen as f64).min(USUAL_SPAN);
@@ -177,6 +184,8 @@
     gone: Option<(usize, BTreeSet<EngineId>)>,
     roster: Option<usize>,
     roster_lost: BTreeMap<usize, Micros>,
+    /// Seconds with requests that were judged.
+    busy: u32,
     /// Gaps that were told, by source.
     gaps: Vec<(usize, Micros, Micros)>,
     now: Micros,
@@ -318,6 +327,7 @@
         }
         self.judge_floods(&tenants, &addresses, taken, seconds, end);
         self.judge_latency(&latency, end);
+        self.busy = self.busy.saturating_add((taken > 0.0) as u32);
         self.close_quiet(end);
     }
 
@@ -346,11 +356,8 @@
         let mut flooding = 0;
         for tenant in tenants.keys().chain(self.tenants.keys()).copied().collect::<BTreeSet<_>>() {
             let count = tenants.get(&tenant).copied().unwrap_or(0);
-            let past = self.refusals.seen.max(self.resends.seen) >= LEAST_PAST;
-            let usual = self.tenants.entry(tenant).or_default();
-            // A tenant that was never there is as unusual as one that sends more, once anything is usual.
-            let known = usual.known().or(past.then_some(0.0));
-            match known.filter(|usual| is_flood(count, *usual)) {
+            let usual = self.tenants.entry(tenant).or_insert(Usual::new(self.busy));
+            match usual.known().filter(|usual| is_flood(count, *usual)) {
                 Some(before) => {
                     flooding += 1;
                     let from = addresses.iter().max_by_key(|(from, count)| (**count, **from));
@@ -368,7 +375,7 @@
             if self.addresses.len() >= MOST_ADDRESSES && !self.addresses.contains_key(from) {
                 continue;
             }
-            let usual = self.addresses.entry(*from).or_default();
+            let usual = self.addresses.entry(*from).or_insert(Usual::new(self.busy));
             match usual.known().filter(|usual| is_flood(*count, *usual)) {
                 Some(before) => floods.push((*from, *count, before)),
                 None => usual.learn(*count as f64 / seconds),
@@ -434,10 +441,12 @@
                 self.end(&Kind::Drain(engine), at);
                 if started_anew {
                     self.speaks(engine, at);
+                    self.end(&Kind::Quarantine(engine), at);
                 }
             }
             Phase::Gone => {
                 self.end(&Kind::Drain(engine), at);
+                self.end(&Kind::Quarantine(engine), at);
                 // Whoever is off the list is missed no more.
                 self.speaks(engine, at);
             }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,10 +1,11 @@
 //! Folds entries of records into what a person asks after an incident.
 //!
 //! [`state`] keeps the fleet's state at any instant and turns entries into plain [`Fact`]s; [`series`] sums facts in
-//! buckets of time; [`episodes`] finds troubles by their symptoms; [`skew`] tells how far clocks of gateways are
+//! buckets of time; [`episodes`] finds troubles by their symptoms; [`notable`] keeps requests that were not simply served; [`skew`] tells how far clocks of gateways are
 //! apart. All of it is pure and bounded: a day's record costs no more memory than a minute's.
 
 pub mod episodes;
+pub mod notable;
 pub mod series;
 pub mod skew;
 pub mod state;
@@ -23,6 +24,7 @@
     pub series: Series,
     pub detector: Detector,
     pub skew: skew::Skew,
+    pub notables: notable::Notables,
 }
 
 impl Default for View {
@@ -38,15 +40,16 @@
             series: Series::new(),
             detector: Detector::new(),
             skew: skew::Skew::default(),
+            notables: notable::Notables::default(),
         }
     }
 
     pub fn take(&mut self, sources: &[Source], source: usize, at: Micros, what: &What) {
-        let (fleet, series, detector, skew) =
-            (&mut self.fleet, &mut self.series, &mut self.detector, &mut self.skew);
+        let View { fleet, series, detector, skew, notables } = self;
         fleet.take(sources, source, at, what, &mut |said| {
             series.take(&said);
             skew.take(&said);
+            notables.take(&said);
             detector.take(&said);
         });
     }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -227,6 +227,24 @@
         self.known().filter(|(_, start)| start.own.is_none() && !self.superseded(start))
     }
 
+    /// The name of an engine, as any of the gateways knows it: all number engines alike, by their names.
+    pub fn engine(&self, engine: EngineId) -> String {
+        let names = self.known().filter_map(|(_, start)| start.engines.get(&engine));
+        let name = names.map(|own| &own.name).find(|name| !name.is_empty()).cloned();
+        name.unwrap_or_else(|| format!("engine {engine:08x}"))
+    }
+
+    /// The name of a class or tenant: gateways of one fleet have the same settings.
+    pub fn class(&self, at: usize) -> String {
+        let mut starts = self.known().filter(|(_, start)| at < start.names.classes.len());
+        starts.next().map_or_else(|| format!("class {at}"), |(_, start)| start.class(at))
+    }
+
+    pub fn tenant(&self, at: usize) -> String {
+        let mut starts = self.known().filter(|(_, start)| at < start.names.tenants.len());
+        starts.next().map_or_else(|| format!("tenant {at}"), |(_, start)| start.tenant(at))
+    }
+
     fn superseded(&self, start: &Start) -> bool {
         self.known().any(|(_, other)| other.name == start.name && other.epoch > start.epoch)
     }
@@ -545,8 +563,8 @@
     }
 
     /// Requests that wait for their answer.
-    pub fn waiting(&self) -> usize {
-        self.open.values().filter(|request| !request.answered).count()
+    pub fn unanswered(&self) -> impl Iterator<Item = &Request> {
+        self.open.values().filter(|request| !request.answered)
     }
 }
 
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -1,7 +1,7 @@
 //! What a record holds, entry by entry.
 
 use crate::tally::Tally;
-use eideryard::interface::{Action, EngineId, Event, Micros, RequestId};
+use eideryard::interface::{end_tag, Action, EngineId, Event, Micros, RequestId};
 use std::net::IpAddr;
 
 /// Names by the places that the module numbers them with.
@@ -168,6 +168,38 @@
 }
 
 impl Entry {
+    /// The request that it is about, if it is about one.
+    pub fn request(&self) -> Option<RequestId> {
+        match self {
+            Entry::In(event) => match event {
+                Event::Arrived(request) => Some(request.id),
+                Event::Ended(ended) => Some(ended.request),
+                Event::StreamBegan { request }
+                | Event::Noted { request, .. }
+                | Event::ClientLeft { request } => Some(*request),
+                Event::Timer { tag } => tag.checked_sub(end_tag(0)).filter(|request| request >> 32 != 0),
+                _ => None,
+            },
+            Entry::Out(action) => match action {
+                Action::Terms { request, .. }
+                | Action::Send { request, .. }
+                | Action::Cancel { request, .. }
+                | Action::Refuse { request, .. }
+                | Action::Fail { request } => Some(*request),
+                Action::SetTimer { tag, .. } => {
+                    tag.checked_sub(end_tag(0)).filter(|request| request >> 32 != 0)
+                }
+                _ => None,
+            },
+            Entry::Host(host) => match host {
+                Host::Offered(offer) => Some(offer.request),
+                Host::Open(open) => Some(open.offer.request),
+                Host::Answered { request, .. } => Some(*request),
+                _ => None,
+            },
+        }
+    }
+
     pub fn as_ref(&self) -> EntryRef<'_> {
         match self {
             Entry::In(event) => EntryRef::In(event),
--- a/crates/record/src/frame.rs
+++ b/crates/record/src/frame.rs
@@ -66,6 +66,11 @@
     head
 }
 
+/// The time at which a frame begins, by its head alone: good enough to choose a place to read from.
+pub fn frame_begins(bytes: &[u8]) -> Option<Micros> {
+    (bytes.len() >= FRAME_HEAD && bytes.starts_with(&FRAME_MARK)).then(|| long(&bytes[28..]))
+}
+
 fn sum(head: &[u8], payload: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(&head[8..FRAME_HEAD]);
--- a/crates/record/src/reader.rs
+++ b/crates/record/src/reader.rs
@@ -11,7 +11,9 @@
 
 use crate::codec::{Context, Decoder, Unreadable};
 use crate::entry::Entry;
-use crate::frame::{find, read_file_head, Found, Frame, FILE_HEAD, FRAME_HEAD, MOST_PAYLOAD, VERSION};
+use crate::frame::{
+    find, frame_begins, read_file_head, Found, Frame, FILE_HEAD, FRAME_HEAD, MOST_PAYLOAD, VERSION,
+};
 use crate::writer::read_file_name;
 
 /// Read at once.
@@ -238,6 +240,8 @@
     follow: bool,
     /// The last time told by each source: damage is told at that.
     last: Vec<Micros>,
+    /// Segments that another one follows up to this time are passed over.
+    skip_before: Micros,
 }
 
 impl Merged {
@@ -250,7 +254,42 @@
         Self::with(directories, true)
     }
 
+    /// Reads from a time on: each record from the beginning of its last segment that begins no later. Starts that
+    /// had ended before are left out.
+    pub fn open_from(directories: &[PathBuf], from: Micros) -> Result<Self, Unusable> {
+        let mut merged = Self::with_from(directories, false, from)?;
+        merged.skip_before = from;
+        Ok(merged)
+    }
+
+    /// The time of the last frame of all: a look at the last file of each record.
+    pub fn last_at(&self) -> Result<Micros, Unusable> {
+        let mut last = self.last.iter().copied().max().unwrap_or(0);
+        for stream in &self.streams {
+            let Some(path) = stream.files.back().or(stream.open.as_ref().map(|(_, path)| path)) else {
+                continue;
+            };
+            let bytes = std::fs::read(path).map_err(|error| Unusable::Io { path: path.clone(), error })?;
+            let mut rest = &bytes[..];
+            while !rest.is_empty() {
+                rest = match find(rest) {
+                    Found::Frame(frame) => {
+                        last = last.max(frame.first_at);
+                        &rest[FRAME_HEAD + frame.length..]
+                    }
+                    Found::No(count) => &rest[count.min(rest.len())..],
+                    Found::More(_) => &rest[1..],
+                };
+            }
+        }
+        Ok(last)
+    }
+
     fn with(directories: &[PathBuf], follow: bool) -> Result<Self, Unusable> {
+        Self::with_from(directories, follow, 0)
+    }
+
+    fn with_from(directories: &[PathBuf], follow: bool, from: Micros) -> Result<Self, Unusable> {
         let mut merged = Merged {
             sources: Vec::new(),
             streams: Vec::new(),
@@ -259,6 +298,7 @@
             directories: directories.to_vec(),
             follow,
             last: Vec::new(),
+            skip_before: from,
         };
         merged.look()?;
         if merged.sources.is_empty() && !follow {
@@ -295,6 +335,7 @@
                     self.sources[at].bytes = bytes;
                 }
                 None => {
+                    self.pass_over(&mut files);
                     self.streams.push(Stream {
                         files: files.into_iter().map(|(_, path, _)| path).collect(),
                         open: None,
@@ -318,6 +359,17 @@
         Ok(())
     }
 
+    /// Drops segments before the last that begins no later than what is wanted.
+    fn pass_over(&self, files: &mut Vec<(u64, PathBuf, u64)>) {
+        if self.skip_before == 0 {
+            return;
+        }
+        let early = |path: &Path| begins(path).is_some_and(|at| at <= self.skip_before);
+        // They begin one after the other, so half of those left can be passed over at each look.
+        let first = files.partition_point(|(_, path, _)| early(path));
+        files.drain(..first.saturating_sub(1));
+    }
+
     pub fn sources(&self) -> &[Source] {
         &self.sources
     }
@@ -367,6 +419,13 @@
     }
 }
 
+/// When a segment begins, by its first frame.
+fn begins(path: &Path) -> Option<Micros> {
+    let mut head = Vec::new();
+    File::open(path).ok()?.take((FILE_HEAD + FRAME_HEAD) as u64).read_to_end(&mut head).ok()?;
+    frame_begins(head.get(FILE_HEAD..)?)
+}
+
 /// Whether a path is a directory that may hold records, for a clear message before anything is read.
 pub fn is_directory(path: &Path) -> bool {
     path.is_dir()
--- /dev/null
+++ b/crates/report/src/story.rs
@@ -0,0 +1,248 @@
+//! What happened, in plain words.
+
+use eideryard::interface::Micros;
+use eideryard_fleet::episodes::Kind;
+use eideryard_fleet::{Episode, View};
+use eideryard_record::tally::Totals;
+use time::macros::format_description;
+use time::OffsetDateTime;
+
+fn moment(at: Micros) -> OffsetDateTime {
+    OffsetDateTime::from_unix_timestamp_nanos(at as i128 * 1000).unwrap_or(OffsetDateTime::UNIX_EPOCH)
+}
+
+/// A time of day in UTC, to the second.
+pub fn clock(at: Micros) -> String {
+    moment(at).format(format_description!("[hour]:[minute]:[second]")).unwrap_or_default()
+}
+
+/// The same to the millisecond.
+pub fn clock_ms(at: Micros) -> String {
+    moment(at)
+        .format(format_description!("[hour]:[minute]:[second].[subsecond digits:3]"))
+        .unwrap_or_default()
+}
+
+pub fn date(at: Micros) -> String {
+    moment(at).format(format_description!("[year]-[month]-[day]")).unwrap_or_default()
+}
+
+/// A stretch of time as a person would say it.
+pub fn lasting(micros: Micros) -> String {
+    match micros {
+        0..1_000_000 => format!("{} ms", micros / 1000),
+        1_000_000..120_000_000 => format!("{:.1} s", micros as f64 / 1e6),
+        120_000_000..7_200_000_000 => format!("{} min", micros / 60_000_000),
+        _ => format!("{:.1} h", micros as f64 / 3.6e9),
+    }
+}
+
+pub fn plural(count: u64, one: &str) -> String {
+    if count == 1 {
+        format!("1 {one}")
+    } else {
+        format!("{count} {one}s")
+    }
+}
+
+fn listed(names: Vec<String>) -> String {
+    match &names[..] {
+        [] => "none".into(),
+        [one] => one.clone(),
+        [first @ .., last] => format!("{} and {last}", first.join(", ")),
+    }
+}
+
+/// Sums over all starts of all gateways.
+pub fn totals(view: &View) -> Totals {
+    let mut sum = Totals::default();
+    for (_, start) in view.fleet.known() {
+        let own = start.counted.tally.totals.pairs();
+        sum.values_mut().zip(own).for_each(|(sum, (_, value))| *sum += value);
+    }
+    sum
+}
+
+fn source(view: &View, source: usize) -> String {
+    view.fleet.start(source).map_or_else(|| format!("gateway {source}"), |start| start.name.clone())
+}
+
+/// Whom or what an episode is about.
+pub fn subject(view: &View, kind: &Kind) -> String {
+    match kind {
+        Kind::EnginesGone(engines) => {
+            let mut names: Vec<String> = engines.iter().map(|engine| view.fleet.engine(*engine)).collect();
+            names.sort();
+            listed(names)
+        }
+        Kind::Drain(engine) | Kind::Quarantine(engine) => view.fleet.engine(*engine),
+        Kind::Refusals | Kind::Resends => "the fleet".into(),
+        Kind::Latency(class) => view.fleet.class(*class),
+        Kind::RosterSilent(sources) => {
+            let names: std::collections::BTreeSet<String> =
+                sources.iter().map(|at| source(view, *at)).collect();
+            listed(names.into_iter().collect())
+        }
+        Kind::FloodOfTenant(tenant) => view.fleet.tenant(*tenant),
+        Kind::FloodOfAddress(from) => from.to_string(),
+        Kind::Gap(at) => source(view, *at),
+    }
+}
+
+/// What an episode was, in one clause.
+pub fn clause(view: &View, episode: &Episode) -> String {
+    let subject = subject(view, &episode.kind);
+    let share = |value: f64| format!("{:.0}%", 100.0 * value);
+    match &episode.kind {
+        Kind::EnginesGone(engines) => {
+            let known = view.fleet.known().map(|(_, start)| start.engines.len()).max().unwrap_or(0);
+            let together = if engines.len() > 1 { " together" } else { "" };
+            format!("{} of {known} engines ended{together} ({subject})", engines.len())
+        }
+        Kind::Drain(_) => format!("{subject} drained"),
+        Kind::Quarantine(_) => format!("{subject} was in quarantine"),
+        Kind::Refusals => {
+            format!(
+                "{} of answers were refusals at the worst (usually {})",
+                share(episode.peak),
+                share(episode.usual)
+            )
+        }
+        Kind::Resends => {
+            format!(
+                "{} of attempts were further ones at the worst (usually {})",
+                share(episode.peak),
+                share(episode.usual)
+            )
+        }
+        Kind::Latency(_) => {
+            let (peak, usual) = (episode.peak, episode.usual);
+            format!("nine in ten answers of {subject} took up to {peak:.0} ms (usually {usual:.0} ms)")
+        }
+        Kind::RosterSilent(_) => format!("the bulletin was out of reach of {subject}"),
+        Kind::FloodOfTenant(_) | Kind::FloodOfAddress(_) => {
+            let from = episode.from.map(|from| format!(" from {from}")).unwrap_or_default();
+            format!(
+                "{subject} flooded{from}: {:.0} requests a second (usually {:.0})",
+                episode.peak, episode.usual
+            )
+        }
+        Kind::Gap(_) => {
+            let left_out = episode.left_out.map(|entries| {
+                format!(", which left out {}", plural(entries, "entry").replace("entrys", "entries"))
+            });
+            format!("the record of {subject} has a gap{}", left_out.unwrap_or_default())
+        }
+    }
+}
+
+/// The state's part that is not known, as the page says it.
+pub fn unknown(episode: &Episode) -> Option<String> {
+    let spans: Vec<String> =
+        episode.unknown.iter().map(|(from, to)| format!("{} to {}", clock(*from), clock(*to))).collect();
+    (!spans.is_empty()).then(|| format!("not known from {}", spans.join(", and from ")))
+}
+
+/// Requests that were open where a record breaks off: their clients had no answer from that gateway.
+pub fn broken_off(view: &View) -> u64 {
+    let broken = view.fleet.known().filter(|(_, start)| start.own.is_none());
+    broken.map(|(_, start)| start.counted.tally.open()).sum()
+}
+
+/// The head line: when, the worst thing, and what it meant for requests.
+pub fn headline(view: &View) -> String {
+    let totals = totals(view);
+    let unanswered = match broken_off(view) {
+        0 => String::new(),
+        open => format!(", {open} open at a gateway that broke off"),
+    };
+    let counts = format!(
+        "of {} requests {} refused, {} failed, {} lost{unanswered}",
+        totals.taken, totals.refused, totals.failed, totals.lost
+    );
+    // What explains the others comes first: engines, then who floods, then the roster, then mere symptoms.
+    let weight = |episode: &Episode| match episode.kind {
+        Kind::EnginesGone(_) => 6,
+        Kind::FloodOfTenant(_) | Kind::FloodOfAddress(_) => 5,
+        Kind::RosterSilent(_) => 4,
+        Kind::Gap(_) => 3,
+        Kind::Refusals | Kind::Latency(_) => 2,
+        _ => 1,
+    };
+    let episodes = &view.detector.episodes;
+    let Some(most) = episodes.iter().map(weight).max().filter(|most| *most > 1) else {
+        return format!("No trouble was found; {counts}");
+    };
+    let now = view.detector.now();
+    let causes = || episodes.iter().filter(|episode| weight(episode) > 1);
+    let begin = causes().map(|episode| episode.begin).min().unwrap_or(0);
+    let end = causes().map(|episode| episode.span(now).1).max().unwrap_or(0);
+    let worst = episodes.iter().filter(|episode| weight(episode) == most);
+    let clauses: Vec<String> = worst.take(2).map(|episode| clause(view, episode)).collect();
+    let others =
+        episodes.iter().filter(|episode| weight(episode) < most && weight(episode) > 2).count() as u64;
+    let more = match others {
+        0 => String::new(),
+        count => format!("; {} besides", plural(count, "other trouble")),
+    };
+    format!("{} to {}: {}{more}; {counts}", clock(begin), clock(end), clauses.join("; "))
+}
+
+/// A sentence for each two troubles at the same time, causes before symptoms.
+pub fn overlaps(view: &View) -> Vec<String> {
+    let episodes = &view.detector.episodes;
+    let is_cause = |kind: &Kind| {
+        !matches!(kind, Kind::Refusals | Kind::Resends | Kind::Latency(_) | Kind::Quarantine(_))
+    };
+    let overlaps = view.detector.overlaps().into_iter();
+    let overlaps =
+        overlaps.filter(|o| is_cause(&episodes[o.first].kind) && is_cause(&episodes[o.second].kind));
+    overlaps
+        .map(|o| {
+            let name =
+                |at: usize| format!("{} ({})", episodes[at].kind.word(), subject(view, &episodes[at].kind));
+            let (from, to) = (clock(o.from), clock(o.to));
+            format!("{} and {} overlap from {from} to {to}", name(o.first), name(o.second))
+        })
+        .collect()
+}
+
+/// What a reader must know of the records themselves.
+pub fn caveats(view: &View) -> Vec<String> {
+    let mut said = Vec::new();
+    for (_, start) in view.fleet.known() {
+        if start.own.is_none() {
+            let at = clock_ms(start.last_at);
+            said.push(format!(
+                "{} (started {}) did not end by itself: its figures are those up to {at}, its last whole frame; {} open then",
+                start.name,
+                clock(start.epoch),
+                plural(start.counted.tally.open(), "request")
+            ));
+        }
+        if !start.exact {
+            said.push(format!(
+                "{}: a part of the record can't be read and no tally follows, so its figures are at least those",
+                start.name
+            ));
+        }
+    }
+    for (source, from, to) in view.detector.gaps() {
+        let name = self::source(view, *source);
+        said.push(format!("{name}: not known from {} to {}", clock_ms(*from), clock_ms(*to)));
+    }
+    let sources: Vec<(usize, &str)> =
+        view.fleet.known().map(|(at, start)| (at, start.name.as_str())).collect();
+    for (place, (at, name)) in sources.iter().enumerate().skip(1) {
+        let mut before = sources[..place].iter().filter(|(_, other)| other != name);
+        let apart = before.find_map(|(of, other)| Some((other, view.skew.ahead(*at, *of)?)));
+        if let Some((other, (micros, events))) = apart {
+            if micros.unsigned_abs() > eideryard_fleet::skew::NOISE {
+                let way = if micros > 0 { "ahead of" } else { "behind" };
+                let by = lasting(micros.unsigned_abs());
+                said.push(format!("the clock of {name} is {by} {way} that of {other}, by {events} events of the bulletin; times are as each told them"));
+            }
+        }
+    }
+    said
+}
