Terminal console over records, and a structured log on tracing

Need: on call one wants the fleet's state now and at any moment of an incident, over ssh; and log lines that say which request, class and engine they are about.

Change: crates/console shows engines, classes, tenants, episodes and requests of any number of records, live or paused, with steps and jumps to an episode's worst moment, from 80 by 24 up and without depending on colours. The log is tracing's, as text or JSON lines, with levels by target and spans; the guards against blocking and floods of lines stay as the writer beneath it.

--- a/crates/command/src/arguments.rs
+++ b/crates/command/src/arguments.rs
@@ -38,6 +38,14 @@
         #[command(subcommand)]
         what: RecordsCommand,
     },
+    /// Watch gateways through their records, live or at any time that they hold
+    Console {
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+        /// Begin paused at this time: HH:MM[:SS] on the records' last day, or a Unix time in seconds; UTC
+        #[arg(long, value_name = "TIME", value_parser = moment::parse)]
+        at: Option<Moment>,
+    },
     /// Make one HTML page of an incident from gateways' records
     Report {
         #[arg(required = true, value_name = "DIR")]
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -23,6 +23,9 @@
             RecordsCommand::Find { id, directories } => records::find(&id, &directories),
             RecordsCommand::Dump { directories } => records::dump(&directories),
         },
+        Command::Console { directories, at } => {
+            view::moment(&directories, at).and_then(|at| eideryard_console::run(&directories, at))
+        }
         Command::Report { directories, out, span } => view::fold(&directories, span).and_then(|view| {
             let page = eideryard_report::page(&view);
             std::fs::write(&out, page).map_err(|e| format!("{}: {e}", out.display()))?;
@@ -53,16 +56,17 @@
 
 /// The gateway itself: what fails goes to its log.
 fn run(operator: Option<&str>) -> ExitCode {
-    logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref());
-    let served = || {
+    let operator = operator.map_or_else(|| Ok(Operator::default()), Operator::from_file);
+    let log = operator.as_ref().map(|operator| operator.log.clone()).unwrap_or_default();
+    logger::start(std::env::var("EIDERYARD_LOG").ok().as_deref(), &log);
+    let served = operator.and_then(|operator| {
         let config = eideryard_gateway::config::Config::from_environment()?;
-        let operator = operator.map_or_else(|| Ok(Operator::default()), Operator::from_file)?;
         eideryard_gateway::serve(config, &operator).map_err(|e| e.to_string())
-    };
-    match served() {
+    });
+    match served {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            log::error!("{message}");
+            tracing::error!("{message}");
             ExitCode::FAILURE
         }
     }
--- a/crates/command/src/view.rs
+++ b/crates/command/src/view.rs
@@ -1,10 +1,18 @@
 //! Records to views: what the report and the console show.
 
 use crate::arguments::Span;
+use crate::moment::Moment;
 use eideryard_fleet::View;
 use eideryard_record::Merged;
 use std::path::PathBuf;
 
+/// A time on the last day that records tell of.
+pub fn moment(directories: &[PathBuf], at: Option<Moment>) -> Result<Option<u64>, String> {
+    let Some(at) = at else { return Ok(None) };
+    let last = Merged::open(directories).and_then(|merged| merged.last_at()).map_err(|e| e.to_string())?;
+    Ok(Some(at.on_day_of(last)))
+}
+
 /// Folds what records hold of a span of time, each from the last segment that begins before it.
 pub fn fold(directories: &[PathBuf], span: Span) -> Result<View, String> {
     let mut merged = Merged::open(directories).map_err(|e| e.to_string())?;
--- a/crates/fleet/src/notable.rs
+++ b/crates/fleet/src/notable.rs
@@ -5,7 +5,7 @@
 use eideryard::interface::Micros;
 use eideryard_record::AnswerKind;
 
-use crate::state::{Fact, Said};
+use crate::state::{Attempt, Fact, Said, SHOWN};
 
 /// So many of the first and of the last are kept; those between are counted.
 const MOST_FIRST: usize = 1500;
@@ -23,6 +23,14 @@
     pub late: bool,
     pub took: Option<Micros>,
     pub tries: usize,
+    last: [Option<Attempt>; SHOWN],
+}
+
+impl Notable {
+    /// The last attempts of it, as far as they had ended when it was answered.
+    pub fn attempts(&self) -> impl Iterator<Item = &Attempt> {
+        self.last.iter().flatten()
+    }
 }
 
 #[derive(Default)]
@@ -34,12 +42,14 @@
 
 impl Notables {
     pub fn take(&mut self, said: &Said) {
-        let Fact::Ended { id, class, tenant, how, late, took, attempts, .. } = said.fact else { return };
+        let Fact::Ended { id, class, tenant, how, late, took, attempts, last, .. } = said.fact else {
+            return;
+        };
         if how == AnswerKind::Served && !late && attempts <= 1 {
             return;
         }
         let (source, at, tries) = (said.source, said.at, attempts);
-        let notable = Notable { source, at, id, class, tenant, how, late, took, tries };
+        let notable = Notable { source, at, id, class, tenant, how, late, took, tries, last };
         if self.first.len() < MOST_FIRST {
             self.first.push(notable);
             return;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -13,6 +13,8 @@
 const MOST_OPEN: usize = 1 << 17;
 /// Attempts of one request that are kept.
 const MOST_ATTEMPTS: usize = 32;
+/// Attempts of an ended request that are told.
+pub const SHOWN: usize = 3;
 /// Outcomes of an engine that are shown.
 pub const RECENT: usize = 12;
 /// Latencies from 1 ms to an hour, in milliseconds, to two digits.
@@ -41,6 +43,8 @@
         late: bool,
         took: Option<Micros>,
         attempts: usize,
+        /// The last of them.
+        last: [Option<Attempt>; SHOWN],
     },
     Refused {
         class: Option<usize>,
@@ -89,7 +93,7 @@
     pub fact: Fact,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Attempt {
     pub engine: EngineId,
     pub sent_at: Micros,
@@ -222,9 +226,14 @@
         self.starts.iter().enumerate().filter_map(|(at, start)| Some((at, start.as_ref()?)))
     }
 
+    /// Of each gateway the last start.
+    pub fn latest(&self) -> impl Iterator<Item = (usize, &Start)> {
+        self.known().filter(|(_, start)| !self.superseded(start))
+    }
+
     /// Starts that run as far as the records tell: of each gateway the last, unless it has ended.
     pub fn running(&self) -> impl Iterator<Item = (usize, &Start)> {
-        self.known().filter(|(_, start)| start.own.is_none() && !self.superseded(start))
+        self.latest().filter(|(_, start)| start.own.is_none())
     }
 
     /// The name of an engine, as any of the gateways knows it: all number engines alike, by their names.
@@ -492,7 +501,11 @@
                     took.into_iter().for_each(|took| self.latency[*class].saturating_record(took / 1000));
                 }
                 let (class, tenant, how, late) = (*class, *tenant, *how, *late);
-                say(Fact::Ended { request: *request, id, class, tenant, how, late, took, attempts });
+                let mut last = [None; SHOWN];
+                let tried = open.as_ref().map_or(&[][..], |open| &open.attempts[..]);
+                let shown = &tried[tried.len().saturating_sub(SHOWN)..];
+                last.iter_mut().zip(shown).for_each(|(place, attempt)| *place = Some(*attempt));
+                say(Fact::Ended { request: *request, id, class, tenant, how, late, took, attempts, last });
                 if let Some(open) = open {
                     open.answered = true;
                     // The module is told of one that was given back at once only after its end.
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -131,7 +131,7 @@
                             counters.connections += 1;
                             self.changes.extend(self.tells.then_some((key, Some(from.ip()))));
                         }
-                        Err(e) => log::warn!("a client's connection is of no use: {e}"),
+                        Err(e) => tracing::warn!("a client's connection is of no use: {e}"),
                     }
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return true,
@@ -141,7 +141,7 @@
                     }
                 }
                 // Of a connection that ended before it was accepted.
-                Err(e) => log::debug!("accept: {e}"),
+                Err(e) => tracing::debug!("accept: {e}"),
             }
         }
     }
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -262,7 +262,7 @@
         }
         let key = self.table.next_key();
         let connection = Connection::dial(&self.events, address, Wake::Engine(key)).map_err(|e| {
-            log::debug!("no connection to engine {engine}: {e}");
+            tracing::debug!("no connection to engine {engine}: {e}");
             let (count, outcome) = match is_shortage(&e) {
                 true => (&mut counters.dials_short, Outcome::Unsent),
                 false => (&mut counters.dials_failed, Outcome::NoConnection),
@@ -428,7 +428,7 @@
                 Ok(Filled::Some) => {
                     conn.heard_at = now;
                     if let Err(reason) = Self::understand(conn, due, counters, heard) {
-                        log::warn!("the connection to engine {} is closed: {reason}", conn.engine);
+                        tracing::warn!("the connection to engine {} is closed: {reason}", conn.engine);
                         self.close(key, Outcome::Broken, due, heard);
                         return false;
                     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -103,7 +103,7 @@
         config.known.items.into_iter().for_each(|item| gateway.listed(item));
         gateway.link.call(now, &mut gateway.due, &mut gateway.counters);
         gateway.settle();
-        log::info!("{} listens on {}", config.name, gateway.clients.address()?);
+        tracing::info!("{} listens on {}", config.name, gateway.clients.address()?);
         Ok(gateway)
     }
 
@@ -168,6 +168,20 @@
         }
     }
 
+    /// What log lines about a request carry.
+    fn span(&self, key: Key) -> tracing::Span {
+        let request = self.requests.get(key);
+        let class = request.and_then(|request| self.names.classes.get(request.class));
+        tracing::debug_span!("request", id = request.map(|request| &*request.id), class)
+    }
+
+    /// The same, of an attempt at an engine.
+    fn attempt_span(&self, key: Key, engine: EngineId) -> tracing::span::EnteredSpan {
+        let request = self.span(key);
+        let engine = self.engine_names.get(&engine);
+        tracing::debug_span!(parent: &request, "attempt", engine).entered()
+    }
+
     // ---- What is recorded ----
 
     /// What is known, at the beginning of a segment of the record.
@@ -245,7 +259,7 @@
     /// What was counted, and how much each table holds.
     pub fn report(&self) {
         let (counters, tables) = (&self.counters, self.tables().map(|(name, size)| format!("{name}={size}")));
-        log::info!("counters: {counters}; tables {}", tables.join(" "));
+        tracing::info!("counters: {counters}; tables {}", tables.join(" "));
     }
 
     /// All that may grow, with its size: none of these may go on growing through a long day.
@@ -386,6 +400,7 @@
             }
         };
         self.clients.opened(client, id, request);
+        self.span(request).in_scope(|| tracing::debug!("taken"));
         if self.tap.is_on() {
             let offered = self.requests.get_mut(request).map(|own| Host::Offered(offer(request, own)));
             offered.into_iter().for_each(|offered| self.tap.host(now, offered));
@@ -395,7 +410,7 @@
 
     /// A request that can't be used gets an error that names the field.
     fn invalid(&mut self, client: Key, id: u32, field: &str) {
-        log::debug!("a request can't be used: {field}");
+        tracing::debug!("a request can't be used: {field}");
         self.counters.invalid += 1;
         self.tell_untaken(Untaken::Invalid, None);
         self.clients.answer(client, id, |out| write_error(out, id, "Invalid", &[("field", field)]));
@@ -452,7 +467,9 @@
         let call = request.call;
         let told = self.clients.answer(request.client, call, |out| write(out, call));
         self.counters.lost += !told as u64;
-        self.tell_end(key, if told { how } else { AnswerKind::Lost }, late);
+        let how = if told { how } else { AnswerKind::Lost };
+        self.span(key).in_scope(|| tracing::debug!(late, "{}", how.name()));
+        self.tell_end(key, how, late);
         told
     }
 
@@ -468,6 +485,7 @@
     ) {
         let Some(request) = self.requests.get_mut(key) else { return };
         let Some(tried) = request.attempts.get_mut(attempt) else { return };
+        let engine = tried.engine;
         tried.conn = None;
         self.due.take_back(tried.deadline.take());
         self.counters.attempts.count(outcome);
@@ -481,6 +499,10 @@
             bill,
             report,
         }));
+        if tracing::enabled!(tracing::Level::DEBUG) {
+            let _span = self.attempt_span(key, engine);
+            tracing::debug!(?outcome, "attempt {attempt} is over");
+        }
         self.requests.give_back(key, &mut self.due);
     }
 
@@ -530,7 +552,7 @@
             // The bulletin tells of changes by itself, whenever it can be reached.
             Action::Subscribe if self.link.is_up() => self.events.push_back(Event::ListChanges(Vec::new())),
             Action::Subscribe => self.events.push_back(Event::ListFailed),
-            Action::Log(text) => log::info!("{}", self.with_names(&text)),
+            Action::Log(text) => tracing::info!("{}", self.with_names(&text)),
         }
     }
 
@@ -605,7 +627,7 @@
             let address = match entry.phase {
                 Phase::Gone => None,
                 _ => engines::address(&listed.dial)
-                    .inspect_err(|e| log::warn!("engine {}: {e}", listed.host))
+                    .inspect_err(|e| tracing::warn!("engine {}: {e}", listed.host))
                     .ok(),
             };
             self.tell_listed(entry, listed);
@@ -651,7 +673,7 @@
         let position = |names: &[String], name: &str, what| {
             let known = place(names, name);
             if known.is_none() {
-                log::warn!("engine {}: {what} '{name}' is not in the settings", listed.host);
+                tracing::warn!("engine {}: {what} '{name}' is not in the settings", listed.host);
             }
             known.unwrap_or(names.len()) as u32
         };
@@ -690,13 +712,13 @@
             Ok(config) => {
                 self.counters.reloads += 1;
                 self.tap.host(self.clock.now(), Host::Reloaded { done: true });
-                log::info!("reloaded; the bulletin is at {}", config.bulletin);
+                tracing::info!("reloaded; the bulletin is at {}", config.bulletin);
                 self.link.move_to(config.bulletin, self.clock.now(), &mut self.due);
             }
             Err(message) => {
                 self.counters.reloads_failed += 1;
                 self.tap.host(self.clock.now(), Host::Reloaded { done: false });
-                log::error!("not reloaded, the old configuration stays: {message}");
+                tracing::error!("not reloaded, the old configuration stays: {message}");
             }
         }
     }
@@ -711,7 +733,7 @@
         }
         let now = self.clock.now();
         let last = now + LAST_CLIENTS + self.longest_wait.min(LONGEST_STOP) - STOP_MARGIN;
-        log::info!("stopping; {} requests are open", self.counters.open());
+        tracing::info!("stopping; {} requests are open", self.counters.open());
         self.stopping = Some(last);
         self.tap.host(now, Host::Stopping);
         self.clients.well = false;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -95,7 +95,7 @@
     /// The one place that gives the connection back. After one that brought an event the next call follows at
     /// once, else after a pause that grows: one that greets and breaks off isn't called in a tight loop.
     fn hang_up(&mut self, reason: &str, now: Micros, due: &mut Deadlines) {
-        log::info!("bulletin: {reason}; events up to {} are known", self.last);
+        tracing::info!("bulletin: {reason}; events up to {} are known", self.last);
         self.connection = None;
         self.heard = false;
         let pause = (self.pause as f64 * (0.5 + 0.5 * self.rng.f64())) as Micros;
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -222,6 +222,10 @@
         }))
     }
 
+    pub fn get(&self, key: Key) -> Option<&Request> {
+        self.table.get(key)
+    }
+
     pub fn get_mut(&mut self, key: Key) -> Option<&mut Request> {
         self.table.get_mut(key)
     }
--- a/crates/gateway/src/tap.rs
+++ b/crates/gateway/src/tap.rs
@@ -28,7 +28,7 @@
         match Recorder::start(plan, Box::new(Directory(record.directory.clone()))) {
             Ok(recorder) => Tap { recorder: Some(Box::new((recorder, names))) },
             Err(e) => {
-                log::error!("no record is kept: {e}");
+                tracing::error!("no record is kept: {e}");
                 Tap::default()
             }
         }
--- a/crates/record/src/reader.rs
+++ b/crates/record/src/reader.rs
@@ -257,9 +257,12 @@
     /// Reads from a time on: each record from the beginning of its last segment that begins no later. Starts that
     /// had ended before are left out.
     pub fn open_from(directories: &[PathBuf], from: Micros) -> Result<Self, Unusable> {
-        let mut merged = Self::with_from(directories, false, from)?;
-        merged.skip_before = from;
-        Ok(merged)
+        Self::with_from(directories, false, from)
+    }
+
+    /// Both: from a time on, and what is still being written.
+    pub fn follow_from(directories: &[PathBuf], from: Micros) -> Result<Self, Unusable> {
+        Self::with_from(directories, true, from)
     }
 
     /// The time of the last frame of all: a look at the last file of each record.
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -183,20 +183,16 @@
     for area in areas {
         let mut path = String::new();
         let top: Vec<f64> = (0..count).map(|at| base[at] + value(area, at)).collect();
-        let time = |at: usize| area.points.get(at).map_or(span.from, |(time, _)| *time);
-        for at in 0..count {
-            let (from, to) = (span.x(time(at)), span.x(time(at) + width));
-            let _ = write!(
-                path,
-                "{}{from:.1} {:.1}L{to:.1} {:.1}",
-                if at == 0 { "M" } else { "L" },
-                y(top[at]),
-                y(top[at])
-            );
+        let steps: Vec<(f64, f64)> = (0..count)
+            .map(|at| area.points.get(at).map_or(span.from, |(time, _)| *time))
+            .map(|time| (span.x(time), span.x(time + width)))
+            .collect();
+        for (at, ((from, to), top)) in steps.iter().zip(&top).enumerate() {
+            let (draw, y) = (if at == 0 { "M" } else { "L" }, y(*top));
+            let _ = write!(path, "{draw}{from:.1} {y:.1}L{to:.1} {y:.1}");
         }
-        for at in (0..count).rev() {
-            let (from, to) = (span.x(time(at)), span.x(time(at) + width));
-            let _ = write!(path, "L{to:.1} {:.1}L{from:.1} {:.1}", y(base[at]), y(base[at]));
+        for ((from, to), base) in steps.iter().zip(&base).rev() {
+            let _ = write!(path, "L{to:.1} {:.1}L{from:.1} {:.1}", y(*base), y(*base));
         }
         let name = html! { (area.name) }.into_string();
         let _ =
