Tests of the record: failing disks, full queues, damage at every byte, budgets, following

Need: a record is only worth something if its totals hold whatever the disk did.

Change: tests with disks whose n-th call fails, with and without torn writes, a writer that can't keep up, files cut and flipped at every byte, random bytes under fitting checksums, restarts, budgets, newer versions, reading from a time and following. The pause after a fault is part of a record's plan, so that tests need not wait for it.

--- a/crates/gateway/src/tap.rs
+++ b/crates/gateway/src/tap.rs
@@ -22,6 +22,7 @@
             budget: record.budget,
             segment: record.segment,
             segment_time: record.segment_time,
+            pause: eideryard_record::recorder::PAUSE,
             classes: names.classes.len(),
             tenants: names.tenants.len(),
         };
--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -26,6 +26,8 @@
 const MOST_WAIT: Micros = 200_000;
 /// A tally is told this often, so that totals are exact again behind damage.
 const TALLY_EVERY: Micros = 5_000_000;
+/// The usual pause after a fault of the disk.
+pub const PAUSE: Duration = Duration::from_millis(500);
 /// How long the end of the program waits for the writer.
 const LAST_WRITES: Duration = Duration::from_millis(300);
 
@@ -40,6 +42,8 @@
     pub segment: u64,
     /// A segment ends after this time, however small.
     pub segment_time: Micros,
+    /// Files are opened again no sooner than this after a fault.
+    pub pause: Duration,
     pub classes: usize,
     pub tenants: usize,
 }
--- a/crates/record/src/writer.rs
+++ b/crates/record/src/writer.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use crate::codec::Context;
 use crate::entry::{EntryRef, Host};
@@ -15,8 +15,6 @@
 use crate::recorder::{Batch, Plan};
 use crate::tally::Tally;
 
-/// Files are opened again no sooner than this after a fault.
-const PAUSE: Duration = Duration::from_millis(500);
 /// Segments of one name, whatever the budget: a disk that fails again and again leaves many small ones.
 const MOST_SEGMENTS: usize = 4096;
 const ENDING: &str = "eyr";
@@ -158,7 +156,7 @@
                     let _ = segment.cut(length);
                     self.finish(name, length);
                 }
-                self.not_before = Some(Instant::now() + PAUSE);
+                self.not_before = Some(Instant::now() + self.plan.pause);
                 self.lost.store(true, Ordering::Relaxed);
             }
         }
--- /dev/null
+++ b/crates/record/tests/common/mod.rs
@@ -0,0 +1,280 @@
+//! Random entries from a seed, and disks that fail.
+#![allow(dead_code)]
+
+use eideryard::interface::{
+    Action, Bill, Ended, Event, LoadReport, Micros, Note, Outcome, Phase, Probed, Request, RequestId,
+};
+use eideryard_record::entry::EntryRef;
+use eideryard_record::writer::{Directory, Disk, Segment};
+use eideryard_record::*;
+use fastrand::Rng;
+use std::io;
+use std::path::Path;
+use std::sync::atomic::{AtomicI64, Ordering};
+use std::sync::Arc;
+
+pub const START: Micros = 1_796_147_675_000_000;
+
+fn real(rng: &mut Rng) -> f64 {
+    match rng.u8(0..5) {
+        0 => rng.u32(..) as f64,
+        1 => rng.u32(..) as f64 / 1000.0,
+        2 => rng.f64(),
+        3 => -rng.f64() * 1e9,
+        _ => f64::MAX,
+    }
+}
+
+fn outcome(rng: &mut Rng) -> Outcome {
+    use Outcome::*;
+    *rng.choice(&[Answered, Error, Full, TimedOut, NoConnection, Broken, Cancelled, Unsent]).unwrap()
+}
+
+fn report(rng: &mut Rng) -> Option<LoadReport> {
+    let mut some = |chance: bool| chance.then(|| real(rng));
+    let [a, b, c] = [some(true), some(false), some(true)];
+    rng.bool().then_some(LoadReport {
+        in_flight: a,
+        waiting_for_memory: b,
+        cores_busy: c,
+        ..LoadReport::default()
+    })
+}
+
+fn phase(rng: &mut Rng) -> Phase {
+    *rng.choice(&[Phase::Ready, Phase::Draining, Phase::Gone]).unwrap()
+}
+
+fn listed(rng: &mut Rng) -> Vec<eideryard::interface::Entry> {
+    let entry = |rng: &mut Rng| eideryard::interface::Entry {
+        engine: rng.u32(..),
+        zone: rng.u32(0..9),
+        kind: rng.u32(..),
+        cell: rng.u32(0..300),
+        phase: phase(rng),
+        booted_at: rng.u64(..),
+    };
+    (0..rng.usize(0..20)).map(|_| entry(rng)).collect()
+}
+
+pub fn request(rng: &mut Rng) -> RequestId {
+    (rng.u64(1..1 << 20) << 32) | rng.u64(0..200)
+}
+
+/// Any entry that a gateway may record after a segment's state.
+pub fn entry(rng: &mut Rng, at: Micros) -> Entry {
+    let id = request(rng);
+    let class = rng.usize(0..4);
+    let tenant = rng.usize(0..3);
+    let offer = Offer { request: id, id: rng.u64(..), connection: request(rng) };
+    match rng.u8(0..32) {
+        0 => Entry::In(Event::FullList(listed(rng))),
+        1 => Entry::In(Event::ListChanges(listed(rng))),
+        2 => Entry::In(Event::ListFailed),
+        3..=6 => Entry::In(Event::Arrived(Request {
+            id,
+            class,
+            tenant,
+            key: rng.bool().then(|| format!("{:032x}", rng.u128(..))),
+            deadline: at + rng.u64(0..10_000_000),
+            work: rng.bool().then(|| real(rng)),
+            memory_mb: rng.bool().then(|| real(rng)),
+            group: rng.u64(0..500),
+        })),
+        7 => Entry::In(Event::StreamBegan { request: id }),
+        8 => {
+            let notes = [
+                Note::Progress(real(rng)),
+                Note::Spilling(real(rng)),
+                Note::WaitsForMemory,
+                Note::WaitsForLoad,
+            ];
+            Entry::In(Event::Noted {
+                request: id,
+                attempt: rng.usize(0..9),
+                note: *rng.choice(&notes).unwrap(),
+            })
+        }
+        9..=12 => Entry::In(Event::Ended(Ended {
+            request: id,
+            attempt: rng.usize(0..9),
+            outcome: outcome(rng),
+            spent: rng.u64(0..9_000_000),
+            complete: rng.bool(),
+            told: rng.bool(),
+            bill: rng.bool().then(|| Bill { work: real(rng), memory_mb: real(rng) }),
+            report: report(rng),
+        })),
+        13 => Entry::In(Event::Probed(Probed {
+            engine: rng.u32(..),
+            outcome: outcome(rng),
+            report: report(rng),
+        })),
+        14 => Entry::In(Event::ClientLeft { request: id }),
+        15 => Entry::In(Event::Timer { tag: *rng.choice(&[0, id + 1]).unwrap() }),
+        16 => Entry::Out(Action::Terms { request: id, grant_mb: real(rng), rank: rng.u8(0..4) }),
+        17 | 18 => {
+            Entry::Out(Action::Send { request: id, engine: rng.u32(..), give_up_at: at + rng.u64(0..99_999) })
+        }
+        19 => Entry::Out(Action::Probe { engine: rng.u32(..) }),
+        20 => Entry::Out(Action::Cancel { request: id, attempt: rng.usize(0..9) }),
+        21 => Entry::Out(Action::Refuse { request: id, retry_after: rng.u64(0..9_000_000) }),
+        22 => Entry::Out(Action::Fail { request: id }),
+        23 => Entry::Out(Action::SetTimer {
+            after: rng.u64(0..9_000_000),
+            tag: *rng.choice(&[0, id + 1]).unwrap(),
+        }),
+        24 => Entry::Out(Action::Log("engine 17 quarantined: silent".into())),
+        25 => Entry::Host(Host::Connected { connection: id, address: [127, 0, 0, rng.u8(..)].into() }),
+        26 => Entry::Host(Host::Disconnected { connection: id }),
+        27 => Entry::Host(Host::Offered(offer)),
+        28 => {
+            let how = *rng.choice(&[NotTaken::Invalid, NotTaken::NoRoom, NotTaken::Gone]).unwrap();
+            Entry::Host(Host::NotTaken {
+                how,
+                class: rng.bool().then_some(class),
+                tenant: rng.bool().then_some(tenant),
+            })
+        }
+        29 | 30 => {
+            let how = *rng.choice(&AnswerKind::ALL).unwrap();
+            Entry::Host(Host::Answered { request: id, class, tenant, how, late: rng.bool() })
+        }
+        _ => Entry::Host(Host::ListEvent { number: rng.u64(0..999) }),
+    }
+}
+
+pub fn plan(name: &str, segment: u64) -> Plan {
+    Plan {
+        name: name.into(),
+        epoch: START,
+        budget: 64 << 20,
+        segment,
+        segment_time: 600_000_000,
+        pause: std::time::Duration::from_millis(20),
+        classes: 4,
+        tenants: 3,
+    }
+}
+
+/// Begins a segment where one is due, as a gateway does.
+pub fn state(recorder: &mut Recorder, at: Micros) {
+    if recorder.wants_state(at) && recorder.begin(at) {
+        recorder.state(at, &Host::Names(Names { classes: vec!["report".into()], ..Names::default() }));
+        recorder.state(at, &Host::Connected { connection: 1 << 32, address: [127, 0, 0, 1].into() });
+        recorder.state_whole(at);
+    }
+}
+
+/// Records so many random entries, a millisecond apart; gives what was counted.
+pub fn fill(recorder: &mut Recorder, seed: u64, count: u64) -> Tally {
+    let mut rng = Rng::with_seed(seed);
+    for number in 0..count {
+        let at = START + number * 1000;
+        state(recorder, at);
+        recorder.record(at, entry(&mut rng, at).as_ref());
+        recorder.flush(at);
+    }
+    recorder.tally().clone()
+}
+
+/// A real directory in which the calls fail that a countdown says: from the n-th on, so many.
+pub struct Failing {
+    pub inner: Directory,
+    pub until_failure: Arc<AtomicI64>,
+    pub failures: i64,
+    /// A failed append leaves half of its bytes behind.
+    pub tears: bool,
+}
+
+impl Failing {
+    pub fn new(directory: &Path, first: i64, failures: i64, tears: bool) -> Self {
+        let until_failure = Arc::new(AtomicI64::new(first));
+        Failing { inner: Directory(directory.into()), until_failure, failures, tears }
+    }
+
+    fn call(counter: &AtomicI64, failures: i64) -> io::Result<()> {
+        let left = counter.fetch_sub(1, Ordering::Relaxed);
+        match left <= 0 && left > -failures {
+            true => Err(io::Error::other("the disk is full")),
+            false => Ok(()),
+        }
+    }
+}
+
+struct FailingSegment {
+    inner: Box<dyn Segment>,
+    until_failure: Arc<AtomicI64>,
+    failures: i64,
+    tears: bool,
+}
+
+impl Disk for Failing {
+    fn list(&mut self) -> io::Result<Vec<(String, u64)>> {
+        Self::call(&self.until_failure, self.failures)?;
+        self.inner.list()
+    }
+
+    fn create(&mut self, name: &str) -> io::Result<Box<dyn Segment>> {
+        Self::call(&self.until_failure, self.failures)?;
+        let (inner, until_failure) = (self.inner.create(name)?, self.until_failure.clone());
+        Ok(Box::new(FailingSegment { inner, until_failure, failures: self.failures, tears: self.tears }))
+    }
+
+    fn remove(&mut self, name: &str) -> io::Result<()> {
+        Self::call(&self.until_failure, self.failures)?;
+        self.inner.remove(name)
+    }
+}
+
+impl Segment for FailingSegment {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let called = Failing::call(&self.until_failure, self.failures);
+        if called.is_err() && self.tears {
+            self.inner.append(&bytes[..bytes.len() / 2])?;
+        }
+        called?;
+        self.inner.append(bytes)
+    }
+
+    fn cut(&mut self, length: u64) -> io::Result<()> {
+        Failing::call(&self.until_failure, self.failures)?;
+        self.inner.cut(length)
+    }
+}
+
+/// What a record tells: its entries, what they count, and what was wrong.
+pub struct Read {
+    pub entries: Vec<(Micros, Entry)>,
+    pub counted: Tally,
+    pub gaps: Vec<(u64, Tally)>,
+    pub damages: usize,
+    pub problems: Vec<Problem>,
+    /// The tally before each gap, by folding alone.
+    pub before_gaps: Vec<Tally>,
+}
+
+pub fn read(directory: &Path) -> Result<Read, eideryard_record::reader::Unusable> {
+    let mut merged = Merged::open(&[directory.to_path_buf()])?;
+    let mut counted = eideryard_record::tally::Counted::default();
+    let (mut entries, mut gaps, mut damages, mut before_gaps) = (Vec::new(), Vec::new(), 0, Vec::new());
+    let mut folded = Tally::default();
+    while let Some(told) = merged.next()? {
+        match told.what {
+            reader::What::Damaged => damages += 1,
+            reader::What::Entry(entry) => {
+                if matches!(entry, Entry::Host(Host::Begin { .. })) {
+                    folded = counted.tally.clone();
+                }
+                counted.read(entry.as_ref());
+                if let EntryRef::Host(Host::Gap { entries, counted, .. }) = entry.as_ref() {
+                    gaps.push((*entries, (**counted).clone()));
+                    before_gaps.push(folded.clone());
+                }
+                entries.push((told.at, entry));
+            }
+        }
+    }
+    let problems = merged.problems().map(|(_, problem)| problem.clone()).collect();
+    Ok(Read { entries, counted: counted.tally, gaps, damages, problems, before_gaps })
+}
--- /dev/null
+++ b/crates/record/tests/failures.rs
@@ -0,0 +1,310 @@
+//! The failures that a record is for: a disk that fails, a queue that is full, bytes that are cut or flipped.
+
+mod common;
+
+use common::*;
+use eideryard_record::codec::{Context, Decoder};
+use eideryard_record::writer::Directory;
+use eideryard_record::*;
+use fastrand::Rng;
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+
+fn recorder(directory: &Path, segment: u64) -> Recorder {
+    Recorder::start(plan("g1", segment), Box::new(Directory(directory.into()))).unwrap()
+}
+
+fn segments(directory: &Path) -> Vec<PathBuf> {
+    let files = std::fs::read_dir(directory).unwrap();
+    let mut files: Vec<PathBuf> = files.map(|file| file.unwrap().path()).collect();
+    files.sort();
+    files
+}
+
+#[test]
+fn every_entry_comes_back_as_it_was() {
+    let mut rng = Rng::with_seed(7);
+    let entries: Vec<_> = (0..20_000).map(|n| (START + n * 37, entry(&mut rng, START + n * 37))).collect();
+    let (mut bytes, mut context) = (Vec::new(), Context::new(START));
+    entries.iter().for_each(|(at, entry)| context.put(&mut bytes, *at, entry.as_ref()));
+    let mut decoder = Decoder::new(&bytes, Context::new(START));
+    for (at, entry) in &entries {
+        let (told_at, told) = decoder.next().unwrap().unwrap();
+        assert_eq!((*at, format!("{entry:?}")), (told_at, format!("{told:?}")));
+    }
+    assert!(decoder.next().unwrap().is_none());
+}
+
+#[test]
+fn a_record_tells_all_that_was_recorded_through_many_segments() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut recorder = recorder(directory.path(), 64 << 10);
+    let counted = fill(&mut recorder, 3, 50_000);
+    drop(recorder);
+    assert!(segments(directory.path()).len() > 5);
+    let read = read(directory.path()).unwrap();
+    // A writer that a busy machine holds up leaves gaps, which tell what they left out.
+    let left_out: u64 = read.gaps.iter().map(|(entries, _)| entries).sum();
+    assert_eq!((told(&read) + left_out, read.problems.len()), (50_000, 0));
+    assert_eq!(read.counted, counted);
+    assert!(read.entries.windows(2).all(|pair| pair[0].0 <= pair[1].0), "by time");
+}
+
+#[test]
+fn the_oldest_segments_go_when_the_budget_is_used_up_and_totals_stay() {
+    let directory = tempfile::tempdir().unwrap();
+    let budget = 512 << 10;
+    let plan = Plan { budget, ..plan("g1", 64 << 10) };
+    let mut recorder = Recorder::start(plan, Box::new(Directory(directory.path().into()))).unwrap();
+    let counted = fill(&mut recorder, 3, 100_000);
+    drop(recorder);
+    let sizes = segments(directory.path()).iter().map(|file| file.metadata().unwrap().len()).sum::<u64>();
+    // The one that is written may be a buffer longer than a segment.
+    assert!(sizes <= budget + (160 << 10), "{sizes}");
+    assert_eq!(read(directory.path()).unwrap().counted, counted);
+}
+
+/// Whatever call fails first, and for however long: no call of the recorder waits, what is left out is told
+/// exactly, and recording comes back.
+#[test]
+fn a_disk_that_fails_costs_entries_and_their_number_is_told() {
+    for (first, failures) in [(0, 1), (1, 1), (2, 3), (3, 1), (5, 2), (8, 1), (12, 4), (13, 1), (20, 1)] {
+        for tears in [false, true] {
+            let directory = tempfile::tempdir().unwrap();
+            let disk = Failing::new(directory.path(), first, failures, tears);
+            let mut recorder = Recorder::start(plan("g1", 64 << 10), Box::new(disk)).unwrap();
+            // Until the writer's pause after a fault is over.
+            let mut rng = Rng::with_seed(first as u64);
+            let until = std::time::Instant::now() + std::time::Duration::from_millis(250);
+            let mut at = START;
+            while std::time::Instant::now() < until {
+                for _ in 0..400 {
+                    at += 1000;
+                    state(&mut recorder, at);
+                    recorder.record(at, entry(&mut rng, at).as_ref());
+                    recorder.flush(at);
+                }
+                std::thread::sleep(std::time::Duration::from_millis(10));
+            }
+            let counted = recorder.tally().clone();
+            drop(recorder);
+            let read = read(directory.path()).unwrap();
+            let case = format!("call {first}, {failures} failures, tears {tears}");
+            assert_eq!(read.counted, counted, "{case}");
+            assert!(!read.gaps.is_empty(), "{case}");
+            for ((entries, missing), before) in read.gaps.iter().zip(&read.before_gaps) {
+                assert!(*entries > 0 && missing.entries == *entries, "{case}");
+                assert!(before.entries + entries <= counted.entries, "{case}");
+            }
+            // What was told and what was left out are all there was, to the entry.
+            let left_out: u64 = read.gaps.iter().map(|(entries, _)| entries).sum();
+            assert_eq!(told(&read) + left_out, counted.entries, "{case}");
+        }
+    }
+}
+
+/// Entries that count.
+fn told(read: &Read) -> u64 {
+    let mut counted = eideryard_record::tally::Counted::default();
+    let mut count = 0;
+    for (_, entry) in &read.entries {
+        let before = counted.tally.entries;
+        counted.read(entry.as_ref());
+        if !matches!(entry, Entry::Host(Host::Tally(_))) {
+            count += counted.tally.entries - before;
+        }
+    }
+    count
+}
+
+#[test]
+fn a_full_queue_leaves_a_gap_and_no_one_waits() {
+    struct Slow(Directory);
+    struct SlowSegment(Box<dyn writer::Segment>);
+    impl writer::Disk for Slow {
+        fn list(&mut self) -> std::io::Result<Vec<(String, u64)>> {
+            self.0.list()
+        }
+        fn create(&mut self, name: &str) -> std::io::Result<Box<dyn writer::Segment>> {
+            Ok(Box::new(SlowSegment(self.0.create(name)?)))
+        }
+        fn remove(&mut self, name: &str) -> std::io::Result<()> {
+            self.0.remove(name)
+        }
+    }
+    impl writer::Segment for SlowSegment {
+        fn append(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+            std::thread::sleep(std::time::Duration::from_millis(2));
+            self.0.append(bytes)
+        }
+        fn cut(&mut self, length: u64) -> std::io::Result<()> {
+            self.0.cut(length)
+        }
+    }
+    let directory = tempfile::tempdir().unwrap();
+    let disk = Slow(Directory(directory.path().into()));
+    let mut recorder = Recorder::start(plan("g1", 1 << 20), Box::new(disk)).unwrap();
+    // Far more than the buffers hold, at once; then a little more, when the writer has caught up.
+    fill(&mut recorder, 5, 200_000);
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    let counted = fill(&mut recorder, 6, 1000);
+    drop(recorder);
+    let read = read(directory.path()).unwrap();
+    assert!(!read.gaps.is_empty());
+    let left_out: u64 = read.gaps.iter().map(|(entries, _)| entries).sum();
+    assert_eq!((read.counted.clone(), told(&read) + left_out), (counted.clone(), counted.entries));
+}
+
+/// A small record, cut after and flipped at each of its bytes.
+#[test]
+fn damage_at_any_byte_is_skipped_and_said_and_nothing_is_told_twice() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut recorder = recorder(directory.path(), 1 << 20);
+    fill(&mut recorder, 11, 150);
+    drop(recorder);
+    let file = &segments(directory.path())[0];
+    let whole = std::fs::read(file).unwrap();
+    let undamaged = read(directory.path()).unwrap();
+    let all: Vec<String> = undamaged.entries.iter().map(|entry| format!("{entry:?}")).collect();
+    let other = tempfile::tempdir().unwrap();
+    let copy = other.path().join(file.file_name().unwrap());
+    let mut rng = Rng::with_seed(13);
+    for at in 0..whole.len() {
+        for cut in [true, false] {
+            let mut bytes = whole.clone();
+            if cut {
+                bytes.truncate(at);
+            } else {
+                bytes[at] ^= 1 << rng.u8(0..8);
+            }
+            std::fs::write(&copy, &bytes).unwrap();
+            let read = match read(other.path()) {
+                Ok(read) => read,
+                Err(e) => panic!("byte {at}, cut {cut}: {e}"),
+            };
+            // What is told is a part of what was there, in order.
+            let mut left = all.iter();
+            for entry in &read.entries {
+                let entry = format!("{entry:?}");
+                assert!(
+                    left.any(|own| *own == entry),
+                    "byte {at}, cut {cut}: {entry} was not there, or is told twice"
+                );
+            }
+            // What was missing at the end of a file that was cut between two frames, nobody can say.
+            let all_there = read.entries.len() == all.len();
+            assert!(all_there || !read.problems.is_empty() || cut, "byte {at}: nothing is said");
+            for problem in &read.problems {
+                assert!(problem.from + problem.bytes <= bytes.len() as u64, "{problem}");
+            }
+        }
+    }
+}
+
+#[test]
+fn a_restart_under_the_same_name_is_a_record_of_its_own_and_old_files_count_for_the_budget() {
+    let directory = tempfile::tempdir().unwrap();
+    for start in 0..6u64 {
+        let epoch = START + start * 100_000_000;
+        let plan = Plan { epoch, budget: 400 << 10, ..plan("g1", 64 << 10) };
+        let mut recorder = Recorder::start(plan, Box::new(Directory(directory.path().into()))).unwrap();
+        fill(&mut recorder, start, 5000);
+    }
+    let starts: BTreeSet<u64> =
+        segments(directory.path()).iter().filter_map(|path| Some(writer::read_file_name(path)?.1)).collect();
+    assert!(starts.len() < 6 && starts.contains(&(START + 500_000_000)), "the oldest went");
+    let merged = Merged::open(&[directory.path().into()]).unwrap();
+    assert_eq!(merged.sources().len(), starts.len());
+}
+
+#[test]
+fn a_newer_version_is_refused_in_words() {
+    let directory = tempfile::tempdir().unwrap();
+    fill(&mut recorder(directory.path(), 1 << 20), 1, 10);
+    let file = segments(directory.path()).remove(0);
+    let mut bytes = std::fs::read(&file).unwrap();
+    bytes[8..12].copy_from_slice(&2u32.to_le_bytes());
+    let sum = crc32fast::hash(&bytes[..12]);
+    bytes[12..16].copy_from_slice(&sum.to_le_bytes());
+    std::fs::write(&file, bytes).unwrap();
+    let said = read(directory.path()).err().unwrap().to_string();
+    assert!(said.contains("version 2") && said.contains("use the program"), "{said}");
+}
+
+#[test]
+fn what_is_still_written_is_followed_and_a_frame_is_told_when_it_is_whole() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut recorder = recorder(directory.path(), 64 << 10);
+    let mut merged = Merged::follow(&[directory.path().into()]).unwrap();
+    let (mut told, mut rng, mut at) = (0, Rng::with_seed(1), START);
+    let mut counted = eideryard_record::tally::Counted::default();
+    for round in 0..40 {
+        for _ in 0..500 {
+            at += 1000;
+            state(&mut recorder, at);
+            recorder.record(at, entry(&mut rng, at).as_ref());
+            recorder.flush(at);
+        }
+        at += 1_000_000;
+        recorder.flush(at);
+        // The writer is a thread: what it has not written yet comes later.
+        let until = std::time::Instant::now() + std::time::Duration::from_secs(20);
+        while counted.tally != *recorder.tally() && std::time::Instant::now() < until {
+            while let Some(next) = merged.next().unwrap() {
+                let reader::What::Entry(entry) = next.what else { panic!("damage") };
+                counted.read(entry.as_ref());
+                told += 1;
+            }
+            std::thread::sleep(std::time::Duration::from_millis(1));
+        }
+        assert!(counted.tally == *recorder.tally(), "round {round}");
+    }
+    assert!(told >= 20_000, "{told}");
+    assert_eq!(merged.problems().count(), 0);
+}
+
+#[test]
+fn reading_from_a_time_begins_at_the_segment_before_it_with_exact_totals() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut recorder = recorder(directory.path(), 64 << 10);
+    let counted = fill(&mut recorder, 3, 50_000);
+    drop(recorder);
+    let from = START + 40_000_000;
+    let mut merged = Merged::open_from(&[directory.path().into()], from).unwrap();
+    let mut folded = eideryard_record::tally::Counted::default();
+    let mut first = None;
+    while let Some(told) = merged.next().unwrap() {
+        first.get_or_insert(told.at);
+        if let reader::What::Entry(entry) = told.what {
+            folded.read(entry.as_ref());
+        }
+    }
+    let first = first.unwrap();
+    assert!(first <= from && first > START + 25_000_000, "{}", first - START);
+    assert_eq!(folded.tally, counted);
+}
+
+/// Bytes of no sense, and frames whose checksums fit round payloads that don't.
+#[test]
+fn random_bytes_are_errors_and_never_more() {
+    let mut rng = Rng::with_seed(99);
+    let directory = tempfile::tempdir().unwrap();
+    for round in 0..400 {
+        let mut bytes = frame::file_head().to_vec();
+        for number in 1..4 {
+            let mut payload: Vec<u8> = (0..rng.usize(0..300)).map(|_| rng.u8(0..60)).collect();
+            if rng.bool() {
+                let (mut good, mut context) = (Vec::new(), Context::new(START));
+                context.put(&mut good, START, entry(&mut rng, START).as_ref());
+                payload.splice(0..0, good);
+            }
+            if rng.u8(0..4) > 0 {
+                bytes.extend(frame::frame_head(START, number, START, &payload));
+            }
+            bytes.extend(payload);
+        }
+        let path = directory.path().join(writer::file_name("g1", START, 1));
+        std::fs::write(path, &bytes).unwrap();
+        read(directory.path()).unwrap_or_else(|e| panic!("round {round}: {e}"));
+    }
+}
