--- a/crates/command/src/view.rs
+++ b/crates/command/src/view.rs
@@ -25,13 +25,15 @@
     if let Some(from) = from {
         merged = Merged::open_from(directories, from).map_err(|e| e.to_string())?;
     }
-    let mut view = View::new();
+    let mut view = View::since(from.unwrap_or(0));
+    let mut cut = false;
     while let Some(told) = merged.next().map_err(|e| e.to_string())? {
         if told.at > to {
+            cut = true;
             break;
         }
         view.take(merged.sources(), told.source, told.at, &told.what);
     }
-    view.finish();
+    view.finish(cut);
     Ok(view)
 }
--- a/crates/console/src/draw.rs
+++ b/crates/console/src/draw.rs
@@ -120,7 +120,7 @@
 ) {
     let header = Row::new(columns.iter().map(|(name, _)| *name)).style(bold());
     let widths = columns.iter().map(|(_, width)| match width {
-        0 => Constraint::Min(10),
+        0 => Constraint::Min(8),
         width => Constraint::Length(*width),
     });
     let table = Table::new(rows.into_iter().map(Row::new), widths)
@@ -164,7 +164,7 @@
 fn lanes(frame: &mut Frame, view: &View, look: Look, area: Rect, classes: bool) {
     let mut sums: Vec<[u64; 7]> = Vec::new();
     for (_, start) in view.fleet.known() {
-        let tally = &start.counted.tally;
+        let tally = start.tally();
         let lanes: &[Lane] = if classes { &tally.classes } else { &tally.tenants };
         for (at, lane) in lanes.iter().enumerate() {
             if sums.len() <= at {
--- a/crates/console/src/model.rs
+++ b/crates/console/src/model.rs
@@ -227,6 +227,7 @@
                 row.phase = match own.phase {
                     Phase::Draining => "draining",
                     Phase::Gone => "removed",
+                    Phase::Ready if view.detector.is_missed(*engine) => "missed",
                     Phase::Ready if own.quarantined => "quarantine",
                     Phase::Ready => row.phase,
                 };
--- a/crates/fleet/src/episodes.rs
+++ b/crates/fleet/src/episodes.rs
@@ -154,6 +154,7 @@
     tenants: BTreeMap<usize, u32>,
     addresses: HashMap<IpAddr, u32>,
     /// Of each tenant, by address.
+    pairs: HashMap<(usize, IpAddr), u32>,
     latency: BTreeMap<usize, Sketch>,
 }
 
@@ -204,8 +205,9 @@
             Fact::Taken { tenant, from, .. } => {
                 second.taken += 1;
                 *second.tenants.entry(tenant).or_default() += 1;
-                if let Some(from) = from.filter(|_| second.addresses.len() < MOST_ADDRESSES) {
+                if let Some(from) = from.filter(|_| second.pairs.len() < MOST_ADDRESSES) {
                     *second.addresses.entry(from).or_default() += 1;
+                    *second.pairs.entry((tenant, from)).or_default() += 1;
                 }
             }
             Fact::Ended { class, how, took, .. } => {
@@ -244,12 +246,19 @@
         }
     }
 
-    /// Nothing more comes.
-    pub fn finish(&mut self) {
+    /// Engines that are missed now.
+    pub fn is_missed(&self, engine: EngineId) -> bool {
+        self.gone.as_ref().is_some_and(|(_, gone)| gone.contains(&engine))
+    }
+
+    /// Nothing more comes; what had ended before a time is not told.
+    pub fn finish(&mut self, from: Micros) {
         self.pass(self.now + SECOND);
         for (source, from, to) in self.gaps.clone() {
             self.mark_unknown(source, from, to);
         }
+        self.episodes.retain(|episode| episode.end.is_none_or(|end| end >= from));
+        self.gaps.retain(|(_, _, to)| *to >= from);
         self.episodes.sort_by(|a, b| (a.begin, &a.kind).cmp(&(b.begin, &b.kind)));
         self.open.clear();
     }
@@ -360,11 +369,10 @@
             match usual.known().filter(|usual| is_flood(count, *usual)) {
                 Some(before) => {
                     flooding += 1;
-                    let from = addresses.iter().max_by_key(|(from, count)| (**count, **from));
-                    let from = from.filter(|(_, own)| 2 * **own >= count).map(|(from, _)| *from);
+                    let from = self.most_from(tenant, count);
                     let place = self.seen(Kind::FloodOfTenant(tenant), end, count as f64 / seconds, before);
                     if let Some(episode) = place.and_then(|place| self.episodes.get_mut(place)) {
-                        episode.from = episode.from.or(from);
+                        episode.from = from.or(episode.from);
                     }
                 }
                 None => usual.learn(count as f64 / seconds),
@@ -387,6 +395,17 @@
         }
     }
 
+    /// The address that at least half of a tenant's requests in the window came from.
+    fn most_from(&self, tenant: usize, count: u32) -> Option<IpAddr> {
+        let mut own: BTreeMap<IpAddr, u32> = BTreeMap::new();
+        for ((of, from), count) in self.window.iter().flat_map(|second| &second.pairs) {
+            if *of == tenant {
+                *own.entry(*from).or_default() += count;
+            }
+        }
+        own.into_iter().find(|(_, from)| 2 * from >= count).map(|(from, _)| from)
+    }
+
     fn judge_latency(&mut self, latency: &BTreeMap<usize, Sketch>, end: Micros) {
         for (class, sketch) in latency {
             let Some(ms) = sketch.percentile(0.9).filter(|_| sketch.count() >= LEAST_SAMPLES) else {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -25,6 +25,8 @@
     pub detector: Detector,
     pub skew: skew::Skew,
     pub notables: notable::Notables,
+    /// What came before counts as past only: it makes what is usual known.
+    pub from: Micros,
 }
 
 impl Default for View {
@@ -35,7 +37,13 @@
 
 impl View {
     pub fn new() -> Self {
+        Self::since(0)
+    }
+
+    /// Of what happens from a time on.
+    pub fn since(from: Micros) -> Self {
         View {
+            from,
             fleet: Fleet::default(),
             series: Series::new(),
             detector: Detector::new(),
@@ -45,22 +53,30 @@
     }
 
     pub fn take(&mut self, sources: &[Source], source: usize, at: Micros, what: &What) {
-        let View { fleet, series, detector, skew, notables } = self;
+        let View { fleet, series, detector, skew, notables, from } = self;
+        if at >= *from {
+            fleet.count_from_here(source, *from);
+        }
         fleet.take(sources, source, at, what, &mut |said| {
-            series.take(&said);
+            if at >= *from {
+                series.take(&said);
+                notables.take(&said);
+            }
             skew.take(&said);
-            notables.take(&said);
             detector.take(&said);
         });
     }
 
-    /// Nothing more comes: what is open ends with what is known.
-    pub fn finish(&mut self) {
+    /// Nothing more is read, up to a time that the reader chose or to the end of the records. What broke off there is
+    /// told then.
+    pub fn finish(&mut self, cut: bool) {
         let (series, detector) = (&mut self.series, &mut self.detector);
-        self.fleet.finish(&mut |said| {
-            series.take(&said);
-            detector.take(&said);
-        });
-        self.detector.finish();
+        if !cut {
+            self.fleet.finish(&mut |said| {
+                series.take(&said);
+                detector.take(&said);
+            });
+        }
+        self.detector.finish(self.from);
     }
 }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -5,7 +5,7 @@
 
 use eideryard::interface::{Action, EngineId, Event, Micros, Outcome, Phase, RequestId};
 use eideryard_record::reader::What;
-use eideryard_record::tally::Counted;
+use eideryard_record::tally::{Counted, Tally};
 use eideryard_record::{AnswerKind, Entry, Host, Listed, Names, NotTaken, Source};
 use hdrhistogram::Histogram;
 
@@ -165,7 +165,10 @@
     pub left_out: u64,
     pub entries: u64,
     damaged_since: Option<Micros>,
-    told_break: bool,
+    /// It neither ended nor told more.
+    pub broke_off: bool,
+    /// What was counted before the time that is looked at.
+    base: Option<Tally>,
 }
 
 impl Start {
@@ -189,7 +192,16 @@
             left_out: 0,
             entries: 0,
             damaged_since: None,
-            told_break: false,
+            broke_off: false,
+            base: None,
+        }
+    }
+
+    /// What was counted in the time that is looked at.
+    pub fn tally(&self) -> Tally {
+        match &self.base {
+            Some(base) => self.counted.tally.since(base),
+            None => self.counted.tally.clone(),
         }
     }
 
@@ -254,6 +266,15 @@
         starts.next().map_or_else(|| format!("tenant {at}"), |(_, start)| start.tenant(at))
     }
 
+    /// What a source counted and took up to now is the past.
+    pub(crate) fn count_from_here(&mut self, source: usize, from: Micros) {
+        let start = self.starts.get_mut(source).and_then(Option::as_mut);
+        if let Some(start) = start.filter(|start| start.base.is_none() && start.first_at < from) {
+            start.base = Some(start.counted.tally.clone());
+            start.latency.clear();
+        }
+    }
+
     fn superseded(&self, start: &Start) -> bool {
         self.known().any(|(_, other)| other.name == start.name && other.epoch > start.epoch)
     }
@@ -269,7 +290,7 @@
             for (number, start) in self.starts.iter_mut().enumerate() {
                 let Some(start) = start.as_mut().filter(|start| start.name == new.name) else { continue };
                 restart_of = Some(number);
-                if start.own.is_none() && !std::mem::replace(&mut start.told_break, true) {
+                if start.own.is_none() && !std::mem::replace(&mut start.broke_off, true) {
                     tell(Said { source: number, at: start.last_at, fact: Fact::Breaks });
                     let fact = Fact::Missing { from: start.last_at, entries: None };
                     tell(Said { source: number, at, fact });
@@ -300,8 +321,8 @@
         let now = self.now;
         for (source, start) in self.starts.iter_mut().enumerate() {
             let Some(start) = start else { continue };
-            if start.own.is_none() && !start.told_break && start.last_at + BREAK < now {
-                start.told_break = true;
+            if start.own.is_none() && !start.broke_off && start.last_at + BREAK < now {
+                start.broke_off = true;
                 tell(Said { source, at: start.last_at, fact: Fact::Breaks });
                 let fact = Fact::Missing { from: start.last_at, entries: None };
                 tell(Said { source, at: now, fact });
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -40,7 +40,7 @@
     ),
     Spec::new(
         "log-target",
-        &[Kind::Name, Kind::Choice(&["off", "error", "warn", "info", "debug", "trace"])],
+        &[Kind::Text, Kind::Choice(&["off", "error", "warn", "info", "debug", "trace"])],
         "as log-level",
         "Another level for one part of the program, by the target that its lines name.",
     )
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -75,8 +75,8 @@
                         h2 id="service" { "Service" }
                         (outcomes(view, span, &bands))
                         (latency(view, span, &bands))
-                        (lanes(view, "Service by class", "class", &|start| start.counted.tally.classes.clone(), &|at| view.fleet.class(at)))
-                        (lanes(view, "Service by tenant", "tenant", &|start| start.counted.tally.tenants.clone(), &|at| view.fleet.tenant(at)))
+                        (lanes(view, "Service by class", "class", &|start| start.tally().classes, &|at| view.fleet.class(at)))
+                        (lanes(view, "Service by tenant", "tenant", &|start| start.tally().tenants, &|at| view.fleet.tenant(at)))
                         (tenants(view, span, &bands))
                     }
                     section aria-labelledby="engines" {
@@ -101,7 +101,7 @@
 }
 
 fn span(view: &View) -> Span {
-    let from = view.fleet.known().map(|(_, start)| start.first_at).min().unwrap_or(0);
+    let from = view.fleet.known().map(|(_, start)| start.first_at).min().unwrap_or(0).max(view.from);
     let to = view.fleet.now.max(from + 1_000_000);
     Span { from, to }
 }
@@ -202,8 +202,8 @@
                         th scope="row" { (start.name) }
                         td { (clock(start.epoch)) }
                         td { (clock_ms(start.last_at)) }
-                        td { @if start.own.is_some() { "stopped" } @else { em { "none" } } }
-                        @for (_, value) in start.counted.tally.totals.pairs().filter(|(name, _)| columns.contains(name)) {
+                        td { @if start.own.is_some() { "stopped" } @else if start.broke_off { "broke off" } @else { "runs" } }
+                        @for (_, value) in start.tally().totals.pairs().filter(|(name, _)| columns.contains(name)) {
                             td class="n" { (value) }
                         }
                         td class="n" { (start.counted.tally.open()) }
@@ -450,7 +450,7 @@
         tries: own.tries,
     });
     let mut asked: Vec<Asked> = ended.collect();
-    for (source, start) in view.fleet.known().filter(|(_, start)| start.own.is_none()) {
+    for (source, start) in view.fleet.known().filter(|(_, start)| start.broke_off) {
         asked.extend(start.unanswered().take(MOST_OPEN).map(|own| Asked {
             at: start.last_at,
             id: Some(own.id),
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -57,7 +57,8 @@
 pub fn totals(view: &View) -> Totals {
     let mut sum = Totals::default();
     for (_, start) in view.fleet.known() {
-        let own = start.counted.tally.totals.pairs();
+        let own = start.tally();
+        let own = own.totals.pairs();
         sum.values_mut().zip(own).for_each(|(sum, (_, value))| *sum += value);
     }
     sum
@@ -145,7 +146,7 @@
 
 /// Requests that were open where a record breaks off: their clients had no answer from that gateway.
 pub fn broken_off(view: &View) -> u64 {
-    let broken = view.fleet.known().filter(|(_, start)| start.own.is_none());
+    let broken = view.fleet.known().filter(|(_, start)| start.broke_off);
     broken.map(|(_, start)| start.counted.tally.open()).sum()
 }
 
@@ -211,7 +212,7 @@
 pub fn caveats(view: &View) -> Vec<String> {
     let mut said = Vec::new();
     for (_, start) in view.fleet.known() {
-        if start.own.is_none() {
+        if start.broke_off {
             let at = clock_ms(start.last_at);
             said.push(format!(
                 "{} (started {}) did not end by itself: its figures are those up to {at}, its last whole frame; {} open then",
--- /dev/null
+++ b/crates/report/tests/pages.rs
@@ -0,0 +1,77 @@
+//! What a page says, and that what it holds can't break it.
+
+#[path = "../../fleet/tests/common/mod.rs"]
+mod common;
+
+use common::*;
+use eideryard::interface::Phase;
+use eideryard_record::{Entry, Host, Listed};
+use eideryard_report::{page, story};
+
+#[test]
+fn a_calm_day_says_so_and_a_trouble_is_the_head_line() {
+    let mut script = Script::new(&["g1"]);
+    script.calm(0, 0, 20, 20);
+    let view = script.finish();
+    assert_eq!(story::headline(&view).split(';').next(), Some("No trouble was found"));
+    assert!(page(&view).contains("No trouble was found by its symptoms"));
+    let mut script = Script::new(&["g1"]);
+    script.calm(0, 0, 10, 20);
+    script.engines = vec![3, 4];
+    script.calm(0, 10, 20, 20);
+    script.fails(0, 10.0, 1);
+    script.fails(0, 10.2, 2);
+    script.host(0, 12.0, Host::Link { up: false });
+    let view = script.finish();
+    let head = story::headline(&view);
+    assert!(
+        head.starts_with(
+            "05:00:10 to 05:00:19: 2 of 4 engines ended together (e-1 and e-2); 1 other trouble besides"
+        ),
+        "{head}"
+    );
+    assert!(head.contains("of 402 requests 0 refused, 2 failed, 0 lost"), "{head}");
+}
+
+#[test]
+fn names_are_text_whatever_they_hold() {
+    let mut script = Script::new(&["g1"]);
+    script.calm(0, 0, 5, 10);
+    let name = "<script>alert(1)</script>\"'&".to_string();
+    let (address, phase) = ("\"><svg onload=x>".to_string(), Phase::Draining);
+    let listed = Listed { engine: 2, name, address, zone: 0, kind: 0, phase, booted_at: 0 };
+    script.tell(0, at(2.0), Entry::Host(Host::Engine(listed)));
+    let page = page(&script.finish());
+    assert!(!page.contains("<script>alert") && !page.contains("<svg onload"));
+    assert!(page.contains("&lt;script&gt;alert(1)"));
+}
+
+#[test]
+fn every_plot_and_table_is_named_for_those_who_hear_it() {
+    let mut script = Script::new(&["g1"]);
+    script.calm(0, 0, 30, 20);
+    script.flood(0, 20, 24, 100, 2);
+    let page = page(&script.finish());
+    assert_eq!(
+        page.matches("<svg viewBox").count(),
+        page.matches("role=\"img\"").count() + page.matches("aria-hidden").count()
+    );
+    assert_eq!(page.matches("<table").count(), page.matches("<caption>").count());
+    assert_eq!(page.matches("<figure>").count(), page.matches("<figcaption>").count());
+    assert!(
+        page.contains("lang=\"en\"")
+            && page.contains("prefers-color-scheme")
+            && page.contains("@media print")
+    );
+}
+
+#[test]
+fn times_and_numbers_are_said_as_a_person_would() {
+    assert_eq!(story::clock_ms(START + 1_234_000), "05:00:01.234");
+    let said = [(5_000, "5 ms"), (1_500_000, "1.5 s"), (180_000_000, "3 min"), (9_000_000_000, "2.5 h")];
+    said.iter().for_each(|(micros, words)| assert_eq!(story::lasting(*micros), *words));
+    assert_eq!(
+        (story::plural(1, "episode"), story::plural(2, "episode")),
+        ("1 episode".into(), "2 episodes".into())
+    );
+}
