Benchmarks of the record beside JSON lines, and of a gateway's processor time with it

Need: the record's cost must be known, on the loop's thread above all.

Change: crates/record/benches measures an entry on the loop's thread, bytes, allocations, decoding and reading two merged records, beside a plain JSON-lines encoder; crates/command/benches plays 500 requests a second with and without the record, in turn. A tally is copied over another without allocation.

--- /dev/null
+++ b/crates/command/benches/cpu.rs
@@ -0,0 +1,66 @@
+//! Processor time of a gateway at 500 requests a second, with and without the record, in turn.
+//! `cargo bench -p eideryard-command`: about three minutes, most of which is waiting.
+
+use eideryard_standin::scenario::Scenario;
+use eideryard_standin::world::{play, Programs};
+
+const ROUNDS: usize = 6;
+const SCENARIO: &str = "
+seed 5
+time 12s
+engines 6 e {
+    cores 16
+    memory 64GB
+}
+gateway g1 {
+}
+load steady {
+    rate 500/s
+    work 20ms
+    wait 2s
+    connections 8
+}
+";
+
+/// Milliseconds of processor time for each request taken.
+fn round(record: bool) -> f64 {
+    let directory = tempfile::tempdir().expect("a directory");
+    let operator = directory.path().join("operator.conf");
+    let records = directory.path().join("records");
+    let text = if record { format!("record-dir \"{}\"\n", records.display()) } else { String::new() };
+    std::fs::write(&operator, text).expect("a file");
+    let programs = Programs {
+        program: env!("CARGO_BIN_EXE_eideryard").into(),
+        arguments: vec!["--operator".into(), operator.display().to_string()],
+        variables: Vec::new(),
+        directory: directory.path().into(),
+    };
+    let scenario = Scenario::read("steady", SCENARIO).expect("a good scenario");
+    let played = play(scenario, Some(programs)).expect("it can be played");
+    let ending = &played.endings[0];
+    let counters = ending.counters.as_ref().expect("it ends by itself");
+    assert_eq!((played.ledger.breaks, counters["served"]), (0, counters["taken"]), "all are served");
+    ending.cpu.as_secs_f64() * 1e3 / counters["taken"] as f64
+}
+
+fn main() {
+    // Cargo tests benches too, with a word that asks for nothing.
+    if !std::env::args().any(|word| word == "--bench") {
+        return;
+    }
+    let mut ratios = Vec::new();
+    for number in 1..=ROUNDS {
+        // Each goes first as often as second.
+        let order = [number % 2 == 0, number % 2 == 1];
+        let first = round(order[0]);
+        let second = round(order[1]);
+        let (with, without) = if order[0] { (first, second) } else { (second, first) };
+        println!(
+            "round {number}: {with:.4} ms a request with the record, {without:.4} without, ratio {:.3}",
+            with / without
+        );
+        ratios.push(with / without);
+    }
+    ratios.sort_by(f64::total_cmp);
+    println!("median ratio {:.3}", (ratios[ROUNDS / 2 - 1] + ratios[ROUNDS / 2]) / 2.0);
+}
--- a/crates/fleet/tests/common/mod.rs
+++ b/crates/fleet/tests/common/mod.rs
@@ -73,7 +73,7 @@
     /// An open request: offered, arrived, sent to an engine.
     pub fn open(&mut self, source: usize, seconds: f64, class: usize, tenant: usize, engine: u32) -> u64 {
         self.requests += 1;
-        let (request, time) = (self.requests << 32 | self.requests % 50, at(seconds));
+        let (request, time) = ((self.requests << 32) | (self.requests % 50), at(seconds));
         let connection = if tenant == 2 { 2 << 32 } else { 1 << 32 };
         self.tell(source, time, Entry::Host(Host::Offered(Offer { request, id: self.requests, connection })));
         let arrived =
@@ -91,16 +91,14 @@
 
     fn ends_at(&mut self, source: usize, seconds: f64, request: u64, end: Ending, outcome: Outcome) {
         let (time, Ending { how, late, .. }) = (at(seconds), end);
-        let tenant = match self.told.iter().rev().find_map(|(_, _, entry)| match entry {
+        let arrived = self.told.iter().rev().find_map(|(_, _, entry)| match entry {
             Entry::In(Event::Arrived(arrived)) if arrived.id == request => {
                 Some((arrived.class, arrived.tenant))
             }
             _ => None,
-        }) {
-            Some(of) => of,
-            None => (0, 0),
-        };
-        let answered = Host::Answered { request, class: tenant.0, tenant: tenant.1, how, late };
+        });
+        let (class, tenant) = arrived.unwrap_or_default();
+        let answered = Host::Answered { request, class, tenant, how, late };
         self.tell(source, time, Entry::Host(answered));
         let ended = i::Ended {
             request,
--- /dev/null
+++ b/crates/record/benches/record.rs
@@ -0,0 +1,219 @@
+//! Cost of the record: an entry on the loop's thread, its bytes, and reading it back, each beside plain JSON lines.
+//! `cargo bench -p eideryard-record`; the entries are those of a gateway's usual request.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::{plan, state, START};
+use divan::counter::{BytesCount, ItemsCount};
+use divan::Bencher;
+use eideryard::interface::*;
+use eideryard_record::codec::{Context, Decoder};
+use eideryard_record::entry::EntryRef;
+use eideryard_record::writer::Directory;
+use eideryard_record::{AnswerKind, Entry, Host, Merged, Offer, Recorder};
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::cell::Cell;
+use std::io::Write;
+
+/// Counts allocations of the thread that measures.
+struct Counting;
+
+thread_local!(static ALLOCATIONS: Cell<u64> = const { Cell::new(0) });
+
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        // A thread that ends counts no more.
+        let _ = ALLOCATIONS.try_with(|count| count.set(count.get() + 1));
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, at: *mut u8, layout: Layout) {
+        unsafe { System.dealloc(at, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// What a gateway records of one request that is served at its first attempt, with two beats of the module.
+fn request(number: u64) -> Vec<(Micros, Entry)> {
+    let (id, begin) = ((number << 32) | (number % 300), START + number * 2000);
+    let engine = 0x9e37_0000 + (number % 12) as u32;
+    let offer =
+        Offer { request: id, id: number.wrapping_mul(0x9e37_79b9_7f4a_7c15), connection: (77 << 32) | 3 };
+    let arrived = Request {
+        id,
+        class: (number % 3) as usize,
+        tenant: (number % 5) as usize,
+        key: None,
+        deadline: begin + 1_500_000,
+        work: Some(812_000.0 + number as f64 * 100.0),
+        memory_mb: Some(96.0),
+        group: 17,
+    };
+    let report = LoadReport { in_flight: Some(7.0), cores_busy: Some(0.61), ..LoadReport::default() };
+    let ended = Ended {
+        request: id,
+        attempt: 0,
+        outcome: Outcome::Answered,
+        spent: 93_411,
+        complete: true,
+        told: false,
+        bill: Some(Bill { work: 791_300.0, memory_mb: 88.4 }),
+        report: Some(report),
+    };
+    // Of one that came forty before it.
+    let before = id - (40 << 32);
+    let answered = Host::Answered {
+        request: before,
+        class: arrived.class,
+        tenant: arrived.tenant,
+        how: AnswerKind::Served,
+        late: false,
+    };
+    let beat = |at| {
+        [
+            (at, Entry::In(Event::Timer { tag: 0 })),
+            (at, Entry::Out(Action::SetTimer { after: 10_000, tag: 0 })),
+        ]
+    };
+    let mut entries = vec![
+        (begin, Entry::Host(Host::Offered(offer))),
+        (begin + 14, Entry::In(Event::Arrived(arrived))),
+        (begin + 14, Entry::Out(Action::SetTimer { after: 1_349_900, tag: id + 1 })),
+        (begin + 14, Entry::Out(Action::Terms { request: id, grant_mb: 120.0, rank: 2 })),
+        (begin + 14, Entry::Out(Action::Send { request: id, engine, give_up_at: begin + 1_490_000 })),
+        (begin + 900, Entry::Host(answered)),
+        (begin + 950, Entry::In(Event::Ended(Ended { request: before, ..ended }))),
+    ];
+    entries.extend(beat(begin + 1000));
+    entries.extend(beat(begin + 1500));
+    entries
+}
+
+fn entries(count: u64) -> Vec<(Micros, Entry)> {
+    (100..100 + count / 11).flat_map(request).collect()
+}
+
+/// A plain record: one JSON object a line, as a text log of the same events would be.
+fn json_line(out: &mut Vec<u8>, at: Micros, entry: &Entry) {
+    // Writing to a vector cannot fail.
+    let _ = match entry.as_ref() {
+        EntryRef::In(event) => writeln!(out, "{{\"at\":{at},\"in\":\"{event:?}\"}}"),
+        EntryRef::Out(action) => writeln!(out, "{{\"at\":{at},\"out\":\"{action:?}\"}}"),
+        EntryRef::Host(host) => writeln!(out, "{{\"at\":{at},\"host\":\"{host:?}\"}}"),
+    };
+}
+
+fn main() {
+    sizes();
+    divan::main();
+}
+
+/// Figures that need no clock: bytes an entry, and allocations while recording.
+fn sizes() {
+    let entries = entries(110_000);
+    let (mut bytes, mut context, mut json) = (Vec::new(), Context::new(START), Vec::new());
+    for (at, entry) in &entries {
+        context.put(&mut bytes, *at, entry.as_ref());
+        json_line(&mut json, *at, entry);
+    }
+    let each = |bytes: &[u8]| bytes.len() as f64 / entries.len() as f64;
+    println!("bytes an entry: {:.1}, as JSON lines {:.1}", each(&bytes), each(&json));
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut recorder = recorder(directory.path());
+    let begun = ALLOCATIONS.get();
+    for (at, entry) in &entries {
+        recorder.record(*at, entry.as_ref());
+    }
+    println!("allocations while {} entries were recorded: {}", entries.len(), ALLOCATIONS.get() - begun);
+}
+
+fn recorder(directory: &std::path::Path) -> Recorder {
+    let plan = plan("bench", 1 << 30);
+    let mut recorder = Recorder::start(plan, Box::new(Directory(directory.into()))).expect("a thread");
+    state(&mut recorder, START);
+    recorder
+}
+
+/// On the loop's thread, with the writer beside it: 11,000 entries at a time.
+#[divan::bench(sample_count = 200)]
+fn record(bencher: Bencher) {
+    let entries = entries(11_000);
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut recorder = recorder(directory.path());
+    // The writer has the time that it has between two looks at sockets, so that nothing is left out.
+    let pause = || std::thread::sleep(std::time::Duration::from_millis(4));
+    bencher.counter(ItemsCount::new(entries.len())).with_inputs(pause).bench_local_values(|()| {
+        for (at, entry) in &entries {
+            recorder.record(*at, entry.as_ref());
+        }
+    });
+    assert!(!recorder.wants_state(START), "entries were left out");
+}
+
+/// The codec alone.
+#[divan::bench(sample_count = 200)]
+fn encode(bencher: Bencher) {
+    let entries = entries(11_000);
+    let mut out = Vec::with_capacity(1 << 20);
+    bencher.counter(ItemsCount::new(entries.len())).bench_local(|| {
+        out.clear();
+        let mut context = Context::new(START);
+        entries.iter().for_each(|(at, entry)| context.put(&mut out, *at, entry.as_ref()));
+    });
+}
+
+#[divan::bench(sample_count = 200)]
+fn encode_json_lines(bencher: Bencher) {
+    let entries = entries(11_000);
+    let mut out = Vec::with_capacity(4 << 20);
+    bencher.counter(ItemsCount::new(entries.len())).bench_local(|| {
+        out.clear();
+        entries.iter().for_each(|(at, entry)| json_line(&mut out, *at, entry));
+    });
+}
+
+#[divan::bench(sample_count = 200)]
+fn decode(bencher: Bencher) {
+    let entries = entries(11_000);
+    let (mut bytes, mut context) = (Vec::new(), Context::new(START));
+    entries.iter().for_each(|(at, entry)| context.put(&mut bytes, *at, entry.as_ref()));
+    bencher.counter(ItemsCount::new(entries.len())).counter(BytesCount::new(bytes.len())).bench_local(|| {
+        let mut decoder = Decoder::new(&bytes, Context::new(START));
+        let mut count = 0;
+        while let Ok(Some(_)) = decoder.next() {
+            count += 1;
+        }
+        assert_eq!(count, entries.len());
+    });
+}
+
+/// From files, with checksums, merged by time: two gateways' records of 550,000 entries each.
+#[divan::bench(sample_count = 5)]
+fn read_two_records(bencher: Bencher) {
+    let directory = tempfile::tempdir().expect("a directory");
+    let entries = entries(550_000);
+    for name in ["g1", "g2"] {
+        let plan = eideryard_record::Plan { name: name.into(), ..plan(name, 8 << 20) };
+        let mut recorder =
+            Recorder::start(plan, Box::new(Directory(directory.path().into()))).expect("a thread");
+        for (number, (at, entry)) in entries.iter().enumerate() {
+            state(&mut recorder, *at);
+            recorder.record(*at, entry.as_ref());
+            if number % 20_000 == 0 {
+                // The writer keeps up, so that nothing is left out.
+                std::thread::sleep(std::time::Duration::from_millis(5));
+            }
+        }
+    }
+    bencher.counter(ItemsCount::new(2 * entries.len())).bench_local(|| {
+        let mut merged = Merged::open(&[directory.path().into()]).expect("records");
+        let mut count = 0;
+        while merged.next().expect("whole records").is_some() {
+            count += 1;
+        }
+        assert!(count >= 2 * entries.len());
+    });
+}
--- a/crates/record/src/tally.rs
+++ b/crates/record/src/tally.rs
@@ -105,7 +105,7 @@
     }
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default, PartialEq, Eq)]
 pub struct Tally {
     /// Entries that count: all but those of a segment's opening state.
     pub entries: u64,
@@ -114,6 +114,21 @@
     pub tenants: Vec<Lane>,
 }
 
+/// By hand, so that a tally is copied over another without allocation.
+impl Clone for Tally {
+    fn clone(&self) -> Self {
+        let mut copy = Tally::default();
+        copy.clone_from(self);
+        copy
+    }
+
+    fn clone_from(&mut self, other: &Self) {
+        (self.entries, self.totals) = (other.entries, other.totals);
+        self.classes.clone_from(&other.classes);
+        self.tenants.clone_from(&other.tenants);
+    }
+}
+
 fn lane(lanes: &mut Vec<Lane>, at: usize) -> Option<&mut Lane> {
     if at >= lanes.len() && at < MOST_LANES {
         lanes.resize(at + 1, Lane::default());
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -44,6 +44,8 @@
 pub struct Ending {
     pub name: String,
     pub log: PathBuf,
+    /// Processor time of all its threads.
+    pub cpu: Duration,
     /// Its last counters, unless it was killed.
     pub counters: Option<BTreeMap<String, u64>>,
 }
@@ -246,7 +248,9 @@
         let Some(mut gateway) = self.gateways.remove(name) else { return Ok(()) };
         self.doors.borrow_mut().remove(name);
         let until = Instant::now() + PATIENCE;
+        let mut cpu = Duration::ZERO;
         while gateway.child.try_wait()?.is_none() {
+            cpu = processor_time(gateway.child.id()).unwrap_or(cpu).max(cpu);
             if Instant::now() > until {
                 gateway.child.kill()?;
                 self.ledger.borrow_mut().break_rule(format!("gateway {name} doesn't end"));
@@ -255,7 +259,7 @@
         }
         let counters = find(&gateway.log, "counters:").map(|line| counters(&line));
         let name = format!("{name}#{}", gateway.starts);
-        self.endings.push(Ending { name, log: gateway.log, counters });
+        self.endings.push(Ending { name, log: gateway.log, cpu, counters });
         Ok(())
     }
 
@@ -328,6 +332,16 @@
     since.as_millis() as u64
 }
 
+/// Of a process that still runs, by the system's own account.
+fn processor_time(process: u32) -> Option<Duration> {
+    let mut sum = 0;
+    for task in std::fs::read_dir(format!("/proc/{process}/task")).ok()? {
+        let told = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+        sum += told.split(' ').next()?.parse::<u64>().ok()?;
+    }
+    Some(Duration::from_nanos(sum))
+}
+
 /// The last line of a log that holds a text.
 fn find(log: &Path, text: &str) -> Option<String> {
     let lines = BufReader::new(File::open(log).ok()?).lines().map_while(Result::ok);
