--- a/crates/console/src/draw.rs
+++ b/crates/console/src/draw.rs
@@ -243,7 +243,8 @@
     for (_, start) in view.fleet.known() {
         let Some(own) = start.engines.get(&engine) else { continue };
         lines.push(Line::from(""));
-        let out = format!("{} out, {:.0} MB granted", own.in_flight, own.granted_mb);
+        let out =
+            format!("{} out, {:.0} threads, {:.0} MB granted", own.in_flight, own.threads, own.granted_mb);
         lines.push(Line::styled(
             format!("at {} (started {}): {:?}, {out}", start.name, clock(start.epoch), own.phase),
             bold(),
--- a/crates/fleet/src/episodes.rs
+++ b/crates/fleet/src/episodes.rs
@@ -253,7 +253,10 @@
 
     /// Nothing more comes; what had ended before a time is not told.
     pub fn finish(&mut self, from: Micros) {
-        self.pass(self.now + SECOND);
+        // The second that has begun is judged too, but it is not later for that.
+        let now = self.now;
+        self.pass(now + SECOND);
+        self.now = now;
         for (source, from, to) in self.gaps.clone() {
             self.mark_unknown(source, from, to);
         }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -131,7 +131,10 @@
     pub booted_at: Micros,
     pub in_flight: usize,
     pub granted_mb: f64,
-    pub threads_hint: Option<f64>,
+    /// What the engine's last report counted as running there, of all gateways.
+    pub reported: Option<f64>,
+    /// Threads of what is out there.
+    pub threads: f64,
     /// What is out there by rank.
     pub ranks: [u32; 4],
     pub quarantined: bool,
@@ -364,12 +367,13 @@
                 let Some(tried) = place.and_then(|place| open.attempts.get_mut(place)) else { return };
                 tried.ended = Some((ended.outcome, at));
                 let (engine, rank, grant) = (tried.engine, open.rank, open.grant_mb);
+                let threads = self.names.of_class(open.class);
                 let done = open.answered && open.attempts.iter().all(|attempt| attempt.ended.is_some());
                 if done {
                     self.open.remove(&ended.request);
                 }
                 if let Some(own) = self.engines.get_mut(&engine) {
-                    own.leave(rank, grant);
+                    own.leave(rank, grant, threads);
                     own.outcomes[ended.outcome as usize] += 1;
                     own.recent.push_back(ended.outcome);
                     if own.recent.len() > RECENT {
@@ -378,7 +382,7 @@
                     if ended.outcome == Outcome::Answered {
                         own.last_answer = Some(at);
                     }
-                    own.threads_hint = ended.report.and_then(|report| report.in_flight).or(own.threads_hint);
+                    own.reported = ended.report.and_then(|report| report.in_flight).or(own.reported);
                 }
                 say(Fact::Out { engine, outcome: ended.outcome, spent: ended.spent });
             }
@@ -391,12 +395,13 @@
             Action::Terms { request, grant_mb, rank } => {
                 let Some(open) = self.open.get_mut(request) else { return };
                 let (old_rank, old_grant) = (open.rank, open.grant_mb);
+                let threads = self.names.of_class(open.class);
                 (open.rank, open.grant_mb) = (*rank, *grant_mb);
                 let out = open.attempts.iter().filter(|attempt| attempt.ended.is_none());
                 for engine in out.map(|attempt| attempt.engine) {
                     if let Some(own) = self.engines.get_mut(&engine) {
-                        own.leave(old_rank, old_grant);
-                        own.enter(*rank, *grant_mb);
+                        own.leave(old_rank, old_grant, threads);
+                        own.enter(*rank, *grant_mb, threads);
                     }
                 }
             }
@@ -404,7 +409,7 @@
                 let own = self.engines.entry(*engine).or_default();
                 own.sent += 1;
                 let Some(open) = self.open.get_mut(request) else { return };
-                own.enter(open.rank, open.grant_mb);
+                own.enter(open.rank, open.grant_mb, self.names.of_class(open.class));
                 let again = open.tries() > 0;
                 if open.attempts.len() >= MOST_ATTEMPTS {
                     open.attempts.remove(0);
@@ -438,7 +443,7 @@
                 self.before = std::mem::take(&mut self.open);
                 self.connections.clear();
                 for own in self.engines.values_mut() {
-                    (own.in_flight, own.granted_mb, own.ranks) = (0, 0.0, [0; 4]);
+                    (own.in_flight, own.granted_mb, own.threads, own.ranks) = (0, 0.0, 0.0, [0; 4]);
                 }
             }
             Host::StateWhole => {
@@ -446,8 +451,10 @@
                 let late =
                     std::mem::take(&mut self.before).into_iter().filter(|(_, request)| request.answered);
                 for (key, request) in late {
+                    let threads = self.names.of_class(request.class);
                     for attempt in request.attempts.iter().filter(|attempt| attempt.ended.is_none()) {
-                        self.engines.entry(attempt.engine).or_default().enter(request.rank, request.grant_mb);
+                        let own = self.engines.entry(attempt.engine).or_default();
+                        own.enter(request.rank, request.grant_mb, threads);
                     }
                     self.open.insert(key, request);
                 }
@@ -466,7 +473,8 @@
                     }
                 };
                 for attempt in attempts.iter().filter(|attempt| attempt.ended.is_none()) {
-                    self.engines.entry(attempt.engine).or_default().enter(rank, grant_mb);
+                    let threads = self.names.of_class(told.class);
+                    self.engines.entry(attempt.engine).or_default().enter(rank, grant_mb, threads);
                 }
                 let request = Request {
                     id: told.offer.id,
@@ -556,7 +564,7 @@
                 self.left_out += entries;
                 say(Fact::Missing { from: *from, entries: Some(*entries) });
             }
-            Host::Reloaded { .. } => {}
+            Host::Reloaded { .. } | Host::Ending { .. } => {}
         }
     }
 
@@ -603,14 +611,16 @@
 }
 
 impl Engine {
-    fn enter(&mut self, rank: u8, grant_mb: f64) {
+    fn enter(&mut self, rank: u8, grant_mb: f64, threads: f64) {
         self.in_flight += 1;
+        self.threads += threads;
         self.granted_mb += grant_mb;
         self.ranks[rank.min(3) as usize] += 1;
     }
 
-    fn leave(&mut self, rank: u8, grant_mb: f64) {
+    fn leave(&mut self, rank: u8, grant_mb: f64, threads: f64) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.threads = (self.threads - threads).max(0.0);
         self.granted_mb = (self.granted_mb - grant_mb).max(0.0);
         let place = &mut self.ranks[rank.min(3) as usize];
         *place = place.saturating_sub(1);
--- a/crates/fleet/tests/folds.rs
+++ b/crates/fleet/tests/folds.rs
@@ -57,6 +57,20 @@
     assert_eq!((overlap.len(), overlap[0].from), (1, flood[0].begin));
 }
 
+/// Under many tenants' names no tenant floods, but the address does.
+#[test]
+fn a_flood_from_one_address_is_found_whatever_it_calls_itself() {
+    let mut script = Script::new(&["g1"]);
+    script.calm(0, 0, 40, 20);
+    script.connection = Some(2 << 32);
+    for number in 0..600 {
+        script.request(0, 20.0 + number as f64 / 150.0, 0, number % 3, SERVED);
+    }
+    let view = script.finish();
+    let floods: Vec<_> = only(&view, "flood").into_iter().map(|episode| episode.kind.clone()).collect();
+    assert_eq!(floods, [Kind::FloodOfAddress([127, 0, 0, 9].into())], "{:?}", view.detector.episodes);
+}
+
 #[test]
 fn engines_that_go_together_are_one_episode_until_the_last_is_back() {
     let mut script = Script::new(&["g1"]);
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -6,6 +6,7 @@
 
 use eideryard::interface::Micros;
 use eideryard_msgpack_rpc::{decode, write_health, Message};
+use eideryard_record::Why;
 
 use crate::connection::{is_shortage, listen, Connection, Filled, Loop, Wake, Watched, MOST_READS};
 use crate::counters::Counters;
@@ -53,6 +54,13 @@
     Left(Key),
 }
 
+/// What became of a connection.
+pub enum Change {
+    Came(IpAddr),
+    Ends(Why),
+    Gone,
+}
+
 impl Heard {
     fn is_call(&self, of: Key, number: u32) -> bool {
         matches!(self, Heard::Call { client, id, .. } if (*client, *id) == (of, number))
@@ -73,8 +81,8 @@
     unread: usize,
     /// What the question after this gateway's health is answered.
     pub well: bool,
-    /// Connections that have come, with their address, and gone, where that is recorded; the owner empties it.
-    pub changes: Vec<(Key, Option<IpAddr>)>,
+    /// What became of connections, where that is recorded; the owner empties it.
+    pub changes: Vec<(Key, Change)>,
     tells: bool,
 }
 
@@ -103,6 +111,12 @@
         })
     }
 
+    fn tell(&mut self, key: Key, change: Change) {
+        if self.tells {
+            self.changes.push((key, change));
+        }
+    }
+
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.listener.file.local_addr()
     }
@@ -129,7 +143,7 @@
                                 deadline: Some(due.set(now + MOST_SILENCE, Due::Client(key))),
                             });
                             counters.connections += 1;
-                            self.changes.extend(self.tells.then_some((key, Some(from.ip()))));
+                            self.tell(key, Change::Came(from.ip()));
                         }
                         Err(e) => tracing::warn!("a client's connection is of no use: {e}"),
                     }
@@ -153,6 +167,7 @@
         let order = |c: &Client| (c.asked || now - c.used_at < FIRST_WORD, c.used_at);
         let Some((key, _)) = idle.min_by_key(|(_, client)| order(client)) else { return false };
         counters.ended.evicted += 1;
+        self.tell(key, Change::Ends(Why::Evicted));
         self.close(key, due, &mut Vec::new());
         true
     }
@@ -172,6 +187,7 @@
             self.close(key, due, heard);
         } else {
             counters.ended.silent += 1;
+            self.tell(key, Change::Ends(Why::Silent));
             self.spoil(key, now, due, heard);
         }
     }
@@ -223,6 +239,7 @@
                     if !understood || hoards {
                         counters.ended.malformed += !understood as u64;
                         counters.ended.hoarding += (understood && hoards) as u64;
+                        self.tell(key, Change::Ends(if understood { Why::Hoarding } else { Why::Malformed }));
                         self.spoil(key, now, due, heard);
                     }
                     self.unflushed.push(key);
@@ -341,6 +358,9 @@
             }
             let deaf = self.unsent > self.most_unsent && left > fair;
             counters.ended.deaf += deaf as u64;
+            if deaf {
+                self.tell(key, Change::Ends(Why::Deaf));
+            }
             if result.is_err() || deaf {
                 self.close(key, due, heard);
             }
@@ -351,7 +371,7 @@
     /// The one place that gives a client's connection back.
     fn close(&mut self, key: Key, due: &mut Deadlines, heard: &mut Vec<Heard>) {
         let Some(client) = self.table.remove(key) else { return };
-        self.changes.extend(self.tells.then_some((key, None)));
+        self.tell(key, Change::Gone);
         due.take_back(client.deadline);
         self.unsent = self.unsent.saturating_sub(client.connection.output.len());
         self.unread -= client.connection.input.len();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -214,15 +214,14 @@
     /// Connections of clients that have come and gone.
     fn tell_changes(&mut self) {
         let now = self.clock.now();
-        for (key, came_from) in self.clients.changes.drain(..) {
+        for (key, change) in self.clients.changes.drain(..) {
             let connection = key.number();
-            self.tap.host(
-                now,
-                match came_from {
-                    Some(address) => Host::Connected { connection, address },
-                    None => Host::Disconnected { connection },
-                },
-            );
+            let host = match change {
+                clients::Change::Came(address) => Host::Connected { connection, address },
+                clients::Change::Ends(why) => Host::Ending { connection, why },
+                clients::Change::Gone => Host::Disconnected { connection },
+            };
+            self.tap.host(now, host);
         }
     }
 
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -28,6 +28,7 @@
     tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
+    threads: Vec<f64>,
     longest_wait: f64,
     most_work: f64,
     most_memory_mb: f64,
@@ -48,6 +49,7 @@
             tenants: host.tenants.clone(),
             zones: host.zones.clone(),
             kinds: host.kinds.clone(),
+            threads: settings.classes.iter().map(|class| class.threads).collect(),
         }
     }
 }
@@ -60,6 +62,7 @@
             tenants: self.tenants.clone(),
             zones: self.zones.clone(),
             kinds: self.kinds.clone(),
+            threads: self.threads.clone(),
         }
     }
 }
@@ -279,6 +282,7 @@
             tenants: words(&["acme"]),
             zones: vec![],
             kinds: vec![],
+            threads: vec![],
             longest_wait: 4e6,
             most_work: 9e9,
             most_memory_mb: 16384.0,
--- a/crates/record/src/codec.rs
+++ b/crates/record/src/codec.rs
@@ -2,7 +2,7 @@
 //! the distance of their generation from the last one named; both start anew in each frame, so that a frame
 //! can be read alone.
 
-use crate::entry::{AnswerKind, Entry, EntryRef, Host, Listed, Names, NotTaken, Offer, OpenRequest};
+use crate::entry::{AnswerKind, Entry, EntryRef, Host, Listed, Names, NotTaken, Offer, OpenRequest, Why};
 use crate::tally::{Lane, Tally, Totals, MOST_LANES};
 use eideryard::interface as i;
 use eideryard::interface::{Action, Event, Micros, Outcome, Phase};
@@ -63,6 +63,7 @@
     pub const STOPPING: u8 = 54;
     pub const END: u8 = 55;
     pub const GAP: u8 = 56;
+    pub const ENDING: u8 = 57;
 }
 
 // ---- Numbers ----
@@ -356,6 +357,8 @@
             Host::Names(names) => {
                 let lists = [&names.classes, &names.tenants, &names.zones, &names.kinds];
                 lists.iter().for_each(|list| put_texts(out, list));
+                put_number(out, names.threads.len() as u64);
+                names.threads.iter().for_each(|threads| put_real(out, *threads));
                 kind::NAMES
             }
             Host::Engine(e) => {
@@ -405,6 +408,12 @@
                 }
                 kind::CONNECTED
             }
+            Host::Ending { connection, why } => {
+                put_number(out, connection & 0xffff_ffff);
+                put_number(out, connection >> 32);
+                out.push(*why as u8);
+                kind::ENDING
+            }
             Host::Disconnected { connection } => {
                 put_number(out, connection & 0xffff_ffff);
                 put_number(out, connection >> 32);
@@ -764,7 +773,8 @@
             kind::NAMES => {
                 let [classes, tenants, zones, kinds] =
                     [self.texts()?, self.texts()?, self.texts()?, self.texts()?];
-                Host::Names(Names { classes, tenants, zones, kinds })
+                let threads = (0..self.length(MOST_ITEMS)?).map(|_| self.real()).collect::<Read<_>>()?;
+                Host::Names(Names { classes, tenants, zones, kinds, threads })
             }
             kind::ENGINE => Host::Engine(Listed {
                 engine: self.engine()?,
@@ -796,6 +806,13 @@
                 };
                 Host::Connected { connection, address }
             }
+            kind::ENDING => {
+                let (connection, why) = (self.connection()?, self.byte()?);
+                Host::Ending {
+                    connection,
+                    why: Why::ALL.get(why as usize).copied().ok_or(Unreadable::Value)?,
+                }
+            }
             kind::DISCONNECTED => Host::Disconnected { connection: self.connection()? },
             kind::OFFERED => Host::Offered(self.offer()?),
             kind::NOT_TAKEN => {
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -11,6 +11,15 @@
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
+    /// Threads that a query of each class runs on.
+    pub threads: Vec<f64>,
+}
+
+impl Names {
+    /// Threads that a query of a class runs on; one where that isn't told.
+    pub fn of_class(&self, class: usize) -> f64 {
+        self.threads.get(class).copied().unwrap_or(1.0)
+    }
 }
 
 /// An engine as the list tells of it, with its name and address.
@@ -66,6 +75,20 @@
     Gone,
 }
 
+/// Why the gateway ended a client's connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    Malformed,
+    Silent,
+    Hoarding,
+    Deaf,
+    Evicted,
+}
+
+impl Why {
+    pub const ALL: [Why; 5] = [Why::Malformed, Why::Silent, Why::Hoarding, Why::Deaf, Why::Evicted];
+}
+
 /// A request as its client sent it, beside what the module is told of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Offer {
@@ -108,6 +131,11 @@
         connection: u64,
         address: IpAddr,
     },
+    /// This side ends it; `Disconnected` follows when it has.
+    Ending {
+        connection: u64,
+        why: Why,
+    },
     Disconnected {
         connection: u64,
     },
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod tally;
 pub mod writer;
 
-pub use entry::{AnswerKind, Entry, Host, Listed, Names, NotTaken, Offer, OpenRequest};
+pub use entry::{AnswerKind, Entry, Host, Listed, Names, NotTaken, Offer, OpenRequest, Why};
 pub use reader::{Merged, Problem, Source, Told};
 pub use recorder::{Plan, Recorder};
 pub use tally::{Lane, Tally};
--- a/crates/record/src/tally.rs
+++ b/crates/record/src/tally.rs
@@ -1,7 +1,7 @@
 //! Counting entries. Writer and reader count by the same code, so that what was left out of a record can be
 //! told exactly.
 
-use crate::entry::{AnswerKind, EntryRef, Host, NotTaken};
+use crate::entry::{AnswerKind, EntryRef, Host, NotTaken, Why};
 use eideryard::interface::{Action, Event, Outcome};
 
 /// More classes or tenants than this are counted in the totals only; it bounds a record that was tampered with.
@@ -51,7 +51,12 @@
     list_events,
     connections,
     reloads,
-    reloads_failed
+    reloads_failed,
+    malformed,
+    silent,
+    hoarding,
+    deaf,
+    evicted
 );
 
 /// Counts what is read. A segment opens with the state that it begins in, which tells again what was told
@@ -208,6 +213,15 @@
             }
             EntryRef::Host(Host::ListEvent { .. }) => totals.list_events += 1,
             EntryRef::Host(Host::Connected { .. }) => totals.connections += 1,
+            EntryRef::Host(Host::Ending { why, .. }) => {
+                *match why {
+                    Why::Malformed => &mut totals.malformed,
+                    Why::Silent => &mut totals.silent,
+                    Why::Hoarding => &mut totals.hoarding,
+                    Why::Deaf => &mut totals.deaf,
+                    Why::Evicted => &mut totals.evicted,
+                } += 1
+            }
             EntryRef::Host(Host::Reloaded { done: true }) => totals.reloads += 1,
             EntryRef::Host(Host::Reloaded { done: false }) => totals.reloads_failed += 1,
             _ => {}
