--- a/crates/command/tests/common/mod.rs
+++ b/crates/command/tests/common/mod.rs
@@ -56,12 +56,20 @@
     config: PathBuf,
     pub address: SocketAddr,
     log: Receiver<String>,
+    /// Its last counters, where a test has taken them.
+    counted: Option<String>,
 }
 
 impl Running {
     pub fn start(config: &Value) -> Self {
         let (child, log, config) = launch(config);
-        let mut running = Running { child, config, address: "127.0.0.1:0".parse().expect("an address"), log };
+        let mut running = Running {
+            child,
+            config,
+            address: "127.0.0.1:0".parse().expect("an address"),
+            log,
+            counted: None,
+        };
         let line = running.line_with("listens on ");
         let address = line.rsplit(' ').next().expect("a last word");
         running.address = address.parse().expect("the log names the address");
@@ -108,25 +116,63 @@
         self.line_with("stopping");
     }
 
+    fn compare(&mut self, records: &std::path::Path) {
+        let last = std::iter::from_fn(|| self.log.recv_timeout(PATIENCE).ok());
+        let last = last.filter(|line| line.contains("counters:")).last();
+        let Some(counted) = last.or(self.counted.take()).map(|line| counters(&line)) else { return };
+        let mut tally = Command::new(env!("CARGO_BIN_EXE_eideryard"));
+        tally.args(["records", "tally", "--json"]).arg(records);
+        let told = tally.output().expect("the program runs").stdout;
+        let told: Value = serde_json::from_slice(&told).expect("one object for one start");
+        let mut compared = 0;
+        for (name, value) in told.as_object().expect("an object") {
+            if let Some(own) = counted.get(name) {
+                assert_eq!(value.as_u64(), Some(*own), "{name} as recorded and as counted");
+                compared += 1;
+            }
+        }
+        assert!(compared > 25, "{compared} figures compared");
+    }
+
     /// How it ended by itself after SIGTERM, and what it counted.
     pub fn ended(mut self) -> (ExitStatus, BTreeMap<String, u64>) {
-        let counted = counters(&self.line_with("counters:"));
+        let line = self.line_with("counters:");
+        let counted = counters(&line);
+        self.counted = Some(line);
         (self.child.wait().expect("the gateway ends"), counted)
     }
 }
 
+/// Each gateway of each test keeps a record, and at its end the record's tally has the figure of every counter.
 impl Drop for Running {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        if std::thread::panicking() {
+            let _ = self.child.kill();
+        } else if matches!(self.child.try_wait(), Ok(None)) {
+            self.signal(Signal::TERM);
+        }
+        let ended = self.child.wait();
+        let records = record_of(&self.config);
+        if !std::thread::panicking() && ended.is_ok_and(|status| status.success()) {
+            self.compare(&records);
+        }
+        let _ = std::fs::remove_dir_all(records);
     }
 }
 
+fn record_of(config: &std::path::Path) -> PathBuf {
+    config.with_extension("records")
+}
+
 fn launch(config: &Value) -> (Child, Receiver<String>, PathBuf) {
     let number = STARTED.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("eideryard-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).expect("a file for the configuration");
+    let operator = path.with_extension("conf");
+    std::fs::write(&operator, format!("record-dir \"{}\"\n", record_of(&path).display())).expect("a file");
     let mut child = Command::new(env!("CARGO_BIN_EXE_eideryard"))
+        .arg("--operator")
+        .arg(&operator)
         .env("EDGE_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
@@ -138,6 +184,7 @@
         for line in stderr.lines().map_while(Result::ok) {
             let _ = sender.send(line);
         }
+        let _ = std::fs::remove_file(file.with_extension("conf"));
         let _ = std::fs::remove_file(file);
     });
     (child, log, path)
--- /dev/null
+++ b/crates/spool/src/returns.rs
@@ -0,0 +1,163 @@
+//! A request that comes again gets the answer of its one run: attached while that lasts, the same answer after it, and
+//! "gone" when that was dropped. Never a second run.
+
+use std::collections::{BTreeMap, VecDeque};
+
+/// What a request is known by when it comes again: its key, or the id of its first try.
+pub type Name = Box<str>;
+
+/// Names whose answers were dropped are known as gone as long as there are no more than this.
+const MOST_GONE: usize = 65_536;
+/// Clients that wait for one run; one client's tries, so more than a few are a fault.
+const MOST_WAITING: usize = 16;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Arrival<A> {
+    /// Nothing is known of it: it runs.
+    First,
+    /// Its run goes on: the answer of that is this one's too.
+    Attached,
+    /// Its run has ended so.
+    Answered(A),
+    /// Its answer was dropped: a failure that says so.
+    Gone,
+    /// Too many wait for this one already: refused.
+    Crowded,
+}
+
+enum Run<W, A> {
+    Runs(Vec<W>),
+    Ended(A),
+}
+
+/// Runs by name; `W` is who waits, `A` an answer, small: a result's number, or a failure.
+pub struct Returns<W, A> {
+    runs: BTreeMap<Name, Run<W, A>>,
+    /// Dropped ones, oldest first; [`Returns::gone`] finds them by name.
+    gone: BTreeMap<Name, u64>,
+    order: VecDeque<(Name, u64)>,
+    dropped: u64,
+}
+
+impl<W: PartialEq, A: Clone> Default for Returns<W, A> {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl<W: PartialEq, A: Clone> Returns<W, A> {
+    pub fn new() -> Self {
+        Returns { runs: BTreeMap::new(), gone: BTreeMap::new(), order: VecDeque::new(), dropped: 0 }
+    }
+
+    /// Runs that go on or whose answers are kept, and names known as gone.
+    pub fn len(&self) -> (usize, usize) {
+        (self.runs.len(), self.gone.len())
+    }
+
+    pub fn arrives(&mut self, name: &str, who: W) -> Arrival<A> {
+        match self.runs.get_mut(name) {
+            Some(Run::Ended(answer)) => Arrival::Answered(answer.clone()),
+            Some(Run::Runs(waiting)) if waiting.len() >= MOST_WAITING => Arrival::Crowded,
+            Some(Run::Runs(waiting)) => {
+                waiting.push(who);
+                Arrival::Attached
+            }
+            None if self.gone.contains_key(name) => Arrival::Gone,
+            None => {
+                self.runs.insert(name.into(), Run::Runs(vec![who]));
+                Arrival::First
+            }
+        }
+    }
+
+    /// Who waited has gone. True: nobody waits any more, though the run goes on.
+    pub fn leaves(&mut self, name: &str, who: &W) -> bool {
+        match self.runs.get_mut(name) {
+            Some(Run::Runs(waiting)) => {
+                waiting.retain(|own| own != who);
+                waiting.is_empty()
+            }
+            _ => false,
+        }
+    }
+
+    /// The run has ended: gives all who wait, for the same answer.
+    pub fn ends(&mut self, name: &str, answer: A) -> Vec<W> {
+        match self.runs.get_mut(name) {
+            Some(run @ Run::Runs(_)) => match std::mem::replace(run, Run::Ended(answer)) {
+                Run::Runs(waiting) => waiting,
+                Run::Ended(_) => Vec::new(),
+            },
+            _ => Vec::new(),
+        }
+    }
+
+    /// It was refused before anything ran: it may come again as if it had not been there. Gives all who wait.
+    pub fn refused(&mut self, name: &str) -> Vec<W> {
+        match self.runs.remove(name) {
+            Some(Run::Runs(waiting)) => waiting,
+            Some(ended) => {
+                self.runs.insert(name.into(), ended);
+                Vec::new()
+            }
+            None => Vec::new(),
+        }
+    }
+
+    /// Its answer is kept no longer.
+    pub fn drops(&mut self, name: &str) {
+        if !matches!(self.runs.get(name), Some(Run::Ended(_))) {
+            return;
+        }
+        self.runs.remove(name);
+        self.dropped += 1;
+        self.gone.insert(name.into(), self.dropped);
+        self.order.push_back((name.into(), self.dropped));
+        while self.gone.len() > MOST_GONE || self.order.len() > 2 * MOST_GONE {
+            let Some((name, number)) = self.order.pop_front() else { return };
+            // It may have been dropped once more since.
+            if self.gone.get(&name) == Some(&number) {
+                self.gone.remove(&name);
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn whoever_comes_again_gets_the_answer_of_the_one_run() {
+        let mut returns: Returns<u32, &str> = Returns::new();
+        assert_eq!(returns.arrives("a", 1), Arrival::First);
+        assert_eq!(returns.arrives("a", 2), Arrival::Attached);
+        assert_eq!(returns.arrives("b", 3), Arrival::First);
+        assert!(!returns.leaves("a", &1), "the first connection broke, the second waits");
+        assert_eq!(returns.ends("a", "result 7"), [2]);
+        assert_eq!(returns.ends("a", "result 8"), [] as [u32; 0], "it ends once");
+        assert_eq!(returns.arrives("a", 4), Arrival::Answered("result 7"));
+        returns.drops("a");
+        assert_eq!(returns.arrives("a", 5), Arrival::Gone);
+        assert!(returns.leaves("b", &3), "nobody waits, it runs on");
+        assert_eq!(returns.arrives("b", 6), Arrival::Attached);
+        assert_eq!(returns.refused("b"), [6]);
+        assert_eq!(returns.arrives("b", 7), Arrival::First, "what never ran may run");
+    }
+
+    #[test]
+    fn what_is_remembered_has_bounds() {
+        let mut returns: Returns<u32, ()> = Returns::new();
+        for number in 0..100_000 {
+            let name = format!("{number}");
+            returns.arrives(&name, number);
+            returns.ends(&name, ());
+            returns.drops(&name);
+        }
+        assert_eq!(returns.len(), (0, MOST_GONE));
+        assert_eq!(returns.arrives("99999", 0), Arrival::Gone);
+        let crowded = (0..100).filter(|who| returns.arrives("one", *who) == Arrival::Crowded).count();
+        assert_eq!(crowded, 100 - MOST_WAITING);
+    }
+}
--- /dev/null
+++ b/crates/spool/src/size.rs
@@ -0,0 +1,115 @@
+//! How large results are, learned from outcomes by class and tenant: a decaying histogram in steps of a quarter of an
+//! octave. What is asked for is a high quantile, since who is promised too little fails half way.
+
+use std::collections::BTreeMap;
+
+/// Steps from 1 KB up to over 1 TB.
+const STEPS: usize = 124;
+const FIRST: f64 = 1024.0;
+/// Weight of each further outcome against the one before: about two hundred outcomes are remembered.
+const GROWTH: f64 = 1.005;
+/// The weights are scaled down when they get this large.
+const MOST_WEIGHT: f64 = 1e12;
+/// The part of results that are no larger than what is promised.
+const QUANTILE: f64 = 0.95;
+/// Outcomes that are needed before a class's own, and a pair's own, figures are trusted.
+const LEAST_SEEN: u32 = 8;
+/// Pairs of class and tenant that are told apart; the one unused for longest goes.
+const MOST_PAIRS: usize = 1024;
+
+#[derive(Clone)]
+struct Sketch {
+    weights: [f32; STEPS],
+    seen: u32,
+    next: f64,
+    used: u64,
+}
+
+impl Sketch {
+    fn new() -> Self {
+        Sketch { weights: [0.0; STEPS], seen: 0, next: 1.0, used: 0 }
+    }
+
+    fn learn(&mut self, bytes: u64) {
+        let step = ((bytes as f64 / FIRST).max(1.0).log2() * 4.0).ceil() as usize;
+        self.weights[step.min(STEPS - 1)] += self.next as f32;
+        self.seen = self.seen.saturating_add(1);
+        self.next *= GROWTH;
+        if self.next > MOST_WEIGHT {
+            self.weights.iter_mut().for_each(|weight| *weight /= MOST_WEIGHT as f32);
+            self.next /= MOST_WEIGHT;
+        }
+    }
+
+    /// The size that a share of results don't exceed.
+    fn quantile(&self, share: f64) -> Option<u64> {
+        if self.seen < LEAST_SEEN {
+            return None;
+        }
+        let sum: f64 = self.weights.iter().map(|weight| *weight as f64).sum();
+        let mut passed = 0.0;
+        for (step, weight) in self.weights.iter().enumerate() {
+            passed += *weight as f64;
+            if passed >= share * sum * (1.0 - 1e-6) {
+                return Some((FIRST * 2f64.powf(step as f64 / 4.0)).ceil() as u64);
+            }
+        }
+        None
+    }
+}
+
+#[derive(Default)]
+pub struct Sizes {
+    classes: BTreeMap<usize, Sketch>,
+    pairs: BTreeMap<(usize, usize), Sketch>,
+    clock: u64,
+}
+
+impl Sizes {
+    pub fn learn(&mut self, class: usize, tenant: usize, bytes: u64) {
+        self.clock += 1;
+        self.classes.entry(class).or_insert_with(Sketch::new).learn(bytes);
+        if self.pairs.len() >= MOST_PAIRS && !self.pairs.contains_key(&(class, tenant)) {
+            let oldest = self.pairs.iter().min_by_key(|(_, sketch)| sketch.used).map(|(pair, _)| *pair);
+            oldest.map(|pair| self.pairs.remove(&pair));
+        }
+        let pair = self.pairs.entry((class, tenant)).or_insert_with(Sketch::new);
+        pair.used = self.clock;
+        pair.learn(bytes);
+    }
+
+    /// What a result is to be promised: by its class and tenant, else its class, else what is usual.
+    pub fn expected(&self, class: usize, tenant: usize, usual: u64) -> u64 {
+        let pair = self.pairs.get(&(class, tenant)).and_then(|sketch| sketch.quantile(QUANTILE));
+        let of_class = || self.classes.get(&class).and_then(|sketch| sketch.quantile(QUANTILE));
+        pair.or_else(of_class).unwrap_or(usual)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn sizes_are_learned_by_pair_then_by_class_and_forgotten() {
+        let mut sizes = Sizes::default();
+        assert_eq!(sizes.expected(1, 1, 777), 777);
+        (0..100).for_each(|n| sizes.learn(1, 1, 10_000 + n * 100));
+        let near = |told: u64, wanted: f64| (0.8..1.3).contains(&(told as f64 / wanted));
+        assert!(near(sizes.expected(1, 1, 0), 19_500.0), "{}", sizes.expected(1, 1, 0));
+        assert!(near(sizes.expected(1, 2, 0), 19_500.0), "its class's");
+        assert_eq!(sizes.expected(2, 1, 5), 5);
+        (0..1500).for_each(|_| sizes.learn(1, 1, 50_000_000));
+        assert!(near(sizes.expected(1, 1, 0), 50e6));
+        (0..3000).for_each(|n| sizes.learn(3, n, 1));
+        assert!(sizes.pairs.len() <= MOST_PAIRS);
+    }
+
+    #[test]
+    fn weights_stay_finite_over_a_million_outcomes() {
+        let mut sketch = Sketch::new();
+        (0..1_000_000u64).for_each(|n| sketch.learn(if n % 2 == 0 { 4096 } else { 1 << 20 }));
+        let (low, high) = (sketch.quantile(0.4).unwrap(), sketch.quantile(0.9).unwrap());
+        assert!((4096..6000).contains(&low) && (1 << 20..2_000_000).contains(&high), "{low} {high}");
+    }
+}
--- /dev/null
+++ b/crates/spool/src/state.rs
@@ -0,0 +1,475 @@
+//! Which pages are where, and what is decided about them. The host does what is chosen and tells how it went.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::limits::*;
+use crate::Micros;
+
+/// A result, as the host numbers it.
+pub type ResultId = u64;
+
+/// Whose a result is, by numbers that the host gives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Owner {
+    pub tenant: u32,
+    pub address: u64,
+}
+
+/// Why there is no room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// No result may be so large: trying again is of no use.
+    TooLarge,
+    /// All is taken, or promised.
+    Full,
+    /// Its tenant, or its address, holds its part of what is short.
+    TenantsShare,
+    AddressShare,
+}
+
+impl Refusal {
+    pub fn word(self) -> &'static str {
+        match self {
+            Refusal::TooLarge => "too-large",
+            Refusal::Full => "spool-full",
+            Refusal::TenantsShare => "tenants-share",
+            Refusal::AddressShare => "address-share",
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// There is room, once these are dropped.
+    Yes { dropping: Vec<ResultId> },
+    /// When to come back, by how fast room comes free; nothing where that is of no use.
+    No { why: Refusal, retry_after: Option<Micros> },
+}
+
+/// What the host is to do with pages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Write this page of a result to disk, and tell with [`Spool::moved`].
+    Move { result: ResultId, page: usize },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageIs {
+    Memory,
+    Disk,
+    /// It has not come from the engine yet.
+    NotYet,
+    /// The result ended before this page.
+    NoSuch,
+    /// The result ended as failed: what was read before stays valid, the rest never comes.
+    Failed,
+    /// Dropped, or never there.
+    Gone,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Tier {
+    Memory,
+    /// Being written; it counts in both.
+    Moving,
+    Disk,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Page {
+    bytes: u64,
+    tier: Tier,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Filling,
+    Whole,
+    Failed,
+}
+
+#[derive(Debug)]
+struct Held {
+    owner: Owner,
+    promised: u64,
+    bytes: u64,
+    pages: Vec<Page>,
+    state: State,
+    readers: u32,
+    /// The page that is read next, as far as the readers have come.
+    next: usize,
+    delivered: bool,
+    touched_at: Micros,
+}
+
+impl Held {
+    /// What it may take in all: what is there, or promised while more comes.
+    fn claim(&self) -> u64 {
+        if self.state == State::Filling {
+            self.promised.max(self.bytes)
+        } else {
+            self.bytes
+        }
+    }
+
+    fn droppable(&self) -> bool {
+        self.readers == 0 && self.state != State::Filling
+    }
+}
+
+pub struct Spool {
+    budget: Budget,
+    results: BTreeMap<ResultId, Held>,
+    /// Those that may go, in the order in which they do: delivered ones first, the longest unused first.
+    leaving: BTreeSet<(bool, Micros, ResultId)>,
+    memory: u64,
+    disk: u64,
+    claims: u64,
+    tenants: BTreeMap<u32, u64>,
+    addresses: BTreeMap<u64, u64>,
+    /// Nothing is written before.
+    disk_fails_until: Option<Micros>,
+    /// Bytes a microsecond that came free lately.
+    drain: f64,
+    drained_at: Micros,
+}
+
+fn add<K: Ord>(sums: &mut BTreeMap<K, u64>, key: K, bytes: u64) {
+    *sums.entry(key).or_default() += bytes;
+}
+
+fn take<K: Ord>(sums: &mut BTreeMap<K, u64>, key: K, bytes: u64) {
+    if let std::collections::btree_map::Entry::Occupied(mut sum) = sums.entry(key) {
+        *sum.get_mut() -= bytes;
+        if *sum.get() == 0 {
+            sum.remove();
+        }
+    }
+}
+
+impl Spool {
+    pub fn new(budget: Budget, now: Micros) -> Self {
+        Spool {
+            budget,
+            results: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+            memory: 0,
+            disk: 0,
+            claims: 0,
+            tenants: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            disk_fails_until: None,
+            drain: 0.0,
+            drained_at: now,
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.results.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.results.is_empty()
+    }
+
+    /// Bytes in memory, on disk, and claimed in all.
+    pub fn used(&self) -> (u64, u64, u64) {
+        (self.memory, self.disk, self.claims)
+    }
+
+    /// All room there is now: without the disk while that fails, but for what is there already.
+    fn total(&self, now: Micros) -> u64 {
+        match self.disk_fails_until {
+            Some(until) if now < until => self.budget.memory + self.disk,
+            _ => self.budget.total(),
+        }
+    }
+
+    // ---- Admission ----
+
+    /// Whether a result of an expected size will fit, before anything is sent for it.
+    pub fn admit(&self, owner: Owner, expected: u64, now: Micros) -> Admission {
+        let no = |why, retry_after| Admission::No { why, retry_after };
+        if expected > self.budget.result {
+            return no(Refusal::TooLarge, None);
+        }
+        let total = self.total(now);
+        let kept_back = if expected <= SMALL { 0 } else { (total as f64 * RESERVE) as u64 };
+        let room = total.saturating_sub(kept_back);
+        let wanted = self.claims + expected;
+        if wanted as f64 > PRESSURE * total as f64 {
+            let over = |sum: Option<&u64>, share: f64| {
+                let most = (total as f64 * share) as u64;
+                // One alone may always have what a single result may.
+                sum.copied().filter(|sum| sum + expected > most).map(|sum| sum + expected - most)
+            };
+            if let Some(short) = over(self.tenants.get(&owner.tenant), TENANT_SHARE) {
+                return no(Refusal::TenantsShare, Some(self.advice(short)));
+            }
+            if let Some(short) = over(self.addresses.get(&owner.address), ADDRESS_SHARE) {
+                return no(Refusal::AddressShare, Some(self.advice(short)));
+            }
+        }
+        let mut short = wanted.saturating_sub(room);
+        let mut dropping = Vec::new();
+        let mut leaving = self.leaving.iter();
+        let full = self.results.len() >= MOST_RESULTS;
+        while short > 0 || (full && dropping.is_empty()) {
+            let last =
+                |held: &Held, unclaimed: bool| !unclaimed || held.touched_at + self.budget.unclaimed <= now;
+            let next = leaving.next().and_then(|(unclaimed, _, id)| {
+                self.results.get(id).filter(|held| last(held, *unclaimed)).map(|held| (*id, held.bytes))
+            });
+            let Some((id, bytes)) = next else {
+                return no(Refusal::Full, Some(self.advice(short)));
+            };
+            dropping.push(id);
+            short = short.saturating_sub(bytes);
+        }
+        Admission::Yes { dropping }
+    }
+
+    /// How long it takes until so much comes free, at the rate of late.
+    fn advice(&self, short: u64) -> Micros {
+        let wait = short as f64 / self.drain.max(1e-9);
+        (wait as Micros).clamp(LEAST_ADVICE, MOST_ADVICE)
+    }
+
+    pub fn begin(&mut self, id: ResultId, owner: Owner, promised: u64, now: Micros) {
+        let held = Held {
+            owner,
+            promised,
+            bytes: 0,
+            pages: Vec::new(),
+            state: State::Filling,
+            readers: 0,
+            next: 0,
+            delivered: false,
+            touched_at: now,
+        };
+        self.claim(owner, held.claim());
+        self.results.insert(id, held);
+    }
+
+    fn claim(&mut self, owner: Owner, bytes: u64) {
+        self.claims += bytes;
+        add(&mut self.tenants, owner.tenant, bytes);
+        add(&mut self.addresses, owner.address, bytes);
+    }
+
+    fn unclaim(&mut self, owner: Owner, bytes: u64) {
+        self.claims -= bytes;
+        take(&mut self.tenants, owner.tenant, bytes);
+        take(&mut self.addresses, owner.address, bytes);
+    }
+
+    // ---- Pages ----
+
+    /// Bytes that an engine may be asked for ahead of what is there. What is promised is there to be filled, yet no
+    /// faster than memory takes it: a slow reader's engine reads on into the disk and is free all the same.
+    pub fn ahead(&self, id: ResultId) -> u64 {
+        let Some(held) = self.results.get(&id).filter(|held| held.state == State::Filling) else { return 0 };
+        let left = held.promised.saturating_sub(held.bytes);
+        let free = self.budget.memory.saturating_sub(self.memory);
+        // Who is near the end of what was promised goes on page by page: more is asked for as it comes.
+        left.max(LEAST_AHEAD).min(free / 2)
+    }
+
+    /// A page has come. An error: the result can't be kept, which is its failure.
+    pub fn page(&mut self, id: ResultId, bytes: u64, now: Micros) -> Result<(), Refusal> {
+        let total = self.total(now);
+        let Some(held) = self.results.get_mut(&id).filter(|held| held.state == State::Filling) else {
+            return Ok(());
+        };
+        let before = held.claim();
+        if held.bytes + bytes > self.budget.result {
+            return Err(Refusal::TooLarge);
+        }
+        let after = before.max(held.bytes + bytes);
+        if self.claims - before + after > total || self.memory + bytes > self.budget.memory {
+            return Err(Refusal::Full);
+        }
+        held.bytes += bytes;
+        held.pages.push(Page { bytes, tier: Tier::Memory });
+        held.touched_at = now;
+        let owner = held.owner;
+        self.memory += bytes;
+        self.unclaim(owner, before);
+        self.claim(owner, after);
+        Ok(())
+    }
+
+    /// No more pages come: it is whole, or it has failed.
+    pub fn end(&mut self, id: ResultId, whole: bool, now: Micros) {
+        let Some(held) = self.results.get_mut(&id).filter(|held| held.state == State::Filling) else {
+            return;
+        };
+        let before = held.claim();
+        held.state = if whole { State::Whole } else { State::Failed };
+        held.touched_at = now;
+        let (owner, after) = (held.owner, held.claim());
+        self.unclaim(owner, before);
+        self.claim(owner, after);
+        self.file(id);
+    }
+
+    /// Puts a result where it belongs among those that may go.
+    fn file(&mut self, id: ResultId) {
+        if let Some(held) = self.results.get(&id).filter(|held| held.droppable()) {
+            // A failed one is of no more use once it was told, so it goes like one delivered.
+            let unclaimed = !(held.delivered || held.state == State::Failed);
+            self.leaving.insert((unclaimed, held.touched_at, id));
+        }
+    }
+
+    fn unfile(&mut self, id: ResultId) {
+        if let Some(held) = self.results.get(&id) {
+            for unclaimed in [false, true] {
+                self.leaving.remove(&(unclaimed, held.touched_at, id));
+            }
+        }
+    }
+
+    /// A client reads from now on, until [`Spool::close`]: meanwhile the result stays.
+    pub fn open(&mut self, id: ResultId, now: Micros) -> bool {
+        self.unfile(id);
+        let Some(held) = self.results.get_mut(&id) else { return false };
+        held.readers += 1;
+        held.touched_at = now;
+        true
+    }
+
+    pub fn close(&mut self, id: ResultId, delivered: bool, now: Micros) {
+        if let Some(held) = self.results.get_mut(&id).filter(|held| held.readers > 0) {
+            held.readers -= 1;
+            held.delivered |= delivered;
+            held.touched_at = now;
+            if held.readers == 0 {
+                held.next = 0;
+            }
+            self.file(id);
+        }
+    }
+
+    /// Where a page is, for one who reads it now.
+    pub fn read(&mut self, id: ResultId, page: usize, now: Micros) -> PageIs {
+        let Some(held) = self.results.get_mut(&id) else { return PageIs::Gone };
+        if held.readers > 0 {
+            held.touched_at = now;
+        }
+        held.next = held.next.max(page + 1);
+        match (held.pages.get(page), held.state) {
+            (Some(Page { tier: Tier::Disk, .. }), _) => PageIs::Disk,
+            (Some(_), _) => PageIs::Memory,
+            (None, State::Filling) => PageIs::NotYet,
+            (None, State::Whole) => PageIs::NoSuch,
+            (None, State::Failed) => PageIs::Failed,
+        }
+    }
+
+    // ---- Memory to disk ----
+
+    /// Pages that go to disk now: none below the upper mark; above it down to the lower one. First those of results
+    /// that nobody reads, the longest unused first, their first pages last; before these, what readers have passed and
+    /// what is furthest ahead of them. What a reader takes next stays.
+    pub fn moves(&self, now: Micros) -> Vec<Choice> {
+        let mark = |part: f64| (self.budget.memory as f64 * part) as u64;
+        if self.memory <= mark(MOVE_FROM) || self.disk_fails_until.is_some_and(|until| now < until) {
+            return Vec::new();
+        }
+        let moving: u64 =
+            self.pages().filter(|(_, _, page)| page.tier == Tier::Moving).map(|(_, _, p)| p.bytes).sum();
+        let mut excess = self.memory.saturating_sub(moving).saturating_sub(mark(MOVE_TO));
+        let mut room = self.budget.disk.saturating_sub(self.disk);
+        let mut pages: Vec<(u8, Micros, std::cmp::Reverse<usize>, ResultId, usize, u64)> = self
+            .pages()
+            .filter(|(_, _, page)| page.tier == Tier::Memory)
+            .filter_map(|(id, at, page)| {
+                let held = &self.results[&id];
+                let near = (held.next..held.next + NEAR_PAGES).contains(&at);
+                let (order, since) = match (held.readers > 0, near) {
+                    (false, false) => (0, held.touched_at),
+                    (true, false) if at < held.next => (1, 0),
+                    (true, false) => (2, 0),
+                    (false, true) => (3, held.touched_at),
+                    (true, true) => return None,
+                };
+                let distance = at.abs_diff(held.next);
+                Some((order, since, std::cmp::Reverse(distance), id, at, page.bytes))
+            })
+            .collect();
+        pages.sort_unstable();
+        let mut choices = Vec::new();
+        for (.., result, page, bytes) in pages {
+            if excess == 0 || bytes > room {
+                break;
+            }
+            excess = excess.saturating_sub(bytes);
+            room -= bytes;
+            choices.push(Choice::Move { result, page });
+        }
+        choices
+    }
+
+    fn pages(&self) -> impl Iterator<Item = (ResultId, usize, Page)> + '_ {
+        self.results
+            .iter()
+            .flat_map(|(id, held)| held.pages.iter().enumerate().map(|(at, page)| (*id, at, *page)))
+    }
+
+    fn page_mut(&mut self, id: ResultId, page: usize) -> Option<&mut Page> {
+        self.results.get_mut(&id)?.pages.get_mut(page)
+    }
+
+    /// A page is being written: it counts in both places until [`Spool::moved`].
+    pub fn moving(&mut self, id: ResultId, page: usize) {
+        if let Some(page) = self.page_mut(id, page).filter(|page| page.tier == Tier::Memory) {
+            page.tier = Tier::Moving;
+            self.disk += page.bytes;
+        }
+    }
+
+    /// It was written, or could not be: then nothing is written for a while, and what is in memory stays there.
+    pub fn moved(&mut self, id: ResultId, page: usize, written: bool, again_at: Micros) {
+        if !written {
+            self.disk_fails_until = Some(again_at);
+        }
+        if let Some(page) = self.page_mut(id, page).filter(|page| page.tier == Tier::Moving) {
+            page.tier = if written { Tier::Disk } else { Tier::Memory };
+            let bytes = page.bytes;
+            if written {
+                self.memory -= bytes;
+            } else {
+                self.disk -= bytes;
+            }
+        }
+    }
+
+    // ---- Leaving ----
+
+    /// When a result's time is over, unless it is used until then.
+    pub fn expires(&self, id: ResultId) -> Option<Micros> {
+        let held = self.results.get(&id).filter(|held| held.droppable())?;
+        let keeps = if held.delivered { self.budget.delivered } else { self.budget.unclaimed };
+        Some(held.touched_at + keeps)
+    }
+
+    /// Forgets a result. False: it is read or still comes, so it stays.
+    pub fn drop(&mut self, id: ResultId, now: Micros) -> bool {
+        if !self.results.get(&id).is_some_and(Held::droppable) {
+            return false;
+        }
+        self.unfile(id);
+        let Some(held) = self.results.remove(&id) else { return false };
+        for page in &held.pages {
+            self.memory -= if page.tier == Tier::Disk { 0 } else { page.bytes };
+            self.disk -= if page.tier == Tier::Memory { 0 } else { page.bytes };
+        }
+        self.unclaim(held.owner, held.claim());
+        let passed = now.saturating_sub(self.drained_at) as f64;
+        self.drain *= (-passed / DRAIN_SPAN).exp();
+        self.drain += held.bytes as f64 / DRAIN_SPAN;
+        self.drained_at = now;
+        true
+    }
+}
