Gateway spools results by pages: tokens, returns by id, memory and disk behind one budget

Need: a slow client held a result in memory to 48,000 bytes, larger ones could not be had at all, and a client that came again had its report run anew.

Change: with spool-memory in the operator's file, a request that takes pages (field p) has its result read from the engine as far as room is promised, kept in memory and segment files, and given out by tokens (methods page, again, release). Who comes again by id is attached to the run or given its answer, a failure's too; an engine that dies half way leaves no row. What won't fit is refused before it is sent, by sizes learned; what a tenant was delivered goes before it is refused more.

--- a/crates/command/tests/common/mod.rs
+++ b/crates/command/tests/common/mod.rs
@@ -1,4 +1,5 @@
 //! Starts the program against stand-ins on loopback, on ports that the system gives.
+#![allow(dead_code)]
 
 pub use eideryard_standin::scripted as standin;
 
@@ -62,7 +63,12 @@
 
 impl Running {
     pub fn start(config: &Value) -> Self {
-        let (child, log, config) = launch(config);
+        Self::start_with(config, "")
+    }
+
+    /// With more lines in the operator's file.
+    pub fn start_with(config: &Value, operator: &str) -> Self {
+        let (child, log, config) = launch(config, operator);
         let mut running = Running {
             child,
             config,
@@ -164,12 +170,13 @@
     config.with_extension("records")
 }
 
-fn launch(config: &Value) -> (Child, Receiver<String>, PathBuf) {
+fn launch(config: &Value, more: &str) -> (Child, Receiver<String>, PathBuf) {
     let number = STARTED.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("eideryard-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).expect("a file for the configuration");
     let operator = path.with_extension("conf");
-    std::fs::write(&operator, format!("record-dir \"{}\"\n", record_of(&path).display())).expect("a file");
+    std::fs::write(&operator, format!("record-dir \"{}\"\n{more}", record_of(&path).display()))
+        .expect("a file");
     let mut child = Command::new(env!("CARGO_BIN_EXE_eideryard"))
         .arg("--operator")
         .arg(&operator)
@@ -192,7 +199,7 @@
 
 /// Runs the program on a configuration that it can't use: how it ended, and what it said.
 pub fn refused_start(config: &Value) -> (ExitStatus, String) {
-    let (mut child, log, _) = launch(config);
+    let (mut child, log, _) = launch(config, "");
     let said = log.recv_timeout(PATIENCE).expect("a line that says why");
     (child.wait().expect("the program ends"), said)
 }
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -47,6 +47,12 @@
         id: u32,
         call: Result<Call, &'static str>,
     },
+    /// A question about a spooled result.
+    Asked {
+        client: Key,
+        id: u32,
+        what: Asked,
+    },
     Forgotten(Key),
     /// The connection that this was asked on holds what can't be read, so this ends at once.
     Spoilt(Key),
@@ -54,6 +60,13 @@
     Left(Key),
 }
 
+/// Questions that exist where there is a spool.
+pub enum Asked {
+    Page { token: String, id: String },
+    Again { id: String },
+    Release { token: String, id: String },
+}
+
 /// What became of a connection.
 pub enum Change {
     Came(IpAddr),
@@ -84,6 +97,8 @@
     /// What became of connections, where that is recorded; the owner empties it.
     pub changes: Vec<(Key, Change)>,
     tells: bool,
+    /// Whether questions about pages are heard.
+    pub pages: bool,
 }
 
 impl Clients {
@@ -108,6 +123,7 @@
             well: false,
             changes: Vec::new(),
             tells,
+            pages: false,
         })
     }
 
@@ -224,7 +240,8 @@
                 Ok(Filled::Some) => {
                     client.used_at = now;
                     let came = client.connection.input.len();
-                    let understood = Self::understand(key, client, self.well, names, counters, heard);
+                    let understood =
+                        Self::understand(key, client, (self.well, self.pages), names, counters, heard);
                     let left = client.connection.input.len();
                     // Each message has its own time, from when it begins; the first request has it from the
                     // start of the connection.
@@ -261,7 +278,7 @@
     fn understand(
         key: Key,
         client: &mut Client,
-        well: bool,
+        (well, pages): (bool, bool),
         names: &Names,
         counters: &mut Counters,
         heard: &mut Vec<Heard>,
@@ -283,6 +300,24 @@
                     write_health(output.tail(), id, well);
                     continue;
                 }
+                Message::Ask { id, method: method @ ("page" | "again" | "release"), fields } if pages => {
+                    let field = |name| {
+                        fields.iter().find(|(own, _)| *own == name).map(|(_, value)| value.to_string())
+                    };
+                    client.asked = true;
+                    if client.open.iter().any(|(own, _)| *own == id) || client.open.len() >= MOST_OPEN {
+                        break false;
+                    }
+                    let (token, name) = (field("token").unwrap_or_default(), field("i").unwrap_or_default());
+                    let what = match method {
+                        "page" => Asked::Page { token, id: name },
+                        "again" => Asked::Again { id: name },
+                        _ => Asked::Release { token, id: name },
+                    };
+                    client.open.push((id, None));
+                    heard.push(Heard::Asked { client: key, id, what });
+                    continue;
+                }
                 Message::Ask { id, .. } | Message::Unusable { id } => (id, Err("parameters")),
                 Message::Forget { ids } => {
                     for id in ids {
@@ -378,6 +413,16 @@
         heard.extend(client.open.into_iter().filter_map(|(_, request)| request.map(Heard::Left)));
     }
 
+    /// Where a connection comes from, as a number.
+    pub fn address_of(&self, key: Key) -> u64 {
+        match self.table.get(key).map(|client| client.address) {
+            Some(IpAddr::V4(address)) => u32::from(address) as u64,
+            // A network's part of it: one house has many of the rest.
+            Some(IpAddr::V6(address)) => (u128::from(address) >> 64) as u64,
+            None => 0,
+        }
+    }
+
     /// Where the connections that are open come from.
     pub fn addresses(&self) -> impl Iterator<Item = (Key, IpAddr)> + '_ {
         self.table.iter().map(|(key, client)| (key, client.address))
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -17,6 +17,8 @@
     Client(Key),
     Engine(Key),
     Bulletin,
+    /// The spool's worker has done something.
+    Spool,
     Stop,
     Reload,
     Report,
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -17,6 +17,10 @@
 /// Pages of one result, and its bytes: the protocol allows 48,000, in pages of whole rows.
 const MOST_PAGES: usize = 256;
 const MOST_RESULT: usize = 48_000;
+/// Pages of a result that is spooled: the spool's budget for one result ends it sooner.
+const MOST_SPOOLED_PAGES: usize = 1 << 20;
+/// Pages of one result that are asked for at once, whatever room there is: their answers may come in any order.
+const MOST_ASKED: usize = 64;
 /// Part of the idle time after which a connection is closed from this side, so that no request crosses the
 /// engine's own closing.
 const IDLE_PART: f64 = 0.8;
@@ -35,12 +39,27 @@
         bill: Option<Bill>,
         report: Option<LoadReport>,
     },
+    /// The same for the spool: pages are handed on in order as they come, and asked for as it has room.
+    Spooling {
+        count: usize,
+        /// The next to hand on, and the next to ask for.
+        next: usize,
+        asked: usize,
+        /// Those that came before their turn.
+        early: BTreeMap<usize, Vec<u8>>,
+        /// Bytes handed on, for the size of a usual page.
+        bytes: usize,
+        bill: Option<Bill>,
+        report: Option<LoadReport>,
+    },
 }
 
 struct Open {
     request: Key,
     attempt: usize,
     stage: Stage,
+    /// Its result goes to the spool.
+    spooled: bool,
     sent_at: Micros,
     /// Where in what is sent on this connection its request begins and ends.
     sent: (u64, u64),
@@ -116,6 +135,18 @@
         bill: Option<Bill>,
         report: Option<LoadReport>,
     },
+    /// The next page of a result for the spool.
+    Page {
+        request: Key,
+        rows: Vec<u8>,
+    },
+    /// It has had its last page.
+    Spooled {
+        request: Key,
+        attempt: usize,
+        bill: Option<Bill>,
+        report: Option<LoadReport>,
+    },
     Noted {
         request: Key,
         attempt: usize,
@@ -215,7 +246,7 @@
         &mut self,
         now: Micros,
         engine: EngineId,
-        (request, attempt): (Key, usize),
+        (request, attempt, spooled): (Key, usize, bool),
         serve: &Serve,
         due: &mut Deadlines,
         counters: &mut Counters,
@@ -233,7 +264,7 @@
         let sent = (begin, conn.connection.end_of_output());
         conn.open.insert(
             serve.id.into(),
-            Open { request, attempt, stage: Stage::Running, sent_at: now, sent, later_rank: None },
+            Open { request, attempt, stage: Stage::Running, spooled, sent_at: now, sent, later_rank: None },
         );
         self.unflushed.push(key);
         Ok(key)
@@ -339,6 +370,26 @@
         running
     }
 
+    /// Asks for more pages of a result for the spool, as many as so many bytes hold.
+    pub fn read_on(&mut self, key: Key, id: &str, ahead: u64) {
+        let Some(conn) = self.table.get_mut(key) else { return };
+        let Some(Open { stage: Stage::Spooling { count, next, asked, bytes, .. }, .. }) =
+            conn.open.get_mut(id)
+        else {
+            return;
+        };
+        let page = (*bytes / (*next).max(1)).max(1) as u64;
+        let most = (ahead / page).clamp(0, MOST_ASKED as u64) as usize;
+        let before = *asked;
+        while *asked < *count && *asked - *next < most {
+            line::write_read(conn.connection.output.tail(), id, *asked);
+            *asked += 1;
+        }
+        if *asked > before {
+            self.unflushed.push(key);
+        }
+    }
+
     /// Gives an attempt up. What still waits to be written is never sent: nothing may go out for a request
     /// after its answer. True: the engine may have seen it. Where engines heed no cancel (`tell` is false)
     /// its answer is still passed over.
@@ -369,7 +420,7 @@
         match open.stage {
             Stage::Running if tell => line::write_cancel(out, id),
             Stage::Running => {}
-            Stage::Reading { .. } => line::write_release(out, id),
+            Stage::Reading { .. } | Stage::Spooling { .. } => line::write_release(out, id),
         }
         // Nothing at all has come since: other requests may have an engine that still answers, on another
         // connection. This guards against one that stands and is of no further use.
@@ -486,7 +537,7 @@
             };
             counters.notes += (answer.word == Word::Note) as u64;
             counters.pages += (answer.word == Word::Rows) as u64;
-            match take(open, &answer, output.tail()) {
+            match take(open, &answer, output.tail(), heard) {
                 Ok(None) => {}
                 Ok(Some(what)) => {
                     if matches!(what, Heard::Over { .. }) {
@@ -545,13 +596,52 @@
 }
 
 /// What an answer means for the attempt that it answers; asks for what is still to come.
-fn take(open: &mut Open, answer: &Answer, out: &mut Vec<u8>) -> Result<Option<Heard>, &'static str> {
+fn take(
+    open: &mut Open,
+    answer: &Answer,
+    out: &mut Vec<u8>,
+    heard: &mut Vec<Heard>,
+) -> Result<Option<Heard>, &'static str> {
     let (request, attempt) = (open.request, open.attempt);
     let over = |outcome| {
         let report = report(&answer.fields);
         Ok(Some(Heard::Over { request, attempt, outcome, report, told: false }))
     };
     match (&mut open.stage, answer.word) {
+        (Stage::Running, Word::Ok) if open.spooled => {
+            let count =
+                answer.fields.number("count").filter(|count| (1..=MOST_SPOOLED_PAGES).contains(count));
+            let count = count.ok_or("a result with no readable number of pages")?;
+            check_page(answer.payload)?;
+            let (bill, report) = (bill(&answer.fields), report(&answer.fields));
+            heard.push(Heard::Page { request, rows: answer.payload.to_vec() });
+            if count == 1 {
+                return Ok(Some(Heard::Spooled { request, attempt, bill, report }));
+            }
+            let (bytes, early) = (answer.payload.len(), BTreeMap::new());
+            open.stage = Stage::Spooling { count, next: 1, asked: 1, early, bytes, bill, report };
+            Ok(None)
+        }
+        (Stage::Spooling { count, next, asked, early, bytes, bill, report }, Word::Rows) => {
+            let at = answer.fields.number("pos").filter(|at: &usize| at < asked);
+            let at = at.ok_or("a page that was not asked for")?;
+            if at < *next || early.contains_key(&at) {
+                // A second copy.
+                return Ok(None);
+            }
+            check_page(answer.payload)?;
+            early.insert(at, answer.payload.to_vec());
+            while let Some(rows) = early.remove(next) {
+                *next += 1;
+                *bytes += rows.len();
+                heard.push(Heard::Page { request, rows });
+            }
+            if *next < *count {
+                return Ok(None);
+            }
+            line::write_release(out, answer.id);
+            Ok(Some(Heard::Spooled { request, attempt, bill: *bill, report: report.take() }))
+        }
         (Stage::Running, Word::Ok) => {
             let count = pages(answer).ok_or("a result with no readable number of pages")?;
             check_page(answer.payload)?;
@@ -589,7 +679,7 @@
         (Stage::Running, Word::Busy | Word::Void) => over(Outcome::Full),
         (_, Word::Err) => over(Outcome::Error),
         // A second copy of the first page.
-        (Stage::Reading { .. }, Word::Ok) => Ok(None),
+        (Stage::Reading { .. } | Stage::Spooling { .. }, Word::Ok) => Ok(None),
         _ => Err("an answer that fits nothing asked for"),
     }
 }
@@ -670,7 +760,7 @@
         engines.listed(5, listener.local_addr().ok(), 0, &mut due, &mut heard);
         let mut requests = Table::new();
         let mut conns = ["a", "b", "c"].map(|id| {
-            let tried = (requests.insert(()), 0);
+            let tried = (requests.insert(()), 0, false);
             engines.send(NOW, 5, tried, &serve(id), &mut due, &mut counters).unwrap()
         });
         conns.sort();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,7 +9,7 @@
 use eideryard::interface::*;
 use eideryard_bulletin::{Item, Listed, State};
 use eideryard_engine_line::Serve;
-use eideryard_msgpack_rpc::{write_error, write_result};
+use eideryard_msgpack_rpc::{write_error, write_part, write_result};
 use eideryard_operator::Operator;
 use eideryard_record::{AnswerKind, Host, Listed as Told, NotTaken as Untaken, Offer, OpenRequest};
 
@@ -22,6 +22,7 @@
 use crate::engines::{self, Engines};
 use crate::link::Link;
 use crate::requests::{self, place, Attempt, Call, Names, NotTaken, Requests};
+use crate::spooling::{Spooling, Told as Word, Waiter};
 use crate::table::Key;
 use crate::tap::Tap;
 
@@ -49,9 +50,13 @@
     names: Names,
     pub counters: Counters,
     tap: Tap,
+    spooling: Option<Box<Spooling>>,
+    /// Requests whose results are coming into the spool.
+    coming: std::collections::BTreeSet<Key>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
     may_cancel: bool,
+    may_advise: bool,
     longest_wait: Micros,
     /// Names of engines by their numbers, and what the list said last of each.
     engine_names: BTreeMap<EngineId, String>,
@@ -75,6 +80,17 @@
             connections: (config.sockets / 2).saturating_sub(OTHER_SOCKETS).max(1),
         };
         let now = clock.now();
+        let spooling = match &operator.spool {
+            Some(plan) => {
+                let (ping, woken) = calloop::ping::make_ping()?;
+                events
+                    .insert_source(woken, |(), _, wakes| wakes.push(Wake::Spool))
+                    .map_err(io::Error::other)?;
+                let wake = Box::new(move || ping.ping());
+                Some(Box::new(Spooling::start(&config.name, now, plan, wake)?))
+            }
+            None => None,
+        };
         let tap = Tap::start(&config.name, now, names.of_record(), operator.record.as_ref());
         let mut gateway = Gateway {
             clients: Clients::new(events, config.listen, config.sockets, config.memory_mb, tap.is_on())?,
@@ -85,9 +101,12 @@
             due: Deadlines::new(),
             counters: Counters::default(),
             tap,
+            spooling,
+            coming: Default::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
             may_cancel: config.settings.may_cancel,
+            may_advise: config.settings.may_advise,
             longest_wait: config.host.longest_wait,
             engine_names: BTreeMap::new(),
             last_listed: BTreeMap::new(),
@@ -99,6 +118,7 @@
             module: decide::Gateway::new(config.settings, config.seed, now),
             clock,
         };
+        gateway.clients.pages = gateway.spooling.is_some();
         gateway.tell_state();
         config.known.items.into_iter().for_each(|item| gateway.listed(item));
         gateway.link.call(now, &mut gateway.due, &mut gateway.counters);
@@ -112,7 +132,8 @@
         if !again.is_empty() {
             return Some(Duration::ZERO);
         }
-        let next = self.due.next().into_iter().chain(self.tap.due()).min()?;
+        let spool = self.spooling.as_ref().and_then(|spooling| spooling.due(self.clock.now()));
+        let next = self.due.next().into_iter().chain(self.tap.due()).chain(spool).min()?;
         Some(Duration::from_micros(next.saturating_sub(self.clock.now())))
     }
 
@@ -130,6 +151,7 @@
             self.fell_due(due);
             self.settle();
         }
+        self.spool_work();
         self.tell_changes();
         self.tell_state();
         self.tap.flush(self.clock.now());
@@ -162,6 +184,8 @@
                 self.tell_link(now, before, &items);
                 items.into_iter().for_each(|item| self.listed(item));
             }
+            // Its work is done at the end of each look.
+            Wake::Spool => {}
             Wake::Stop => self.stop(),
             Wake::Reload => self.reload(),
             Wake::Report => self.report(),
@@ -257,15 +281,17 @@
 
     /// What was counted, and how much each table holds.
     pub fn report(&self) {
-        let (counters, tables) = (&self.counters, self.tables().map(|(name, size)| format!("{name}={size}")));
-        tracing::info!("counters: {counters}; tables {}", tables.join(" "));
+        let tables = self.tables().into_iter().map(|(name, size)| format!("{name}={size}"));
+        let (counters, tables) = (&self.counters, tables.collect::<Vec<_>>());
+        let spool = self.spooling.as_ref().map(|spooling| format!("; {:?}", spooling.counted));
+        tracing::info!("counters: {counters}; tables {}{}", tables.join(" "), spool.unwrap_or_default());
     }
 
     /// All that may grow, with its size: none of these may go on growing through a long day.
-    fn tables(&self) -> [(&'static str, usize); 7] {
+    fn tables(&self) -> Vec<(&'static str, usize)> {
         let (engines, conns) = self.engines.sizes();
         let (requests, ids) = self.requests.sizes();
-        [
+        let mut tables = vec![
             ("clients", self.clients.len()),
             ("requests", requests),
             ("ids", ids),
@@ -273,7 +299,9 @@
             ("engine_conns", conns),
             ("engine_names", self.engine_names.len()),
             ("deadlines", self.due.len()),
-        ]
+        ];
+        tables.extend(self.spooling.iter().flat_map(|spooling| spooling.sizes()));
+        tables
     }
 
     fn accept(&mut self) {
@@ -346,6 +374,7 @@
         for heard in std::mem::take(&mut self.from_clients) {
             match heard {
                 clients::Heard::Call { client, id, call } => self.called(client, id, call),
+                clients::Heard::Asked { client, id, what } => self.asked(client, id, what),
                 clients::Heard::Forgotten(request) => {
                     self.counters.forgotten += 1;
                     self.left(request, AnswerKind::Forgotten);
@@ -356,7 +385,9 @@
                 }
                 clients::Heard::Left(request) => {
                     self.counters.lost += 1;
-                    self.left(request, AnswerKind::Lost);
+                    if !self.left_running(request) {
+                        self.left(request, AnswerKind::Lost);
+                    }
                 }
             }
         }
@@ -376,6 +407,20 @@
             }
         };
         let of = (call.class, call.tenant);
+        let spooled = call.paged && self.spooling.is_some();
+        let address = self.clients.address_of(client);
+        if let Some(spooling) = self.spooling.as_mut().filter(|_| spooled) {
+            if let Err((wait, why)) = spooling.admit(of.0, of.1, address, now) {
+                self.counters.refused += 1;
+                self.counters.no_room += 1;
+                self.tell_untaken(Untaken::NoRoom, Some(of));
+                let wait = wait.map(|wait| (wait / 1000).to_string());
+                let mut fields = vec![("why", why)];
+                fields.extend(wait.as_deref().filter(|_| self.may_advise).map(|wait| ("w", wait)));
+                self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &fields));
+                return;
+            }
+        }
         let deadline = now + call.wait;
         let arrived = Request {
             id: 0,
@@ -399,6 +444,12 @@
             }
         };
         self.clients.opened(client, id, request);
+        let own = self.requests.get_mut(request);
+        if let Some((spooling, own)) = self.spooling.as_mut().filter(|_| spooled).zip(own) {
+            own.spooled = true;
+            let who = Waiter { client, call: id };
+            spooling.begin(request.number(), &own.id, who, (of.0, of.1, address), now);
+        }
         self.span(request).in_scope(|| tracing::debug!("taken"));
         if self.tap.is_on() {
             let offered = self.requests.get_mut(request).map(|own| Host::Offered(offer(request, own)));
@@ -417,6 +468,7 @@
 
     /// Nobody waits for this any more.
     fn left(&mut self, key: Key, how: AnswerKind) {
+        self.spool_over(key, true);
         self.tell_end(key, how, false);
         if let Some(request) = self.requests.get_mut(key) {
             request.answered = true;
@@ -437,6 +489,11 @@
                     self.serve(request, &pages);
                     self.over(request, attempt, Outcome::Answered, false, bill, report);
                 }
+                engines::Heard::Page { request, rows } => self.page(request, rows),
+                engines::Heard::Spooled { request, attempt, bill, report } => {
+                    self.spooled(request);
+                    self.over(request, attempt, Outcome::Answered, false, bill, report);
+                }
                 engines::Heard::Noted { request, attempt, note } => {
                     self.events.push_back(Event::Noted { request: request.number(), attempt, note })
                 }
@@ -447,6 +504,111 @@
         }
     }
 
+    // ---- Spooled results ----
+
+    /// The client of a request whose result is spooled has gone: the run goes on for when it comes again.
+    fn left_running(&mut self, key: Key) -> bool {
+        let Some(request) = self.requests.get_mut(key).filter(|request| request.spooled) else {
+            return false;
+        };
+        request.answered = true;
+        let who = Waiter { client: request.client, call: request.call };
+        self.spooling.iter_mut().for_each(|spooling| spooling.leaves(key.number(), &who));
+        self.tell_end(key, AnswerKind::Lost, false);
+        true
+    }
+
+    /// The next page of a result has come. One that can't be kept fails at once.
+    fn page(&mut self, key: Key, rows: Vec<u8>) {
+        let now = self.clock.now();
+        let Some(spooling) = &mut self.spooling else { return };
+        match spooling.page(key.number(), rows, now) {
+            Ok(()) => _ = self.coming.insert(key),
+            Err(why) => {
+                self.events.push_back(Event::ClientLeft { request: key.number() });
+                self.turn_down(key, "Failed", &[("why", why)]);
+            }
+        }
+    }
+
+    /// A result is whole: all who wait for it get it.
+    fn spooled(&mut self, key: Key) {
+        let now = self.clock.now();
+        self.coming.remove(&key);
+        let Some(spooling) = &mut self.spooling else { return };
+        let told = spooling.whole(key.number(), now);
+        if let Some(request) = self.requests.get_mut(key).filter(|request| !request.answered) {
+            request.answered = true;
+            let late = now > request.deadline;
+            self.counters.late += late as u64;
+            self.counters.served += 1;
+            self.tell_end(key, AnswerKind::Served, late);
+        }
+        told.into_iter().for_each(|word| self.tell(word));
+    }
+
+    /// A run ended without a result: who came again for it is told the same.
+    fn spool_over(&mut self, key: Key, refused: bool) {
+        self.coming.remove(&key);
+        let now = self.clock.now();
+        let own = self.requests.get(key).map(|request| Waiter { client: request.client, call: request.call });
+        let Some(spooling) = self.spooling.as_mut().filter(|spooling| spooling.is_spooled(key.number()))
+        else {
+            return;
+        };
+        let waiting = spooling.over(key.number(), refused, now);
+        let word = if refused { "TryLater" } else { "Failed" };
+        for waiter in waiting.into_iter().filter(|waiter| Some(*waiter) != own) {
+            self.tell(Word::Error(waiter, word, "the run that it asked for ended so".into()));
+        }
+    }
+
+    fn asked(&mut self, client: Key, call: u32, what: clients::Asked) {
+        let now = self.clock.now();
+        let who = Waiter { client, call };
+        let Some(spooling) = &mut self.spooling else { return };
+        let told = match what {
+            clients::Asked::Page { token, id } => spooling.by_token(&token, &id, who, now),
+            clients::Asked::Again { id } => spooling.again(&id, who, now),
+            clients::Asked::Release { token, id } => {
+                spooling.release(&token, &id, now);
+                self.clients.answer(client, call, |out| write_part(out, call, std::iter::empty(), &[]));
+                None
+            }
+        };
+        told.into_iter().for_each(|word| self.tell(word));
+    }
+
+    fn tell(&mut self, word: Word) {
+        // Whose connection has ended comes again, or doesn't.
+        match word {
+            Word::Part(part) => {
+                let Waiter { client, call } = part.waiter;
+                let fields = [("token", part.token.as_str()), ("more", if part.more { "1" } else { "0" })];
+                let rows = part.rows.iter().map(Vec::as_slice);
+                self.clients.answer(client, call, |out| write_part(out, call, rows, &fields));
+            }
+            Word::Error(Waiter { client, call }, word, why) => {
+                self.clients.answer(client, call, |out| write_error(out, call, word, &[("why", &why)]));
+            }
+        }
+    }
+
+    /// What waits in the spool, and pages of results that there is room for now.
+    fn spool_work(&mut self) {
+        let now = self.clock.now();
+        let Some(spooling) = &mut self.spooling else { return };
+        let told = spooling.work(now);
+        for key in &self.coming {
+            let Some(request) = self.requests.get(*key) else { continue };
+            let conns = request.attempts.iter().filter_map(|attempt| attempt.conn);
+            let ahead = spooling.ahead(key.number());
+            conns.for_each(|conn| self.engines.read_on(conn, &request.id, ahead));
+        }
+        told.into_iter().for_each(|word| self.tell(word));
+        self.flush();
+    }
+
     /// The first good answer goes to the client.
     fn serve(&mut self, key: Key, pages: &[Vec<u8>]) {
         let pages = pages.iter().map(Vec::as_slice);
@@ -571,6 +733,12 @@
         // Here and not with the other actions: one for a request that is no more sends nothing.
         self.tap.action(now, &Action::Send { request: key.number(), engine, give_up_at });
         let attempt = request.attempts.len();
+        if request.spooled {
+            // Of an earlier attempt that ended half way.
+            let of = (request.class, request.tenant, self.clients.address_of(request.client));
+            self.spooling.iter_mut().for_each(|spooling| spooling.restart(key.number(), of, now));
+            self.coming.remove(&key);
+        }
         let wait_ms = give_up_at.saturating_sub(now) / 1000;
         let serve = Serve {
             id: &request.id,
@@ -585,7 +753,7 @@
         let conn = match wait_ms {
             0 => Err(Outcome::Unsent),
             _ => {
-                let tried = (key, attempt);
+                let tried = (key, attempt, request.spooled);
                 self.engines.send(now, engine, tried, &serve, &mut self.due, &mut self.counters)
             }
         };
@@ -599,6 +767,7 @@
     /// Refused or failed.
     fn turn_down(&mut self, key: Key, word: &str, fields: &[(&str, &str)]) {
         let how = if word == "TryLater" { AnswerKind::Refused } else { AnswerKind::Failed };
+        self.spool_over(key, how == AnswerKind::Refused);
         if self.answer(key, how, |out, call| write_error(out, call, word, fields)) {
             match how {
                 AnswerKind::Refused => self.counters.refused += 1,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod gateway;
 mod link;
 mod requests;
+mod spooling;
 mod table;
 mod tap;
 
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -84,6 +84,8 @@
     pub memory_mb: Option<f64>,
     pub group: Option<u64>,
     pub statement: Box<[u8]>,
+    /// The client takes its result by pages, where there is a spool.
+    pub paged: bool,
 }
 
 impl Call {
@@ -104,7 +106,7 @@
             None => Ok(None),
             Some(text) => upto(text, most).map(|value| Some(value).filter(|v| *v > 0.0)).ok_or(name),
         };
-        let known = ["i", "d", "t", "r", "k", "h", "ram"];
+        let known = ["i", "d", "t", "r", "k", "h", "ram", "p"];
         if known.iter().any(|name| fields.iter().filter(|(own, _)| own == name).count() > 1) {
             return Err("one that is there twice");
         }
@@ -133,6 +135,7 @@
             memory_mb: estimate("ram", names.most_memory_mb)?,
             group: eideryard_statement::table_group(body),
             statement: body.into(),
+            paged: field("p") == Some("1"),
         })
     }
 }
@@ -155,6 +158,8 @@
     pub taken_at: Micros,
     pub key: Option<Box<str>>,
     pub statement: Box<[u8]>,
+    /// Its result goes to the spool.
+    pub spooled: bool,
     pub grant_mb: u64,
     pub rank: Option<u8>,
     /// The client has had its final answer, or waits for none.
@@ -216,6 +221,7 @@
             taken_at,
             key: read.key,
             statement: read.statement,
+            spooled: false,
             grant_mb: 0,
             rank: None,
             answered: false,
--- a/crates/msgpack-rpc/src/lib.rs
+++ b/crates/msgpack-rpc/src/lib.rs
@@ -274,12 +274,22 @@
 
 /// Served: the result, in the pages that it came in.
 pub fn write_result<'a>(out: &mut Vec<u8>, id: u32, pages: impl Iterator<Item = &'a [u8]> + Clone) {
+    write_part(out, id, pages, &[]);
+}
+
+/// A part of a result, with fields that say how it goes on.
+pub fn write_part<'a>(
+    out: &mut Vec<u8>,
+    id: u32,
+    pages: impl Iterator<Item = &'a [u8]> + Clone,
+    fields: &[(&str, &str)],
+) {
     head(out, id);
     encode::write_nil(out).unwrap_or_default();
     let _ = encode::write_array_len(out, 2);
     let _ = encode::write_bin_len(out, pages.clone().map(|page| page.len() as u32).sum());
     pages.for_each(|page| out.extend_from_slice(page));
-    map(out, &[]);
+    map(out, fields);
 }
 
 /// Refused or failed: the error's word and its fields.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -6,6 +6,8 @@
 
 const MB: u64 = 1 << 20;
 const SECOND: u64 = 1_000_000;
+/// Characters of a secret at least.
+const LEAST_KEY: usize = 16;
 
 pub const TABLE: &[Spec] = &[
     Spec::new(
@@ -32,6 +34,54 @@
         "10m",
         "A segment ends after this time, however small it is.",
     ),
+    Spec::new(
+        "spool-memory",
+        &[Kind::Size { least: MB, most: 1 << 40 }],
+        "no spool",
+        "Memory for results that clients take by pages. Turns the spool and its methods on.",
+    ),
+    Spec::new(
+        "spool-dir",
+        &[Kind::Path],
+        "memory only",
+        "Directory of the spool's files, which are removed with their results.",
+    ),
+    Spec::new(
+        "spool-disk",
+        &[Kind::Size { least: MB, most: 1 << 44 }],
+        "1GB",
+        "Bytes of these files at the most.",
+    ),
+    Spec::new(
+        "spool-result",
+        &[Kind::Size { least: 48 << 10, most: 1 << 40 }],
+        "a quarter of memory and disk",
+        "The largest single result; a larger one fails.",
+    ),
+    Spec::new(
+        "spool-unclaimed",
+        &[Kind::Time { least: SECOND, most: 86_400 * SECOND }],
+        "60s",
+        "How long a result waits for its client, from its last use.",
+    ),
+    Spec::new(
+        "spool-delivered",
+        &[Kind::Time { least: SECOND, most: 86_400 * SECOND }],
+        "15s",
+        "How long one that was delivered is kept for a client that comes again.",
+    ),
+    Spec::new(
+        "spool-key",
+        &[Kind::Text],
+        "none; the spool needs one",
+        "Secret that page tokens are made with, 16 characters at least.",
+    ),
+    Spec::new(
+        "spool-previous-key",
+        &[Kind::Text],
+        "none",
+        "The secret before it: its tokens are taken still.",
+    ),
     Spec::new(
         "log-level",
         &[Kind::Choice(&["error", "warn", "info", "debug", "trace"])],
@@ -70,9 +120,34 @@
     pub json: bool,
 }
 
+/// Times in microseconds.
+#[derive(Clone, PartialEq)]
+pub struct SpoolPlan {
+    pub memory: u64,
+    pub directory: Option<PathBuf>,
+    pub disk: u64,
+    pub result: u64,
+    pub unclaimed: u64,
+    pub delivered: u64,
+    pub key: String,
+    pub previous_key: Option<String>,
+}
+
+/// Without the secrets.
+impl std::fmt::Debug for SpoolPlan {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let SpoolPlan { memory, directory, disk, result, .. } = self;
+        write!(
+            f,
+            "SpoolPlan {{ memory: {memory}, directory: {directory:?}, disk: {disk}, result: {result}, .. }}"
+        )
+    }
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Operator {
     pub record: Option<Record>,
+    pub spool: Option<SpoolPlan>,
     pub log: Log,
 }
 
@@ -114,9 +189,42 @@
                 ));
             }
         }
+        let spool = match setting("spool-memory") {
+            None => {
+                if let Some(setting) = settings.iter().find(|setting| setting.name.starts_with("spool-")) {
+                    let what = format!("'{}' without a spool", setting.name);
+                    return Err(Fault::new(
+                        setting.place.clone(),
+                        &what,
+                        "add spool-memory SIZE, which turns it on",
+                    ));
+                }
+                None
+            }
+            Some(turns_on) => {
+                let directory = text("spool-dir").map(PathBuf::from);
+                let memory = number("spool-memory", 0);
+                let disk = if directory.is_some() { number("spool-disk", 1 << 30) } else { 0 };
+                let key = text("spool-key").filter(|key| key.len() >= LEAST_KEY);
+                let place = setting("spool-key").unwrap_or(turns_on).place.clone();
+                let wrong =
+                    || Fault::new(place, "the spool has no secret of 16 characters", "add spool-key SECRET");
+                Some(SpoolPlan {
+                    memory,
+                    directory,
+                    disk,
+                    result: number("spool-result", (memory + disk) / 4),
+                    unclaimed: number("spool-unclaimed", 60 * SECOND),
+                    delivered: number("spool-delivered", 15 * SECOND),
+                    key: key.ok_or_else(wrong)?,
+                    previous_key: text("spool-previous-key"),
+                })
+            }
+        };
         let targets = settings.iter().filter(|setting| setting.name == "log-target");
         let target = |s: &Setting| (s.values[0].text().to_string(), s.values[1].text().to_string());
         Ok(Operator {
+            spool,
             record: directory.map(|directory| Record {
                 directory,
                 budget,
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -18,6 +18,12 @@
 fn settings_that_do_not_go_together_are_named() {
     let said = |text: &str| Operator::read("op.conf", text).expect_err(text).to_string();
     assert!(said("record-budget 8MB").contains("add record-dir PATH"));
+    assert!(said("spool-disk 8MB").contains("add spool-memory SIZE"));
+    assert!(said("spool-memory 8MB\nspool-key short").starts_with("op.conf:2:1: the spool has no secret"));
+    let spool = "spool-memory 8MB\nspool-key \"0123456789abcdef\"\n";
+    let spool = Operator::read("op.conf", spool).unwrap().spool.unwrap();
+    assert_eq!((spool.result, spool.disk), (2 << 20, 0), "without a directory there is no disk");
+    assert!(!format!("{spool:?}").contains("0123456789abcdef"), "secrets are not shown");
     let text = "record-dir /x\nrecord-budget 8MB\nrecord-segment 6MB\n";
     assert!(said(text).starts_with("op.conf:3:1: a segment takes more than half of the budget"));
     let small = Operator::read("op.conf", "record-dir /x\nrecord-budget 8MB\n").unwrap().record.unwrap();
--- a/crates/spool/src/size.rs
+++ b/crates/spool/src/size.rs
@@ -14,6 +14,8 @@
 const QUANTILE: f64 = 0.95;
 /// Outcomes that are needed before a class's own, and a pair's own, figures are trusted.
 const LEAST_SEEN: u32 = 8;
+/// One in so many refusals by what was learned is doubted: sizes change, and the cost is one result that fails.
+const DOUBTED: u64 = 16;
 /// Pairs of class and tenant that are told apart; the one unused for longest goes.
 const MOST_PAIRS: usize = 1024;
 
@@ -63,6 +65,8 @@
     classes: BTreeMap<usize, Sketch>,
     pairs: BTreeMap<(usize, usize), Sketch>,
     clock: u64,
+    /// Refusals by what was learned, since the last that was doubted.
+    refused: u64,
 }
 
 impl Sizes {
@@ -78,6 +82,13 @@
         pair.learn(bytes);
     }
 
+    /// Whether a refusal by what was learned is to be doubted: nothing more is learned of what is refused, so one in
+    /// some goes through.
+    pub fn doubts(&mut self) -> bool {
+        self.refused = (self.refused + 1) % DOUBTED;
+        self.refused == 0
+    }
+
     /// What a result is to be promised: by its class and tenant, else its class, else what is usual.
     pub fn expected(&self, class: usize, tenant: usize, usual: u64) -> u64 {
         let pair = self.pairs.get(&(class, tenant)).and_then(|sketch| sketch.quantile(QUANTILE));
--- a/crates/spool/src/state.rs
+++ b/crates/spool/src/state.rs
@@ -172,6 +172,10 @@
         self.results.is_empty()
     }
 
+    pub fn holds(&self, id: ResultId) -> bool {
+        self.results.contains_key(&id)
+    }
+
     /// Bytes in memory, on disk, and claimed in all.
     pub fn used(&self) -> (u64, u64, u64) {
         (self.memory, self.disk, self.claims)
@@ -197,21 +201,40 @@
         let kept_back = if expected <= SMALL { 0 } else { (total as f64 * RESERVE) as u64 };
         let room = total.saturating_sub(kept_back);
         let wanted = self.claims + expected;
+        let (mut dropping, mut freed) = (Vec::new(), 0);
         if wanted as f64 > PRESSURE * total as f64 {
             let over = |sum: Option<&u64>, share: f64| {
                 let most = (total as f64 * share) as u64;
                 // One alone may always have what a single result may.
-                sum.copied().filter(|sum| sum + expected > most).map(|sum| sum + expected - most)
+                sum.map_or(0, |sum| (sum + expected).saturating_sub(most))
             };
-            if let Some(short) = over(self.tenants.get(&owner.tenant), TENANT_SHARE) {
-                return no(Refusal::TenantsShare, Some(self.advice(short)));
+            let mut of_tenant = over(self.tenants.get(&owner.tenant), TENANT_SHARE);
+            let mut of_address = over(self.addresses.get(&owner.address), ADDRESS_SHARE);
+            // What it has been delivered goes before it is refused more.
+            let delivered = self.leaving.iter().take_while(|(unclaimed, ..)| !unclaimed);
+            for (_, _, id) in delivered {
+                if of_tenant + of_address == 0 {
+                    break;
+                }
+                let Some(held) = self.results.get(id) else { continue };
+                let helps = (held.owner.tenant == owner.tenant && of_tenant > 0)
+                    || (held.owner.address == owner.address && of_address > 0);
+                if helps {
+                    let own = |same: bool| if same { held.bytes } else { 0 };
+                    of_tenant = of_tenant.saturating_sub(own(held.owner.tenant == owner.tenant));
+                    of_address = of_address.saturating_sub(own(held.owner.address == owner.address));
+                    dropping.push(*id);
+                    freed += held.bytes;
+                }
             }
-            if let Some(short) = over(self.addresses.get(&owner.address), ADDRESS_SHARE) {
-                return no(Refusal::AddressShare, Some(self.advice(short)));
+            if of_tenant > 0 {
+                return no(Refusal::TenantsShare, Some(self.advice(of_tenant)));
+            }
+            if of_address > 0 {
+                return no(Refusal::AddressShare, Some(self.advice(of_address)));
             }
         }
-        let mut short = wanted.saturating_sub(room);
-        let mut dropping = Vec::new();
+        let mut short = wanted.saturating_sub(room + freed);
         let mut leaving = self.leaving.iter();
         let full = self.results.len() >= MOST_RESULTS;
         while short > 0 || (full && dropping.is_empty()) {
@@ -223,8 +246,10 @@
             let Some((id, bytes)) = next else {
                 return no(Refusal::Full, Some(self.advice(short)));
             };
-            dropping.push(id);
-            short = short.saturating_sub(bytes);
+            if !dropping.contains(&id) {
+                dropping.push(id);
+                short = short.saturating_sub(bytes);
+            }
         }
         Admission::Yes { dropping }
     }
--- a/crates/spool/tests/model.rs
+++ b/crates/spool/tests/model.rs
@@ -219,6 +219,11 @@
     assert_eq!(why(&spool, ONE, 100 * KB), Refusal::TenantsShare);
     assert_eq!(why(&spool, Owner { tenant: 2, address: 1 }, 100 * KB), Refusal::AddressShare);
     assert!(yes(&spool, Owner { tenant: 2, address: 2 }, 100 * KB));
+    // What it was delivered goes before it is refused more.
+    spool.end(taken, true, 1);
+    spool.open(taken, 2);
+    spool.close(taken, true, 3);
+    assert_eq!(why(&spool, ONE, 100 * KB), Refusal::TenantsShare, "nothing of it was ever there");
     assert_eq!(why(&spool, ONE, 901 * KB), Refusal::TooLarge);
 }
 
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -251,7 +251,10 @@
 
     fn answered(&self, line: &Line, answer: Answer) {
         let number = match &answer {
-            Answer::Result { id, .. } | Answer::Error { id, .. } | Answer::Health { id, .. } => *id,
+            Answer::Result { id, .. }
+            | Answer::Part { id, .. }
+            | Answer::Error { id, .. }
+            | Answer::Health { id, .. } => *id,
         };
         let Some((asked, told)) = line.open.borrow_mut().remove(&number) else {
             let what = format!("{}: an answer that nothing waits for", self.spec.name);
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -174,9 +174,25 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Answer {
-    Result { id: u64, body: Vec<u8> },
-    Error { id: u64, word: String, fields: Vec<(String, String)> },
-    Health { id: u64, well: bool },
+    Result {
+        id: u64,
+        body: Vec<u8>,
+    },
+    /// A part of a result, with fields that say how it goes on.
+    Part {
+        id: u64,
+        body: Vec<u8>,
+        fields: Vec<(String, String)>,
+    },
+    Error {
+        id: u64,
+        word: String,
+        fields: Vec<(String, String)>,
+    },
+    Health {
+        id: u64,
+        well: bool,
+    },
 }
 
 impl Client {
@@ -207,10 +223,20 @@
     }
 
     pub fn ask_health(&mut self, id: u64) -> io::Result<()> {
+        self.ask(id, "isWell", &[])
+    }
+
+    /// A question without a body.
+    pub fn ask(&mut self, id: u64, method: &str, fields: &[(&str, &str)]) -> io::Result<()> {
         let mut out = vec![0x94, 0];
         rmp::encode::write_uint(&mut out, id).map_err(io::Error::other)?;
-        rmp::encode::write_str(&mut out, "isWell").map_err(io::Error::other)?;
-        out.extend([0x91, 0x80]);
+        rmp::encode::write_str(&mut out, method).map_err(io::Error::other)?;
+        out.push(0x91);
+        rmp::encode::write_map_len(&mut out, fields.len() as u32).map_err(io::Error::other)?;
+        for (name, value) in fields {
+            rmp::encode::write_str(&mut out, name).map_err(io::Error::other)?;
+            rmp::encode::write_str(&mut out, value).map_err(io::Error::other)?;
+        }
         self.write_raw(&out)
     }
 
@@ -259,8 +285,11 @@
         let length = rmp::decode::read_bin_len(input).map_err(|e| wrong(&e.to_string()))?;
         let mut body = vec![0; length as usize];
         input.read_exact(&mut body)?;
-        read_map(input)?;
-        return Ok(Answer::Result { id, body });
+        let fields = read_map(input)?;
+        return Ok(match fields.is_empty() {
+            true => Answer::Result { id, body },
+            false => Answer::Part { id, body, fields },
+        });
     }
     array(input)?;
     let word = read_text(input)?;
