A keyed request that comes again is answered by its one run

Need: a client that tries a keyed request again after a broken connection could have it run twice at the gateway's cost, or fail.

Change: where results are spooled, a call whose key is known waits for the run or gets its answer, takes no room and no attempt, and counts as a request of its own, in counters and record.

Measured: three calls of one key: one run, one attempt, three answers the same to the byte; record and counters agree.

--- a/crates/command/tests/spool.rs
+++ b/crates/command/tests/spool.rs
@@ -177,6 +177,30 @@
     assert_eq!(seen.runs(), 1);
 }
 
+#[test]
+fn a_key_that_comes_again_runs_once_and_each_call_has_its_answer() {
+    const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    let (mut gateway, seen, _bulletin) = started(40, Duration::from_millis(300), "");
+    let mut clients = [gateway.client(), gateway.client(), gateway.client()];
+    for (number, client) in clients.iter_mut().enumerate() {
+        let id = format!("{:016x}", number + 1);
+        let mut fields = fields(&id, "15000");
+        fields.extend([("p", "1"), ("k", KEY)]);
+        client.call(1, "load", &fields, QUERY).unwrap();
+        // The third is sent when the first has its answer.
+        while number == 1 && gateway.counters()["served"] < 2 {
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+    let wholes = clients.each_mut().map(|client| {
+        let (body, token, more) = part(client);
+        rest(client, KEY, body, token, more)
+    });
+    assert!(wholes.iter().all(|whole| *whole == result("e", 1, 40)), "the same to the byte");
+    let counted = gateway.counters();
+    assert_eq!((seen.runs(), counted["taken"], counted["served"], counted["sent"]), (1, 3, 3, 1));
+}
+
 #[test]
 fn an_engine_that_dies_half_way_leaves_no_row_of_its_run() {
     let (bulletin, mut engines) = stand_ins(2);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -564,6 +564,9 @@
                 self.left_out += entries;
                 say(Fact::Missing { from: *from, entries: Some(*entries) });
             }
+            Host::Attached { class, tenant } => {
+                say(Fact::Taken { class: *class, tenant: *tenant, from: None })
+            }
             Host::Reloaded { .. } | Host::Ending { .. } => {}
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -409,6 +409,16 @@
         let of = (call.class, call.tenant);
         let spooled = call.paged && self.spooling.is_some();
         let address = self.clients.address_of(client);
+        let name = call.key.clone().filter(|_| spooled);
+        if let Some((name, spooling)) = name.zip(self.spooling.as_mut()).filter(|(name, own)| own.knows(name))
+        {
+            // The same key again: the answer of its one run is this one's too, and no room and no attempt is taken.
+            let who = Waiter { client, call: id, counts: Some(of) };
+            let told = spooling.again(&name, who, now);
+            self.tap.host(now, Host::Attached { class: of.0, tenant: of.1 });
+            told.into_iter().for_each(|word| self.tell(word));
+            return;
+        }
         if let Some(spooling) = self.spooling.as_mut().filter(|_| spooled) {
             if let Err((wait, why)) = spooling.admit(of.0, of.1, address, now) {
                 self.counters.refused += 1;
@@ -447,8 +457,9 @@
         let own = self.requests.get_mut(request);
         if let Some((spooling, own)) = self.spooling.as_mut().filter(|_| spooled).zip(own) {
             own.spooled = true;
-            let who = Waiter { client, call: id };
-            spooling.begin(request.number(), &own.id, who, (of.0, of.1, address), now);
+            let who = Waiter { client, call: id, counts: None };
+            let name = own.key.as_ref().unwrap_or(&own.id);
+            spooling.begin(request.number(), name, who, (of.0, of.1, address), now);
         }
         self.span(request).in_scope(|| tracing::debug!("taken"));
         if self.tap.is_on() {
@@ -512,7 +523,7 @@
             return false;
         };
         request.answered = true;
-        let who = Waiter { client: request.client, call: request.call };
+        let who = Waiter { client: request.client, call: request.call, counts: None };
         self.spooling.iter_mut().for_each(|spooling| spooling.leaves(key.number(), &who));
         self.tell_end(key, AnswerKind::Lost, false);
         true
@@ -551,7 +562,11 @@
     fn spool_over(&mut self, key: Key, refused: bool) {
         self.coming.remove(&key);
         let now = self.clock.now();
-        let own = self.requests.get(key).map(|request| Waiter { client: request.client, call: request.call });
+        let own = self.requests.get(key).map(|request| Waiter {
+            client: request.client,
+            call: request.call,
+            counts: None,
+        });
         let Some(spooling) = self.spooling.as_mut().filter(|spooling| spooling.is_spooled(key.number()))
         else {
             return;
@@ -565,7 +580,7 @@
 
     fn asked(&mut self, client: Key, call: u32, what: clients::Asked) {
         let now = self.clock.now();
-        let who = Waiter { client, call };
+        let who = Waiter { client, call, counts: None };
         let Some(spooling) = &mut self.spooling else { return };
         let told = match what {
             clients::Asked::Page { token, id } => spooling.by_token(&token, &id, who, now),
@@ -581,17 +596,29 @@
 
     fn tell(&mut self, word: Word) {
         // Whose connection has ended comes again, or doesn't.
-        match word {
+        let (told, counts, how) = match word {
             Word::Part(part) => {
-                let Waiter { client, call } = part.waiter;
+                let Waiter { client, call, counts } = part.waiter;
                 let fields = [("token", part.token.as_str()), ("more", if part.more { "1" } else { "0" })];
                 let rows = part.rows.iter().map(Vec::as_slice);
-                self.clients.answer(client, call, |out| write_part(out, call, rows, &fields));
+                let told = self.clients.answer(client, call, |out| write_part(out, call, rows, &fields));
+                (told, counts, AnswerKind::Served)
             }
-            Word::Error(Waiter { client, call }, word, why) => {
-                self.clients.answer(client, call, |out| write_error(out, call, word, &[("why", &why)]));
+            Word::Error(Waiter { client, call, counts }, word, why) => {
+                let told =
+                    self.clients.answer(client, call, |out| write_error(out, call, word, &[("why", &why)]));
+                (told, counts, if word == "TryLater" { AnswerKind::Refused } else { AnswerKind::Failed })
             }
-        }
+        };
+        let Some((class, tenant)) = counts else { return };
+        let how = if told { how } else { AnswerKind::Lost };
+        *match how {
+            AnswerKind::Served => &mut self.counters.served,
+            AnswerKind::Refused => &mut self.counters.refused,
+            AnswerKind::Failed => &mut self.counters.failed,
+            _ => &mut self.counters.lost,
+        } += 1;
+        self.tap.host(self.clock.now(), Host::Answered { request: 0, class, tenant, how, late: false });
     }
 
     /// What waits in the spool, and pages of results that there is room for now.
--- a/crates/gateway/src/spooling.rs
+++ b/crates/gateway/src/spooling.rs
@@ -40,6 +40,8 @@
 pub struct Waiter {
     pub client: Key,
     pub call: u32,
+    /// It is a request of its own, of this class and tenant, and counts as one.
+    pub counts: Option<(usize, usize)>,
 }
 
 /// How a run ended, for all who ask.
@@ -296,6 +298,11 @@
 
     // ---- Clients ----
 
+    /// Whether a request of this name runs, or has an answer.
+    pub fn knows(&self, name: &str) -> bool {
+        self.returns.knows(name)
+    }
+
     /// A client comes again by its request's id: what it is told now, if anything is known yet.
     pub fn again(&mut self, name: &str, who: Waiter, now: Micros) -> Option<Told> {
         let told = match self.returns.arrives(name, who) {
--- a/crates/record/src/codec.rs
+++ b/crates/record/src/codec.rs
@@ -64,6 +64,7 @@
     pub const END: u8 = 55;
     pub const GAP: u8 = 56;
     pub const ENDING: u8 = 57;
+    pub const ATTACHED: u8 = 58;
 }
 
 // ---- Numbers ----
@@ -423,6 +424,11 @@
                 self.put_offer(out, offer);
                 kind::OFFERED
             }
+            Host::Attached { class, tenant } => {
+                put_number(out, *class as u64);
+                put_number(out, *tenant as u64);
+                kind::ATTACHED
+            }
             Host::NotTaken { how, class, tenant } => {
                 out.push(match how {
                     NotTaken::Invalid => 0,
@@ -815,6 +821,7 @@
             }
             kind::DISCONNECTED => Host::Disconnected { connection: self.connection()? },
             kind::OFFERED => Host::Offered(self.offer()?),
+            kind::ATTACHED => Host::Attached { class: self.place()?, tenant: self.place()? },
             kind::NOT_TAKEN => {
                 let how = match self.byte()? {
                     0 => NotTaken::Invalid,
--- a/crates/record/src/tally.rs
+++ b/crates/record/src/tally.rs
@@ -185,6 +185,11 @@
                     lane.late += *late as u64;
                 }
             }
+            EntryRef::Host(Host::Attached { class, tenant }) => {
+                totals.taken += 1;
+                lane(&mut self.classes, *class).into_iter().for_each(|lane| lane.taken += 1);
+                lane(&mut self.tenants, *tenant).into_iter().for_each(|lane| lane.taken += 1);
+            }
             EntryRef::Host(Host::NotTaken { how, class, tenant }) => {
                 totals.taken += 1;
                 let ended = match how {
--- a/crates/record/tests/common/mod.rs
+++ b/crates/record/tests/common/mod.rs
@@ -67,7 +67,7 @@
     let class = rng.usize(0..4);
     let tenant = rng.usize(0..3);
     let offer = Offer { request: id, id: rng.u64(..), connection: request(rng) };
-    match rng.u8(0..33) {
+    match rng.u8(0..34) {
         0 => Entry::In(Event::FullList(listed(rng))),
         1 => Entry::In(Event::ListChanges(listed(rng))),
         2 => Entry::In(Event::ListFailed),
@@ -127,6 +127,7 @@
         24 => Entry::Out(Action::Log("engine 17 quarantined: silent".into())),
         25 => Entry::Host(Host::Connected { connection: id, address: [127, 0, 0, rng.u8(..)].into() }),
         31 => Entry::Host(Host::Ending { connection: id, why: *rng.choice(&Why::ALL).unwrap() }),
+        32 => Entry::Host(Host::Attached { class, tenant }),
         26 => Entry::Host(Host::Disconnected { connection: id }),
         27 => Entry::Host(Host::Offered(offer)),
         28 => {
--- a/crates/spool/src/returns.rs
+++ b/crates/spool/src/returns.rs
@@ -55,6 +55,11 @@
         (self.runs.len(), self.gone.len())
     }
 
+    /// Whether anything is known of a name: a run that goes on, an answer, or that it is gone.
+    pub fn knows(&self, name: &str) -> bool {
+        self.runs.contains_key(name) || self.gone.contains_key(name)
+    }
+
     pub fn arrives(&mut self, name: &str, who: W) -> Arrival<A> {
         match self.runs.get_mut(name) {
             Some(Run::Ended(answer)) => Arrival::Answered(answer.clone()),
