--- a/crates/spool/src/state.rs
+++ b/crates/spool/src/state.rs
@@ -117,8 +117,26 @@
     }
 }
 
+/// The choices that can be switched off, to see what each is good for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Policy {
+    /// Part of all room for small results only.
+    pub reserve: f64,
+    /// Shares of tenants and addresses bind under pressure.
+    pub shares: bool,
+    /// Delivered results go first, others only past their time; else simply the longest unused.
+    pub by_value: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Policy { reserve: RESERVE, shares: true, by_value: true }
+    }
+}
+
 pub struct Spool {
     budget: Budget,
+    policy: Policy,
     results: BTreeMap<ResultId, Held>,
     /// Those that may go, in the order in which they do: delivered ones first, the longest unused first.
     leaving: BTreeSet<(bool, Micros, ResultId)>,
@@ -149,8 +167,13 @@
 
 impl Spool {
     pub fn new(budget: Budget, now: Micros) -> Self {
+        Self::with(budget, Policy::default(), now)
+    }
+
+    pub fn with(budget: Budget, policy: Policy, now: Micros) -> Self {
         Spool {
             budget,
+            policy,
             results: BTreeMap::new(),
             leaving: BTreeSet::new(),
             memory: 0,
@@ -198,11 +221,11 @@
             return no(Refusal::TooLarge, None);
         }
         let total = self.total(now);
-        let kept_back = if expected <= SMALL { 0 } else { (total as f64 * RESERVE) as u64 };
+        let kept_back = if expected <= SMALL { 0 } else { (total as f64 * self.policy.reserve) as u64 };
         let room = total.saturating_sub(kept_back);
         let wanted = self.claims + expected;
         let (mut dropping, mut freed) = (Vec::new(), 0);
-        if wanted as f64 > PRESSURE * total as f64 {
+        if self.policy.shares && wanted as f64 > PRESSURE * total as f64 {
             let over = |sum: Option<&u64>, share: f64| {
                 let most = (total as f64 * share) as u64;
                 // One alone may always have what a single result may.
@@ -342,7 +365,7 @@
     fn file(&mut self, id: ResultId) {
         if let Some(held) = self.results.get(&id).filter(|held| held.droppable()) {
             // A failed one is of no more use once it was told, so it goes like one delivered.
-            let unclaimed = !(held.delivered || held.state == State::Failed);
+            let unclaimed = self.policy.by_value && !(held.delivered || held.state == State::Failed);
             self.leaving.insert((unclaimed, held.touched_at, id));
         }
     }
