--- a/crates/background/src/scheduler.rs
+++ b/crates/background/src/scheduler.rs
@@ -1,9 +1,9 @@
 //! What is done next of the work that may wait.
 //!
-//! Each kind of work has an urgency; the most urgent that has something to do and may do it now comes first. Two
-//! budgets bound it: time in each look at the sockets, so that requests wait for no more than that, and bytes in each
-//! second, so that a disk has room for what matters. Work that was passed over for long enough goes before more urgent
-//! work, so that none starves.
+//! Each kind of work has an urgency; the most urgent that has something to do and may do it now comes
+//! first. Two budgets bound it: time in each look at the sockets, so that requests wait for no more than
+//! that, and bytes in each second, so that a disk has room for what matters. Work that was passed over
+//! for long enough goes before more urgent work, so that none starves.
 
 use std::collections::VecDeque;
 
--- a/crates/command/src/logger.rs
+++ b/crates/command/src/logger.rs
@@ -1,5 +1,6 @@
-//! The structured log, on standard error: lines of text or JSON, levels by target. A line that can't be written at
-//! once, or is one too many in its second, is dropped and counted, so that the log never holds the program up.
+//! The structured log, on standard error: lines of text or JSON, levels by target. A line that can't be
+//! written at once, or is one too many in its second, is dropped and counted, so that the log never holds
+//! the program up.
 
 use std::fmt;
 use std::io::{self, Write};
@@ -21,8 +22,8 @@
 /// Lines in one second, so that a fault that repeats doesn't fill the disk behind the pipe.
 const MOST_LINES: u64 = 200;
 
-/// Starts to log. `EIDERYARD_LOG` (a level, or levels by target as in `info,eideryard_gateway=debug`) goes before
-/// the operator's file; what neither names is logged from info on.
+/// Starts to log. `EIDERYARD_LOG` (a level, or levels by target as in `info,eideryard_gateway=debug`)
+/// goes before the operator's file; what neither names is logged from info on.
 pub fn start(named: Option<&str>, log: &Log) {
     let json = log.json;
     let guard = move || Guard { sink: Stderr, lines: &LINES, json };
--- a/crates/console/src/draw.rs
+++ b/crates/console/src/draw.rs
@@ -51,8 +51,8 @@
         Page::Engine(engine) => one_engine(frame, view, look, body, engine),
         Page::Request(id) => one_request(frame, view, body, id),
     }
-    let keys =
-        "Tab page  ↑↓ row  Enter open  Esc back  s sort  Space pause  ←→ 1 s  PgUp/PgDn 10 s  l live  q quit";
+    let keys = "Tab page  ↑↓ row  Enter open  Esc back  s sort  Space pause  ←→ 1 s  \
+         PgUp/PgDn 10 s  l live  q quit";
     let keys =
         if look.blocks { keys.to_string() } else { keys.replace("↑↓", "j/k").replace("←→", "h/l") };
     frame.render_widget(Paragraph::new(keys).wrap(Wrap { trim: true }), bottom);
--- a/crates/fleet/src/episodes.rs
+++ b/crates/fleet/src/episodes.rs
@@ -1,7 +1,8 @@
 //! Finds troubles by their symptoms: when each began, was worst and ended, and which overlap.
 //!
-//! Facts are summed second by second; symptoms are judged over windows of a few seconds against the fleet's own past.
-//! Nothing is learned or concluded from seconds in which a record has a gap: episodes that touch one say so.
+//! Facts are summed second by second; symptoms are judged over windows of a few seconds against the
+//! fleet's own past. Nothing is learned or concluded from seconds in which a record has a gap: episodes
+//! that touch one say so.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::IpAddr;
@@ -25,7 +26,8 @@
 const MUCH_PAST: u32 = 5;
 /// So many times the usual is over it.
 const OVER: f64 = 3.0;
-/// Fewer refusals or resends in a window than this are never an episode, nor a smaller share of all than this.
+/// Fewer refusals or resends in a window than this are never an episode, nor a smaller share of all than
+/// this.
 const LEAST_COUNT: u32 = 8;
 const LEAST_SHARE: f64 = 0.05;
 /// Latency that is usually `ms` is over it from twice that and so many milliseconds more on.
--- a/crates/fleet/src/series.rs
+++ b/crates/fleet/src/series.rs
@@ -1,4 +1,5 @@
-//! Facts summed in buckets of time, for plots. The buckets widen as the record grows, so that their number stays.
+//! Facts summed in buckets of time, for plots. The buckets widen as the record grows, so that their
+//! number stays.
 
 use std::collections::BTreeMap;
 
@@ -13,7 +14,8 @@
 /// Classes, tenants and engines that have lines of their own.
 const MOST_LINES: usize = 256;
 
-/// Latencies in steps of the square root of two from a millisecond on: a percentile to a fifth, in little room.
+/// Latencies in steps of the square root of two from a millisecond on: a percentile to a fifth, in little
+/// room.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Sketch {
     counts: [u32; Sketch::STEPS],
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -419,7 +419,8 @@
                 say(Fact::Sent { engine: *engine, class: open.class, again });
             }
             Action::Log(text) => {
-                // The module tells of quarantines in words: `engine N quarantined: ...`, `engine N is back ...`.
+                // The module tells of quarantines in words: `engine N quarantined: ...`, `engine N is
+                // back ...`.
                 let mut words = text.split(' ');
                 let engine = (words.next() == Some("engine")).then(|| words.next()?.parse().ok()).flatten();
                 let begins = match words.next() {
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -19,7 +19,8 @@
 const MOST_RESULT: usize = 48_000;
 /// Pages of a result that is spooled: the spool's budget for one result ends it sooner.
 const MOST_SPOOLED_PAGES: usize = 1 << 20;
-/// Pages of one result that are asked for at once, whatever room there is: their answers may come in any order.
+/// Pages of one result that are asked for at once, whatever room there is: their answers may come in any
+/// order.
 const MOST_ASKED: usize = 64;
 /// Part of the idle time after which a connection is closed from this side, so that no request crosses the
 /// engine's own closing.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -412,7 +412,8 @@
         let name = call.key.clone().filter(|_| spooled);
         if let Some((name, spooling)) = name.zip(self.spooling.as_mut()).filter(|(name, own)| own.knows(name))
         {
-            // The same key again: the answer of its one run is this one's too, and no room and no attempt is taken.
+            // The same key again: the answer of its one run is this one's too, and no room and no attempt
+            // is taken.
             let who = Waiter { client, call: id, counts: Some(of) };
             let told = spooling.again(&name, who, now);
             self.tap.host(now, Host::Attached { class: of.0, tenant: of.1 });
--- a/crates/gateway/src/spooling.rs
+++ b/crates/gateway/src/spooling.rs
@@ -1,5 +1,6 @@
-//! Results that are spooled: joins the core of the spool to its worker, keeps pages in memory, and finds the answer
-//! of a request that comes again. What is decided is decided in `crates/spool`; here it is done.
+//! Results that are spooled: joins the core of the spool to its worker, keeps pages in memory, and finds
+//! the answer of a request that comes again. What is decided is decided in `crates/spool`; here it is
+//! done.
 
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -20,8 +21,8 @@
 const MOST_MESSAGE: usize = 48_000;
 /// What a result is promised before anything was learned.
 const USUAL: u64 = 48_000;
-/// Bytes of a segment file, and background work for each look and each second: a page's write is handed over in
-/// microseconds, and a disk that takes 64 MB a second is a slow one.
+/// Bytes of a segment file, and background work for each look and each second: a page's write is handed
+/// over in microseconds, and a disk that takes 64 MB a second is a slow one.
 const SEGMENT: u64 = 4 << 20;
 const PACE: Pace = Pace { look: 500, bytes_per_s: 64e6 };
 /// A disk that failed is tried again after this.
@@ -97,7 +98,8 @@
 
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Spooled {
-    /// Results begun, ended whole, dropped; parts sent; returns answered or attached, and those that came too late.
+    /// Results begun, ended whole, dropped; parts sent; returns answered or attached, and those that came
+    /// too late.
     pub begun: u64,
     pub whole: u64,
     pub dropped: u64,
@@ -177,7 +179,8 @@
 
     // ---- Runs ----
 
-    /// Whether a request's result will fit; what has to go for it is dropped. An error: when to come back, and why not.
+    /// Whether a request's result will fit; what has to go for it is dropped. An error: when to come
+    /// back, and why not.
     pub fn admit(
         &mut self,
         class: usize,
@@ -266,8 +269,8 @@
         waiting.into_iter().filter_map(|waiter| self.part(waiter, id, 0, now)).collect()
     }
 
-    /// The run ended without a result: refused before anything ran, or failed for good. Gives who waits besides the
-    /// request's own client.
+    /// The run ended without a result: refused before anything ran, or failed for good. Gives who waits
+    /// besides the request's own client.
     pub fn over(&mut self, id: ResultId, refused: bool, now: Micros) -> Vec<Waiter> {
         let Some(stored) = self.stored.get(&id) else { return Vec::new() };
         let name = stored.name.clone();
@@ -430,7 +433,8 @@
         }
     }
 
-    /// What the worker has done, work that may be done now, and results whose time is over. Gives what goes to whom.
+    /// What the worker has done, work that may be done now, and results whose time is over. Gives what
+    /// goes to whom.
     pub fn work(&mut self, now: Micros) -> Vec<Told> {
         let mut told = Vec::new();
         let done: Vec<Done> = self.worker.iter().flat_map(Worker::done).collect();
--- a/crates/gateway/src/tap.rs
+++ b/crates/gateway/src/tap.rs
@@ -1,5 +1,5 @@
-//! Where the gateway's record is tapped: nothing at all without a record, else every event, action and word of
-//! the host goes to the recorder, which never waits.
+//! Where the gateway's record is tapped: nothing at all without a record, else every event, action and
+//! word of the host goes to the recorder, which never waits.
 
 use eideryard::interface::{Action, Event, Micros};
 use eideryard_operator::Record;
--- a/crates/lines/src/lib.rs
+++ b/crates/lines/src/lib.rs
@@ -1,8 +1,8 @@
 //! Line-based settings: `directive value...`, blocks in braces, comments behind `#`, `include FILE`.
 //!
 //! [`grammar`] splits text into statements, [`value`] reads single values with their units, [`table`] checks
-//! statements against a table of directives and gives typed settings. The operator's file and scenarios of the
-//! stand-ins are two such tables. Nothing here does I/O: includes are asked of the caller.
+//! statements against a table of directives and gives typed settings. The operator's file and scenarios
+//! of the stand-ins are two such tables. Nothing here does I/O: includes are asked of the caller.
 
 pub mod fault;
 pub mod grammar;
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -140,7 +140,8 @@
         connection: u64,
     },
     Offered(Offer),
-    /// A request that comes again waits for the answer of its one run; `Answered` with number 0 tells its own end.
+    /// A request that comes again waits for the answer of its one run; `Answered` with number 0 tells its
+    /// own end.
     Attached {
         class: usize,
         tenant: usize,
--- a/crates/record/src/reader.rs
+++ b/crates/record/src/reader.rs
@@ -40,7 +40,10 @@
     Io { path: PathBuf, error: io::Error },
     #[error("{path}: no record is there (files named NAME.START.NUMBER.eyr)")]
     Nothing { path: PathBuf },
-    #[error("{path}: version {version} of the record is newer than this program, which reads up to {VERSION}; use the program that wrote it, or a later one")]
+    #[error(
+        "{path}: version {version} of the record is newer than this program, which reads up to \
+             {VERSION}; use the program that wrote it, or a later one"
+    )]
     Newer { path: PathBuf, version: u32 },
 }
 
@@ -254,8 +257,8 @@
         Self::with(directories, true)
     }
 
-    /// Reads from a time on: each record from the beginning of its last segment that begins no later. Starts that
-    /// had ended before are left out.
+    /// Reads from a time on: each record from the beginning of its last segment that begins no later.
+    /// Starts that had ended before are left out.
     pub fn open_from(directories: &[PathBuf], from: Micros) -> Result<Self, Unusable> {
         Self::with_from(directories, false, from)
     }
--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -1,7 +1,7 @@
 //! The event loop's side of a record: encodes entries into buffers that were allocated at the start and hands
-//! them to the writer. It never waits and never allocates while it records. Where the writer can't keep up, entries
-//! are counted and left out; the writer tells of the gap, and a new segment begins behind it with the state as
-//! it is then.
+//! them to the writer. It never waits and never allocates while it records. Where the writer can't keep
+//! up, entries are counted and left out; the writer tells of the gap, and a new segment begins behind it
+//! with the state as it is then.
 
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
--- a/crates/record/src/tally.rs
+++ b/crates/record/src/tally.rs
@@ -4,7 +4,8 @@
 use crate::entry::{AnswerKind, EntryRef, Host, NotTaken, Why};
 use eideryard::interface::{Action, Event, Outcome};
 
-/// More classes or tenants than this are counted in the totals only; it bounds a record that was tampered with.
+/// More classes or tenants than this are counted in the totals only; it bounds a record that was tampered
+/// with.
 pub const MOST_LANES: usize = 256;
 
 macro_rules! counts {
--- a/crates/record/src/writer.rs
+++ b/crates/record/src/writer.rs
@@ -1,5 +1,5 @@
-//! The writer's thread: batches to segment files, the oldest of which go when the budget is used up. Whatever a
-//! disk does, it only costs entries of the record, and their number is told.
+//! The writer's thread: batches to segment files, the oldest of which go when the budget is used up.
+//! Whatever a disk does, it only costs entries of the record, and their number is told.
 
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -75,8 +75,12 @@
                         h2 id="service" { "Service" }
                         (outcomes(view, span, &bands))
                         (latency(view, span, &bands))
-                        (lanes(view, "Service by class", "class", &|start| start.tally().classes, &|at| view.fleet.class(at)))
-                        (lanes(view, "Service by tenant", "tenant", &|start| start.tally().tenants, &|at| view.fleet.tenant(at)))
+                        (lanes(view, "Service by class", "class", &|start| start.tally().classes, &|at| {
+                            view.fleet.class(at)
+                        }))
+                        (lanes(view, "Service by tenant", "tenant", &|start| start.tally().tenants, &|at| {
+                            view.fleet.tenant(at)
+                        }))
                         (tenants(view, span, &bands))
                     }
                     section aria-labelledby="engines" {
@@ -202,8 +206,13 @@
                         th scope="row" { (start.name) }
                         td { (clock(start.epoch)) }
                         td { (clock_ms(start.last_at)) }
-                        td { @if start.own.is_some() { "stopped" } @else if start.broke_off { "broke off" } @else { "runs" } }
-                        @for (_, value) in start.tally().totals.pairs().filter(|(name, _)| columns.contains(name)) {
+                        td {
+                            @if start.own.is_some() { "stopped" }
+                            @else if start.broke_off { "broke off" }
+                            @else { "runs" }
+                        }
+                        @let totals = start.tally().totals;
+                        @for (_, value) in totals.pairs().filter(|(name, _)| columns.contains(name)) {
                             td class="n" { (value) }
                         }
                         td class="n" { (start.counted.tally.open()) }
@@ -216,7 +225,8 @@
                     @for (_, value) in sums.pairs().filter(|(name, _)| columns.contains(name)) {
                         td class="n" { (value) }
                     }
-                    td class="n" { (view.fleet.known().map(|(_, start)| start.counted.tally.open()).sum::<u64>()) }
+                    @let open = view.fleet.known().map(|(_, start)| start.counted.tally.open());
+                    td class="n" { (open.sum::<u64>()) }
                     td class="n" { (view.fleet.known().map(|(_, start)| start.left_out).sum::<u64>()) }
                 }
             }
@@ -339,7 +349,9 @@
                         @for value in values { td class="n" { (value) } }
                         @if is_class {
                             @for share in [0.5, 0.9, 0.99] {
-                                td class="n" { @if let Some(ms) = latency(at, share) { (ms) } @else { "–" } }
+                                td class="n" {
+                                    @if let Some(ms) = latency(at, share) { (ms) } @else { "–" }
+                                }
                             }
                         }
                     }
@@ -398,13 +410,17 @@
             caption { "Attempts by engine, over all gateways" }
             thead { tr {
                 th scope="col" { "engine" } th scope="col" { "address" } th scope="col" { "last listed" }
-                @for column in ["sent", "answered", "error", "full", "timed out", "no connection", "broken", "cancelled", "unsent"] {
+                @for column in [
+                    "sent", "answered", "error", "full", "timed out", "no connection", "broken", "cancelled",
+                    "unsent",
+                ] {
                     th scope="col" class="n" { (column) }
                 }
             } }
             tbody {
                 @for engine in all_engines(view) {
-                    @let own: Vec<_> = view.fleet.known().filter_map(|(_, start)| start.engines.get(&engine)).collect();
+                    @let starts = view.fleet.known().map(|(_, start)| start);
+                    @let own: Vec<_> = starts.filter_map(|start| start.engines.get(&engine)).collect();
                     tr {
                         th scope="row" { (view.fleet.engine(engine)) }
                         td { (own.last().map_or("", |own| own.address.as_str())) }
@@ -421,7 +437,9 @@
                 }
             }
         }
-        p class="small" { "Attempts are counted as recorded; those in a gap are in the gateways' totals only." }
+        p class="small" {
+            "Attempts are counted as recorded; those in a gap are in the gateways' totals only."
+        }
     }
 }
 
@@ -470,9 +488,12 @@
     let left_out = view.notables.left_out;
     html! {
         p {
-            "Refused, failed, lost, taken back, late, served at a further attempt, or open when a gateway broke off. "
+            "Refused, failed, lost, taken back, late, served at a further attempt, or open when a gateway "
+            "broke off. "
             "A request that is not here and lies in no gap was served at its first attempt in time."
-            @if left_out > 0 { " " (plural(left_out, "request")) " between the first and the last of these are left out." }
+            @if left_out > 0 {
+                " " (plural(left_out, "request")) " between the first and the last of these are left out."
+            }
         }
         p class="find" {
             label for="find" { "Find an id: " }
@@ -490,7 +511,9 @@
                 @for request in asked(view) {
                     tr {
                         td { (clock_ms(request.at)) }
-                        td class="id" { @if let Some(id) = request.id { (format!("{id:016x}")) } @else { "–" } }
+                        td class="id" {
+                            @if let Some(id) = request.id { (format!("{id:016x}")) } @else { "–" }
+                        }
                         td { (view.fleet.start(request.source).map_or("", |start| start.name.as_str())) }
                         td { (view.fleet.class(request.class)) }
                         td { (view.fleet.tenant(request.tenant)) }
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -1,5 +1,5 @@
-//! SVG plots. Colours come from the page's style sheet, so that they follow light and dark; each line also has a
-//! dash and a name, so that none depends on its colour.
+//! SVG plots. Colours come from the page's style sheet, so that they follow light and dark; each line
+//! also has a dash and a name, so that none depends on its colour.
 
 use crate::story::clock;
 use eideryard::interface::Micros;
@@ -79,15 +79,27 @@
         let name = maud::html! { (band.name) }.into_string();
         let _ = write!(
             axis,
-            r#"<rect class="{class}" x="{from:.1}" y="8" width="{width:.1}" height="{:.1}"><title>{name}</title></rect>"#,
-            bottom - 8.0
+            concat!(
+                r#"<rect class="{}" x="{:.1}" y="8" width="{:.1}" height="{:.1}">"#,
+                "<title>{}</title></rect>"
+            ),
+            class,
+            from,
+            width,
+            bottom - 8.0,
+            name
         );
     }
     for at in span.marks() {
         let x = span.x(at);
         let _ = write!(
             axis,
-            r#"<line class="grid" x1="{x:.1}" x2="{x:.1}" y1="8" y2="{bottom}"/><text x="{x:.1}" y="{:.0}" text-anchor="middle">{}</text>"#,
+            concat!(
+                r#"<line class="grid" x1="{0:.1}" x2="{0:.1}" y1="8" y2="{1}"/>"#,
+                r#"<text x="{0:.1}" y="{2:.0}" text-anchor="middle">{3}</text>"#
+            ),
+            x,
+            bottom,
             height - 8.0,
             clock(at)
         );
@@ -111,10 +123,16 @@
         let label = if part == 1.0 { format!("{label} {unit}") } else { label };
         let _ = write!(
             marks,
-            r#"<line class="grid" x1="{LEFT}" x2="{:.0}" y1="{y:.1}" y2="{y:.1}"/><text x="{:.0}" y="{:.1}" text-anchor="end">{label}</text>"#,
+            concat!(
+                r#"<line class="grid" x1="{0}" x2="{1:.0}" y1="{2:.1}" y2="{2:.1}"/>"#,
+                r#"<text x="{3:.0}" y="{4:.1}" text-anchor="end">{5}</text>"#
+            ),
+            LEFT,
             WIDTH - RIGHT,
+            y,
             LEFT - 6.0,
-            y + 4.0
+            y + 4.0,
+            label
         );
     }
     marks
@@ -126,7 +144,7 @@
             @for line in lines {
                 li {
                     svg viewBox="0 0 28 10" aria-hidden="true" {
-                        (PreEscaped(format!(r#"<line class="line {}" x1="1" x2="27" y1="5" y2="5"/>"#, line.style)))
+                        line class=(format!("line {}", line.style)) x1="1" x2="27" y1="5" y2="5" {}
                     }
                     (line.name)
                 }
@@ -231,11 +249,17 @@
             let text = html! { (bar.text) }.into_string();
             let _ = write!(
                 inner,
-                r#"<rect class="bar {}" x="{from:.1}" y="{top:.1}" width="{:.1}" height="{:.1}" fill-opacity="{:.2}"><title>{text}</title></rect>"#,
+                concat!(
+                    r#"<rect class="bar {}" x="{:.1}" y="{:.1}" width="{:.1}" height="{:.1}" "#,
+                    r#"fill-opacity="{:.2}"><title>{}</title></rect>"#
+                ),
                 bar.style,
+                from,
+                top,
                 (to - from).max(2.0),
                 ROW - 6.0,
-                bar.strength.clamp(0.0, 1.0)
+                bar.strength.clamp(0.0, 1.0),
+                text
             );
         }
         let short: String = if name.chars().count() > 26 {
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -215,7 +215,8 @@
         if start.broke_off {
             let at = clock_ms(start.last_at);
             said.push(format!(
-                "{} (started {}) did not end by itself: its figures are those up to {at}, its last whole frame; {} open then",
+                "{} (started {}) did not end by itself: its figures are those up to {at}, its last whole \
+                 frame; {} open then",
                 start.name,
                 clock(start.epoch),
                 plural(start.counted.tally.open(), "request")
@@ -223,7 +224,8 @@
         }
         if !start.exact {
             said.push(format!(
-                "{}: a part of the record can't be read and no tally follows, so its figures are at least those",
+                "{}: a part of the record can't be read and no tally follows, so its figures are at least \
+                 those",
                 start.name
             ));
         }
@@ -241,7 +243,10 @@
             if micros.unsigned_abs() > eideryard_fleet::skew::NOISE {
                 let way = if micros > 0 { "ahead of" } else { "behind" };
                 let by = lasting(micros.unsigned_abs());
-                said.push(format!("the clock of {name} is {by} {way} that of {other}, by {events} events of the bulletin; times are as each told them"));
+                said.push(format!(
+                    "the clock of {name} is {by} {way} that of {other}, by {events} events of the bulletin; \
+                     times are as each told them"
+                ));
             }
         }
     }
--- a/crates/spool/src/returns.rs
+++ b/crates/spool/src/returns.rs
@@ -1,5 +1,5 @@
-//! A request that comes again gets the answer of its one run: attached while that lasts, the same answer after it, and
-//! "gone" when that was dropped. Never a second run.
+//! A request that comes again gets the answer of its one run: attached while that lasts, the same answer
+//! after it, and "gone" when that was dropped. Never a second run.
 
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/spool/src/size.rs
+++ b/crates/spool/src/size.rs
@@ -1,5 +1,6 @@
-//! How large results are, learned from outcomes by class and tenant: a decaying histogram in steps of a quarter of an
-//! octave. What is asked for is a high quantile, since who is promised too little fails half way.
+//! How large results are, learned from outcomes by class and tenant: a decaying histogram in steps of a
+//! quarter of an octave. What is asked for is a high quantile, since who is promised too little fails
+//! half way.
 
 use std::collections::BTreeMap;
 
@@ -14,7 +15,8 @@
 const QUANTILE: f64 = 0.95;
 /// Outcomes that are needed before a class's own, and a pair's own, figures are trusted.
 const LEAST_SEEN: u32 = 8;
-/// One in so many refusals by what was learned is doubted: sizes change, and the cost is one result that fails.
+/// One in so many refusals by what was learned is doubted: sizes change, and the cost is one result that
+/// fails.
 const DOUBTED: u64 = 16;
 /// Pairs of class and tenant that are told apart; the one unused for longest goes.
 const MOST_PAIRS: usize = 1024;
@@ -82,8 +84,8 @@
         pair.learn(bytes);
     }
 
-    /// Whether a refusal by what was learned is to be doubted: nothing more is learned of what is refused, so one in
-    /// some goes through.
+    /// Whether a refusal by what was learned is to be doubted: nothing more is learned of what is
+    /// refused, so one in some goes through.
     pub fn doubts(&mut self) -> bool {
         self.refused = (self.refused + 1) % DOUBTED;
         self.refused == 0
--- a/crates/spool/src/state.rs
+++ b/crates/spool/src/state.rs
@@ -313,8 +313,9 @@
 
     // ---- Pages ----
 
-    /// Bytes that an engine may be asked for ahead of what is there. What is promised is there to be filled, yet no
-    /// faster than memory takes it: a slow reader's engine reads on into the disk and is free all the same.
+    /// Bytes that an engine may be asked for ahead of what is there. What is promised is there to be
+    /// filled, yet no faster than memory takes it: a slow reader's engine reads on into the disk and is
+    /// free all the same.
     pub fn ahead(&self, id: ResultId) -> u64 {
         let Some(held) = self.results.get(&id).filter(|held| held.state == State::Filling) else { return 0 };
         let left = held.promised.saturating_sub(held.bytes);
@@ -417,9 +418,9 @@
 
     // ---- Memory to disk ----
 
-    /// Pages that go to disk now: none below the upper mark; above it down to the lower one. First those of results
-    /// that nobody reads, the longest unused first, their first pages last; before these, what readers have passed and
-    /// what is furthest ahead of them. What a reader takes next stays.
+    /// Pages that go to disk now: none below the upper mark; above it down to the lower one. First those
+    /// of results that nobody reads, the longest unused first, their first pages last; before these, what
+    /// readers have passed and what is furthest ahead of them. What a reader takes next stays.
     pub fn moves(&self, now: Micros) -> Vec<Choice> {
         let mark = |part: f64| (self.budget.memory as f64 * part) as u64;
         if self.memory <= mark(MOVE_FROM) || self.disk_fails_until.is_some_and(|until| now < until) {
@@ -477,7 +478,8 @@
         }
     }
 
-    /// It was written, or could not be: then nothing is written for a while, and what is in memory stays there.
+    /// It was written, or could not be: then nothing is written for a while, and what is in memory stays
+    /// there.
     pub fn moved(&mut self, id: ResultId, page: usize, written: bool, again_at: Micros) {
         if !written {
             self.disk_fails_until = Some(again_at);
--- a/crates/spool/src/token.rs
+++ b/crates/spool/src/token.rs
@@ -1,5 +1,5 @@
-//! Page tokens: which page of which result, for whom and until when, under a keyed hash. A token costs the same to
-//! check whatever is wrong with it.
+//! Page tokens: which page of which result, for whom and until when, under a keyed hash. A token costs
+//! the same to check whatever is wrong with it.
 
 use crate::Micros;
 use data_encoding::BASE64URL_NOPAD;
@@ -125,8 +125,8 @@
             let changed = String::from_utf8(bytes).unwrap();
             assert_eq!(keys.read(&changed, "acme", 1_000, 0), Err(Wrong::Forged), "{at}");
         }
-        for text in ["", "x", &text[1..], &(text.clone() + "A"), &"é".repeat(LENGTH / 2), &"=".repeat(LENGTH)]
-        {
+        let long = [text.clone() + "A", "é".repeat(LENGTH / 2), "=".repeat(LENGTH)];
+        for text in ["", "x", &text[1..], &long[0], &long[1], &long[2]] {
             assert_eq!(keys.read(text, "acme", 1_000, 0), Err(Wrong::Forged), "{text}");
         }
     }
--- a/crates/spool/src/worker.rs
+++ b/crates/spool/src/worker.rs
@@ -1,5 +1,5 @@
-//! The thread that writes and reads pages, so that the event loop waits for no disk. Orders go over a bounded channel;
-//! what came of them comes back over another, with a wake of the loop.
+//! The thread that writes and reads pages, so that the event loop waits for no disk. Orders go over a
+//! bounded channel; what came of them comes back over another, with a wake of the loop.
 
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
@@ -93,7 +93,8 @@
 }
 
 impl Worker {
-    /// `wake` is called whenever something was done. What an earlier start of the same name left behind is removed.
+    /// `wake` is called whenever something was done. What an earlier start of the same name left behind
+    /// is removed.
     pub fn start(
         name: &str,
         epoch: u64,
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -1,5 +1,5 @@
-//! Clients: one load of a scenario, at random times that come of its seed. Each answer is held against what was
-//! asked; what is wrong goes to the ledger.
+//! Clients: one load of a scenario, at random times that come of its seed. Each answer is held against
+//! what was asked; what is wrong goes to the ledger.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/standin/src/cores.rs
+++ b/crates/standin/src/cores.rs
@@ -1,5 +1,5 @@
-//! The inside of an engine, without I/O or clock: queries share cores by their rank, each up to its threads, and
-//! wait while the memory granted doesn't fit. Times are seconds.
+//! The inside of an engine, without I/O or clock: queries share cores by their rank, each up to its
+//! threads, and wait while the memory granted doesn't fit. Times are seconds.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -87,7 +87,8 @@
         }
     }
 
-    /// Cores' worth that each query gets: by weight, none more than its threads, what one leaves goes to others.
+    /// Cores' worth that each query gets: by weight, none more than its threads, what one leaves goes to
+    /// others.
     fn shares(&self) -> Vec<(u64, f64)> {
         let mut left: Vec<(u64, f64, f64)> =
             self.running.iter().map(|(id, q)| (*id, q.threads, f64::from(1u32 << q.rank.min(8)))).collect();
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -1,5 +1,5 @@
-//! Single ends of connections, moved by hand: an engine's, the bulletin's, and a client's. Every wait ends after
-//! [`PATIENCE`], so that nothing hangs.
+//! Single ends of connections, moved by hand: an engine's, the bulletin's, and a client's. Every wait
+//! ends after [`PATIENCE`], so that nothing hangs.
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -277,7 +277,8 @@
             .iter()
             .map(|class| {
                 json!({"name": class.name, "aim-us": class.aim.as_micros() as u64, "aim-stretch": 2.0,
-                       "deadline-us": longest.as_micros() as u64, "value": 1.0, "repeat": repeat(class.effect),
+                       "deadline-us": longest.as_micros() as u64, "value": 1.0,
+                       "repeat": repeat(class.effect),
                        "group": "all", "window-us": 15_000_000})
             })
             .collect();
@@ -314,7 +315,8 @@
                 "limits": {"may-cancel": true, "may-duplicate": false, "probes": true, "retry-after": true,
                            "max-attempts": 5, "max-retry-after-us": 1_000_000, "conn-idle-us": 30_000_000,
                            "dial-timeout-us": 250_000, "streams-per-conn": 32},
-                "rules": {"warm-within-us": warm.as_micros() as u64, "start-capacity": 0.4, "fall-multiple": 3.0,
+                "rules": {"warm-within-us": warm.as_micros() as u64, "start-capacity": 0.4,
+                          "fall-multiple": 3.0,
                           "fall-us": 1_000_000, "further-ratio": 0.2, "ratio-span-us": 10_000_000,
                           "spare-attempts": 10, "drain-grace-us": 500_000, "grace-to-answer-us": 5000}
             }
