--- a/src/decide.rs
+++ b/src/decide.rs
@@ -847,15 +847,11 @@
             self.heard(engine_id);
         }
         self.traffic.fleet_bad += LEARN * (bad - self.traffic.fleet_bad);
-        // Where shares are thin a gateway sees an engine a few times a day: five in a row never come, and each
-        // of hundreds of gateways would pay for the same bad engine anew. An error judged in `close` is the
-        // engine's own (no other engine made one of the same request), so there one is enough.
-        let proven = self.thin && outcome == Outcome::Error;
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
         engine.bad += BAD_WEIGHT * (bad - engine.bad);
         engine.lost_connection |= matches!(outcome, Outcome::NoConnection | Outcome::Broken);
         if bad > 0.0 {
-            if proven || engine.bad > BAD_SHARE || engine.probation > 0 {
+            if engine.bad > BAD_SHARE || engine.probation > 0 {
                 self.quarantine(engine_id, "bad outcomes");
             }
             return;
