An idle record says that it lives; gaps are told once; unseen losses are no longer 'none'

Change: after a second without an entry the recorder writes Alive (under 100 bytes a second with its frame; format version 2); gaps that touch are one stretch, marked at episodes and told once; the head line says who broke off, with how much open, and that clients lost more than is counted.

--- a/crates/fleet/src/episodes.rs
+++ b/crates/fleet/src/episodes.rs
@@ -122,6 +122,19 @@
     pub to: Micros,
 }
 
+/// Adds a stretch of time to others that lie apart and in order.
+fn merge(spans: &mut Vec<(Micros, Micros)>, (mut from, mut to): (Micros, Micros)) {
+    spans.retain(|own| {
+        let apart = own.1 < from || to < own.0;
+        if !apart {
+            (from, to) = (from.min(own.0), to.max(own.1));
+        }
+        apart
+    });
+    let place = spans.partition_point(|own| own.0 < from);
+    spans.insert(place, (from, to));
+}
+
 /// What is usual, as a mean that forgets.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usual {
@@ -564,7 +577,7 @@
         for episode in &mut self.episodes {
             let (begin, end) = episode.span(now);
             if episode.kind != Kind::Gap(source) && begin < to && from < end {
-                episode.unknown.push((from.max(begin), to.min(end)));
+                merge(&mut episode.unknown, (from.max(begin), to.min(end)));
             }
         }
     }
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -334,7 +334,7 @@
     }
 }
 
-/// A gateway's record tells something more often than this, as its module's beat is recorded.
+/// A gateway's record tells something three times as often as this, if only that it lives.
 const BREAK: Micros = 3_000_000;
 
 impl Start {
@@ -568,7 +568,7 @@
             Host::Attached { class, tenant } => {
                 say(Fact::Taken { class: *class, tenant: *tenant, from: None })
             }
-            Host::Reloaded { .. } | Host::Ending { .. } => {}
+            Host::Reloaded { .. } | Host::Ending { .. } | Host::Alive => {}
         }
     }
 
--- a/crates/fleet/tests/folds.rs
+++ b/crates/fleet/tests/folds.rs
@@ -124,9 +124,10 @@
     script.listed(0, 10.0, 2, Phase::Draining, 0);
     script.listed(0, 20.0, 2, Phase::Ready, 0);
     script.host(0, 16.0, gap(12.0, 16.0, 100));
+    script.host(0, 16.1, gap(14.0, 16.0, 3));
     let view = script.finish();
     let drain = only(&view, "drain");
-    assert_eq!(drain[0].unknown, [(at(12.0), at(16.0))]);
+    assert_eq!(drain[0].unknown, [(at(12.0), at(16.1))], "two gaps that touch are one stretch");
     assert_eq!(only(&view, "gap")[0].left_out, Some(100));
 }
 
--- a/crates/record/src/codec.rs
+++ b/crates/record/src/codec.rs
@@ -65,6 +65,7 @@
     pub const GAP: u8 = 56;
     pub const ENDING: u8 = 57;
     pub const ATTACHED: u8 = 58;
+    pub const ALIVE: u8 = 59;
 }
 
 // ---- Numbers ----
@@ -459,6 +460,7 @@
                 kind::RELOADED
             }
             Host::Stopping => kind::STOPPING,
+            Host::Alive => kind::ALIVE,
             Host::Ended { counters } => {
                 put_number(out, counters.len() as u64);
                 for (name, value) in counters {
@@ -841,6 +843,7 @@
             kind::LIST_EVENT => Host::ListEvent { number: self.number()? },
             kind::RELOADED => Host::Reloaded { done: self.flag()? },
             kind::STOPPING => Host::Stopping,
+            kind::ALIVE => Host::Alive,
             kind::END => {
                 let count = self.length(MOST_ITEMS)?;
                 let pair = |d: &mut Self| Ok((d.text()?.to_string(), d.number()?));
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -170,6 +170,8 @@
     Reloaded {
         done: bool,
     },
+    /// Nothing else has happened for a while: the gateway lives and is idle.
+    Alive,
     Stopping,
     /// The gateway ended by itself, with its own counters at that time.
     Ended {
--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -24,6 +24,9 @@
 const MOST_ENTRY: usize = 4 << 10;
 /// What was recorded goes to the writer after this time at the latest: a killed gateway loses no more.
 const MOST_WAIT: Micros = 200_000;
+/// A gateway that has nothing to record says so much more often than a reader takes silence for its end: a few
+/// bytes, so that a gap begins where the gateway ended.
+pub const ALIVE_EVERY: Micros = 1_000_000;
 /// A tally is told this often, so that totals are exact again behind damage.
 const TALLY_EVERY: Micros = 5_000_000;
 /// The usual pause after a fault of the disk.
@@ -71,6 +74,8 @@
     context: Context,
     tally: Tally,
     told_at: Micros,
+    /// When the last entry was recorded.
+    last_at: Micros,
     segment: u64,
     segment_bytes: u64,
     segment_at: Micros,
@@ -110,6 +115,7 @@
             context: Context::default(),
             tally,
             told_at: 0,
+            last_at: 0,
             segment: 0,
             segment_bytes: 0,
             segment_at: 0,
@@ -174,6 +180,7 @@
         self.context.put(&mut batch.bytes, now, entry);
         batch.entries += counts;
         batch.last_at = now;
+        self.last_at = now;
         if batch.bytes.len() >= BATCH {
             self.hand_over();
         }
@@ -207,7 +214,8 @@
 
     /// When [`Recorder::flush`] has something to do, if nothing else happens.
     pub fn due(&self) -> Option<Micros> {
-        self.batch.as_ref().map(|batch| batch.first_at + MOST_WAIT)
+        let alive = (!self.stale).then_some(self.last_at + ALIVE_EVERY);
+        self.batch.as_ref().map(|batch| batch.first_at + MOST_WAIT).or(alive)
     }
 
     /// Hands on what has waited for long enough.
@@ -216,7 +224,11 @@
             self.told_at = now;
             self.state(now, &Host::Tally(Box::new(self.tally.clone())));
         }
-        if self.due().is_some_and(|due| due <= now) {
+        if self.batch.is_none() && !self.stale && now.saturating_sub(self.last_at) >= ALIVE_EVERY {
+            self.record(now, EntryRef::Host(&Host::Alive));
+            return self.hand_over();
+        }
+        if self.batch.as_ref().is_some_and(|batch| batch.first_at + MOST_WAIT <= now) {
             self.hand_over();
         }
     }
--- a/crates/record/tests/failures.rs
+++ b/crates/record/tests/failures.rs
@@ -223,12 +223,42 @@
     fill(&mut recorder(directory.path(), 1 << 20), 1, 10);
     let file = segments(directory.path()).remove(0);
     let mut bytes = std::fs::read(&file).unwrap();
-    bytes[8..12].copy_from_slice(&2u32.to_le_bytes());
+    bytes[8..12].copy_from_slice(&3u32.to_le_bytes());
     let sum = crc32fast::hash(&bytes[..12]);
     bytes[12..16].copy_from_slice(&sum.to_le_bytes());
     std::fs::write(&file, bytes).unwrap();
     let said = read(directory.path()).err().unwrap().to_string();
-    assert!(said.contains("version 2") && said.contains("use the program"), "{said}");
+    assert!(said.contains("version 3") && said.contains("use the program"), "{said}");
+}
+
+/// A gap begins where a gateway ended, not where its last request did: an idle record says each second that it
+/// lives, in a few bytes.
+#[test]
+fn an_idle_gateway_says_that_it_lives() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut recorder = recorder(directory.path(), 64 << 10);
+    let mut at = START;
+    state(&mut recorder, at);
+    recorder.flush(at);
+    let idle = 120;
+    while at < START + idle * 1_000_000 {
+        // As the loop does: nothing happens before the recorder wants to be called.
+        at = recorder.due().unwrap_or(at);
+        state(&mut recorder, at);
+        recorder.flush(at);
+        // A minute here is a moment for the writer, which has to keep up.
+        std::thread::sleep(std::time::Duration::from_millis(1));
+    }
+    drop(recorder);
+    let bytes: u64 = segments(directory.path()).iter().map(|file| file.metadata().unwrap().len()).sum();
+    assert!(bytes < idle * 100, "{bytes} bytes");
+    let mut merged = Merged::open(&[directory.path().into()]).unwrap();
+    let mut last = START;
+    while let Some(told) = merged.next().unwrap() {
+        assert!(told.at - last <= recorder::ALIVE_EVERY + 200_000, "silent for {} us", told.at - last);
+        last = told.at;
+    }
+    assert!(START + idle * 1_000_000 - last <= recorder::ALIVE_EVERY);
 }
 
 #[test]
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -178,13 +178,16 @@
                         td { (episode.kind.word()) }
                         td {
                             (story::clause(view, episode))
-                            @if let Some(unknown) = story::unknown(episode) { " — " em { (unknown) } }
+                            @if !episode.unknown.is_empty() { " " (story::MARK) }
                         }
                         td { (clock(episode.peak_at)) }
                     }
                 }
             }
         }
+        @if view.detector.episodes.iter().any(|episode| !episode.unknown.is_empty()) {
+            p { (story::MARK) " " (story::PARTLY) }
+        }
     }
 }
 
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -137,12 +137,10 @@
     }
 }
 
-/// The state's part that is not known, as the page says it.
-pub fn unknown(episode: &Episode) -> Option<String> {
-    let spans: Vec<String> =
-        episode.unknown.iter().map(|(from, to)| format!("{} to {}", clock(*from), clock(*to))).collect();
-    (!spans.is_empty()).then(|| format!("not known from {}", spans.join(", and from ")))
-}
+/// Marks an episode in whose time a record has a gap; [`PARTLY`] says once what it means.
+pub const MARK: &str = "\u{2020}";
+pub const PARTLY: &str =
+    "within this time a record has a gap, which is an episode of its own: nothing is concluded from it";
 
 /// Requests that were open where a record breaks off: their clients had no answer from that gateway.
 pub fn broken_off(view: &View) -> u64 {
@@ -150,16 +148,30 @@
     broken.map(|(_, start)| start.counted.tally.open()).sum()
 }
 
+/// What clients may have lost that no record can know: where gateways broke off.
+pub fn unseen(view: &View) -> Option<String> {
+    let broken = view.fleet.known().filter(|(_, start)| start.broke_off);
+    let names: std::collections::BTreeSet<&str> = broken.map(|(_, start)| start.name.as_str()).collect();
+    let open = plural(broken_off(view), "request");
+    let who = listed(names.iter().map(|name| name.to_string()).collect());
+    (!names.is_empty()).then(|| {
+        format!(
+            "{who} broke off with {open} open, and what clients asked there after the last whole frame or while \
+             nobody listened is in no record: they have lost more than is counted here"
+        )
+    })
+}
+
 /// The head line: when, the worst thing, and what it meant for requests.
 pub fn headline(view: &View) -> String {
     let totals = totals(view);
-    let unanswered = match broken_off(view) {
-        0 => String::new(),
-        open => format!(", {open} open at a gateway that broke off"),
-    };
     let counts = format!(
-        "of {} requests {} refused, {} failed, {} lost{unanswered}",
-        totals.taken, totals.refused, totals.failed, totals.lost
+        "of {} requests {} refused, {} failed, {} lost{}",
+        totals.taken,
+        totals.refused,
+        totals.failed,
+        totals.lost,
+        unseen(view).map(|unseen| format!("; {unseen}")).unwrap_or_default()
     );
     // What explains the others comes first: engines, then who floods, then the roster, then mere symptoms.
     let weight = |episode: &Episode| match episode.kind {
--- a/crates/report/tests/pages.rs
+++ b/crates/report/tests/pages.rs
@@ -33,6 +33,28 @@
     assert!(head.contains("of 402 requests 0 refused, 2 failed, 0 lost"), "{head}");
 }
 
+/// Two gateways of one fleet are killed and come back: their gaps are told once, and what clients lost there is
+/// told as what no record can know.
+#[test]
+fn gaps_are_told_once_and_unseen_losses_are_not_counted_as_none() {
+    let mut script = Script::new(&["g1", "g2", "g1", "g2"]);
+    for source in [0, 1] {
+        script.calm(source, 0, 10, 20);
+        script.open(source, 10.0, 0, 0, 1);
+        script.calm(source + 2, 11, 20, 20);
+    }
+    script.listed(2, 11.5, 2, Phase::Draining, 0);
+    let view = script.finish();
+    let head = story::headline(&view);
+    assert!(
+        head.contains("g1 and g2 broke off with 2 requests open") && head.contains("in no record"),
+        "{head}"
+    );
+    let page = page(&view);
+    assert_eq!(page.matches("not known from").count(), 2, "each gap once, and not again at every episode");
+    assert_eq!(page.matches(story::PARTLY).count(), 1);
+}
+
 #[test]
 fn names_are_text_whatever_they_hold() {
     let mut script = Script::new(&["g1"]);
