The module is told a request's key, so an ordered class keeps its order on sockets

Seen in the first run of the fleet rig (test 'rules_hold_through_faults_of_every_part'): two requests of one key of an ordered class ran at once, 'g3 records that it sends 77f2 to e-4' and 8.7 ms later fb67 to e-1, with no end between. Cause: gateway.rs handed Arrived with 'key: None' (crates/gateway/src/gateway.rs, taken()); the module's order_allows lets all without a key pass. The rig's test breaks without this line and holds with it.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -437,7 +437,8 @@
             id: 0,
             class: call.class,
             tenant: call.tenant,
-            key: None,
+            // The module keeps the order of classes that have one by it.
+            key: call.key.as_deref().map(str::to_string),
             deadline: self.stopping.map_or(deadline, |stop| deadline.min(stop)),
             work: call.work,
             memory_mb: call.memory_mb,
