--- a/crates/command/benches/cpu.rs
+++ b/crates/command/benches/cpu.rs
@@ -1,8 +1,9 @@
 //! Processor time of a gateway at 500 requests a second, with and without the record, in turn.
 //! `cargo bench -p eideryard-command`: about three minutes, most of which is waiting.
 
+use eideryard_fleet_rig::processes::Programs;
+use eideryard_fleet_rig::world::play;
 use eideryard_standin::scenario::Scenario;
-use eideryard_standin::world::{play, Programs};
 
 const ROUNDS: usize = 6;
 const SCENARIO: &str = "
--- /dev/null
+++ b/crates/fleet-rig/src/check/answers.rs
@@ -0,0 +1,146 @@
+//! Exactly one answer from a living gateway; all that was asked has an end, and each loss a cause.
+
+use std::collections::BTreeMap;
+
+use eideryard_standin::history::{Happened, How, Name, What};
+
+use super::{About, Break, History, Rule, Verdict};
+
+#[derive(Default)]
+struct Sums {
+    asked: u64,
+    ends: BTreeMap<How, u64>,
+}
+
+pub fn check(history: &History, verdict: &mut Verdict) {
+    let mut loads: BTreeMap<Name, Sums> = BTreeMap::new();
+    let mut causes: BTreeMap<&'static str, u64> = BTreeMap::new();
+    let (mut unanswered, mut no_door) = (0, 0);
+    for Happened { at, what } in history.events {
+        let (rule, about, text) = match what {
+            What::Asked(tried) => {
+                loads.entry(tried.load.clone()).or_default().asked += 1;
+                continue;
+            }
+            What::NoDoor { .. } => {
+                no_door += 1;
+                continue;
+            }
+            What::Surplus { load, gateway } => {
+                let text = format!("{load}: an answer of {gateway} that nothing waits for");
+                (Rule::OneAnswer, About::Load(load.clone()), text)
+            }
+            What::Garbled { id } => {
+                (Rule::OneAnswer, About::Request(*id), "a result that no engine made for it".into())
+            }
+            What::Over { id, how, .. } => {
+                let Some((asked, tried)) = history.tries.get(id) else {
+                    let text = "an end of a try that nobody made".to_string();
+                    verdict.add(Break {
+                        rule: Rule::Conservation,
+                        about: About::Request(*id),
+                        from: *at,
+                        to: *at,
+                        text,
+                    });
+                    continue;
+                };
+                *loads.entry(tried.load.clone()).or_default().ends.entry(*how).or_default() += 1;
+                if !matches!(how, How::Reset | How::Silence) {
+                    continue;
+                }
+                match history.cause(&tried.gateway, *asked, *at) {
+                    Some(cause) => {
+                        *causes.entry(cause).or_default() += 1;
+                        continue;
+                    }
+                    None => {
+                        unanswered += 1;
+                        let what = if *how == How::Reset { "ended its connection" } else { "said nothing" };
+                        let text = format!("{} lived and {what}", tried.gateway);
+                        (Rule::OneAnswer, About::Request(*id), text)
+                    }
+                }
+            }
+            _ => continue,
+        };
+        verdict.add(Break { rule, about, from: *at, to: *at, text });
+    }
+    for (id, ends) in history.ends.iter().filter(|(_, ends)| ends.len() > 1) {
+        let (from, to) = (ends[0].0, ends[ends.len() - 1].0);
+        let text = format!("it ended {} times", ends.len());
+        verdict.add(Break { rule: Rule::OneAnswer, about: About::Request(*id), from, to, text });
+    }
+    let mut total = Sums::default();
+    for (load, sums) in &loads {
+        let ended: u64 = sums.ends.values().sum();
+        if sums.asked != ended {
+            let text = format!("{load}: {} were asked and {ended} ended", sums.asked);
+            let about = About::Load(load.clone());
+            verdict.add(Break { rule: Rule::Conservation, about, from: 0, to: history.last, text });
+        }
+        total.asked += sums.asked;
+        sums.ends.iter().for_each(|(how, count)| *total.ends.entry(*how).or_default() += count);
+    }
+    let of = |how| total.ends.get(&how).copied().unwrap_or(0);
+    verdict.figure("requests", total.asked);
+    verdict.figure("served", of(How::Served));
+    verdict.figure("refused", of(How::Refused));
+    verdict.figure("failed", of(How::Failed));
+    verdict.figure("forgotten", of(How::Forgotten));
+    verdict.figure("lost", of(How::Reset) + of(How::Silence));
+    verdict.figure("no_door", no_door);
+    verdict.figure("unanswered", unanswered);
+    for (cause, count) in causes {
+        verdict.figure(&format!("lost_{cause}"), count);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::tests::*;
+    use super::*;
+    use eideryard_standin::history::Process;
+
+    #[test]
+    fn a_loss_needs_a_cause_and_every_try_one_end() {
+        let kept = vec![
+            asked(10, 1, "a", "g1", 0),
+            over(20, 1, How::Served),
+            asked(30, 2, "b", "g1", 0),
+            gateway(40, "g1", Process::Killed),
+            over(50, 2, How::Reset),
+        ];
+        let verdict = checked(&kept);
+        assert!(verdict.kept(), "{:?}", verdict.breaks);
+        assert_eq!((verdict.figures["lost_killed"], verdict.figures["unanswered"]), (1, 0));
+        // The same without the kill, with a second end, without an end, with an end of nothing, with an
+        // answer too many.
+        let mut planted = [kept.clone(), kept.clone(), kept.clone(), kept.clone(), kept.clone()];
+        planted[0].remove(3);
+        planted[1].insert(2, over(25, 1, How::Failed));
+        planted[2].remove(1);
+        planted[3].push(over(60, 9, How::Served));
+        let surplus = What::Surplus { load: "all".into(), gateway: "g1".into() };
+        planted[4].push(Happened { at: 60, what: surplus });
+        let found: Vec<Vec<Rule>> =
+            planted.iter().map(|events| checked(events).counts.into_keys().collect()).collect();
+        let (one, sums) = (Rule::OneAnswer, Rule::Conservation);
+        assert_eq!(found, [vec![one], vec![one, sums], vec![sums], vec![sums], vec![one]]);
+    }
+
+    #[test]
+    fn a_pause_and_a_cut_link_excuse_a_silence_and_another_gateways_do_not() {
+        let events = |fault: &[Happened]| {
+            let mut events = vec![asked(10, 1, "a", "g1", 0)];
+            events.extend_from_slice(fault);
+            events.push(over(90, 1, How::Silence));
+            events
+        };
+        let paused =
+            |name| events(&[gateway(5, name, Process::Paused), gateway(30, name, Process::Continued)]);
+        assert!(checked(&paused("g1")).kept() && !checked(&paused("g2")).kept());
+        let cut = |to| events(&[link(20, "clients", to, "cut", true), link(30, "clients", to, "cut", false)]);
+        assert!(checked(&cut("g1")).kept() && !checked(&cut("g2")).kept());
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/check/drains.rs
@@ -0,0 +1,89 @@
+//! Drains are kept, across restarts too: nothing new reaches an engine later than the grace after its gateway
+//! was told that it drains or is gone. What was under way on a faulty link is not held against a gateway.
+
+use std::collections::HashMap;
+
+use eideryard_standin::history::{Happened, Micros, Name, Process, What};
+
+use super::{About, Break, Facts, History, Rule, Verdict, SLACK};
+use crate::links::BULLETIN;
+
+/// What the bulletin has to tell counts as told so long after at the latest, whether or not it arrived.
+const TOLD_WITHIN: Micros = 7_000_000;
+
+pub fn check(facts: &Facts, history: &History, verdict: &mut Verdict) {
+    let grace = facts.drain_grace.as_micros() as Micros + SLACK;
+    // Since when a gateway knows that it must not send to an engine.
+    let mut told: HashMap<(Name, Name), Micros> = HashMap::new();
+    let mut after = 0;
+    for Happened { at, what } in history.events {
+        match what {
+            What::Told { gateway, engine, health } => {
+                let place = (gateway.clone(), engine.clone());
+                if *health == "up" {
+                    told.remove(&place);
+                } else {
+                    told.entry(place).or_insert(*at);
+                }
+            }
+            // A process that starts knows what it is started with, from then on.
+            What::Gateway { gateway, how: Process::Started(_) } => {
+                told.iter_mut().filter(|((own, _), _)| own == gateway).for_each(|(_, since)| *since = *at);
+            }
+            What::Began { engine, id, .. } => {
+                let Some((_, tried)) = history.tries.get(id) else { continue };
+                let Some(&since) = told.get(&(tried.gateway.clone(), engine.clone())) else { continue };
+                after += 1;
+                let link = history.of_link(&tried.gateway, BULLETIN);
+                let heard = link.iter().filter(|span| span.meets(since, since)).map(|span| span.to).max();
+                let heard = heard.map_or(since, |end| end.min(since + TOLD_WITHIN));
+                let way = history.of_link(&tried.gateway, engine);
+                let excused = way.iter().any(|span| span.meets(heard, *at))
+                    || history.paused_within(&tried.gateway, since, *at);
+                if *at > heard + grace && !excused {
+                    let text = format!(
+                        "{} sent {id:016x} to {engine} {:.1} ms after it was told that it drains",
+                        tried.gateway,
+                        (*at - heard) as f64 / 1e3
+                    );
+                    let about = About::Engine(engine.clone());
+                    verdict.add(Break { rule: Rule::Drains, about, from: since, to: *at, text });
+                }
+            }
+            _ => {}
+        }
+    }
+    verdict.figure("begun_after_drain", after);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::tests::*;
+    use super::*;
+
+    #[test]
+    fn new_work_after_the_grace_is_caught_unless_a_fault_explains_it() {
+        let told = |at, health| {
+            let (gateway, engine) = ("g1".into(), "e1".into());
+            Happened { at, what: What::Told { gateway, engine, health } }
+        };
+        let late = 10 + 500_000 + SLACK + 1;
+        let sent = |at, faults: &[Happened]| {
+            let mut events = vec![told(10, "draining"), asked(20, 1, "a", "g1", 0)];
+            events.extend_from_slice(faults);
+            events.push(began(at, "e1", 1, 0.01));
+            checked(&events).count(Rule::Drains)
+        };
+        assert_eq!((sent(late, &[]), sent(late - 1, &[])), (1, 0));
+        assert_eq!(sent(late, &[told(30, "up")]), 0);
+        assert_eq!(
+            sent(late, &[gateway(30, "g1", Process::Paused), gateway(40, "g1", Process::Continued)]),
+            0
+        );
+        let cut = |to| [link(30, "g1", to, "cut", true), link(40, "g1", to, "cut", false)];
+        assert_eq!((sent(late, &cut("e1")), sent(late, &cut("e2"))), (0, 1));
+        // A restart begins the grace anew, but doesn't make it forget.
+        let restart = [gateway(30, "g1", Process::Killed), gateway(300_000, "g1", Process::Started(2))];
+        assert_eq!((sent(late, &restart), sent(late + 300_000, &restart)), (0, 1));
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/check/effects.rs
@@ -0,0 +1,104 @@
+//! No effect twice: a request's writes take effect once, whichever gateways its tries went through. A client
+//! that comes again after the window has asked for a new effect: the engines have forgotten it by then.
+
+use std::collections::HashMap;
+
+use eideryard_standin::history::{Happened, Micros, Name, What};
+
+use super::{About, Break, Facts, History, Rule, Verdict, SLACK};
+
+struct Effect<'a> {
+    at: Micros,
+    engine: &'a Name,
+    id: u64,
+}
+
+pub fn check(facts: &Facts, history: &History, verdict: &mut Verdict) {
+    let mut effects: HashMap<(&Name, &Name), Vec<Effect>> = HashMap::new();
+    let (mut all, mut twice, mut late, mut repeats) = (0, 0, 0, 0);
+    for Happened { at, what } in history.events {
+        match what {
+            What::Effect { engine, id, .. } => {
+                all += 1;
+                // By the key that all tries share; an engine knows only the id of an unsafe one.
+                let Some((_, tried)) = history.tries.get(id) else {
+                    let text = format!("{engine} did what nobody asked for");
+                    let about = About::Request(*id);
+                    verdict.add(Break { rule: Rule::EffectOnce, about, from: *at, to: *at, text });
+                    continue;
+                };
+                let of = effects.entry((&tried.load, &tried.key)).or_default();
+                of.push(Effect { at: *at, engine, id: *id });
+            }
+            What::Repeat { .. } => repeats += 1,
+            _ => {}
+        }
+    }
+    let mut found: Vec<_> = effects.into_iter().filter(|(_, effects)| effects.len() > 1).collect();
+    found.sort_by_key(|(_, effects)| effects[0].at);
+    for ((_, key), effects) in found {
+        let tried = |id| history.tries.get(&id);
+        let window = |id| {
+            let class = tried(id).and_then(|(_, tried)| facts.class(&tried.class));
+            class.map_or(0, |class| class.window.as_micros() as Micros)
+        };
+        // A keyed effect is known by its key for the window; an unsafe one has none, and no retry.
+        let asked_again_late = |before: &Effect, after: &Effect| {
+            let keyed = tried(before.id).and_then(|(_, tried)| facts.class(&tried.class));
+            let asked = tried(after.id).map_or(0, |(asked, _)| *asked);
+            keyed.is_some_and(|class| class.effect == "keyed")
+                && asked + SLACK >= before.at + window(before.id)
+        };
+        for pair in effects.windows(2) {
+            if asked_again_late(&pair[0], &pair[1]) {
+                late += 1;
+                continue;
+            }
+            twice += 1;
+            let text = format!(
+                "took effect at {} and {:.1} ms later again at {}",
+                pair[0].engine,
+                (pair[1].at - pair[0].at) as f64 / 1e3,
+                pair[1].engine
+            );
+            let (from, to) = (pair[0].at, pair[1].at);
+            verdict.add(Break { rule: Rule::EffectOnce, about: About::Key(key.clone()), from, to, text });
+        }
+    }
+    verdict.figure("effects", all);
+    verdict.figure("effects_twice", twice);
+    verdict.figure("effects_after_window", late);
+    verdict.figure("repeats_dropped", repeats);
+}
+
+#[cfg(test)]
+mod tests {
+    use super::super::tests::*;
+    use super::*;
+
+    #[test]
+    fn a_second_effect_within_the_window_is_caught_and_one_asked_for_after_it_is_not() {
+        let window = 1_000_000;
+        let twice = |again: Micros| {
+            vec![
+                asked(10, 1, "a", "g1", 0),
+                effect(20, "e1", 1),
+                asked(again, 2, "a", "g2", 1),
+                effect(again + 10, "e2", 2),
+            ]
+        };
+        assert_eq!(checked(&twice(30)).count(Rule::EffectOnce), 1);
+        assert_eq!(checked(&twice(20 + window - SLACK - 1)).count(Rule::EffectOnce), 1);
+        let late = checked(&twice(20 + window));
+        assert_eq!((late.count(Rule::EffectOnce), late.figures["effects_after_window"]), (0, 1));
+        // Other requests' effects are none of this one's, and an effect needs a request.
+        let other = vec![
+            asked(10, 1, "a", "g1", 0),
+            effect(20, "e1", 1),
+            asked(30, 2, "b", "g2", 0),
+            effect(40, "e2", 2),
+        ];
+        assert_eq!(checked(&other).count(Rule::EffectOnce), 0);
+        assert_eq!(checked(&[effect(5, "e1", 7)]).count(Rule::EffectOnce), 1);
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/check/mod.rs
@@ -0,0 +1,336 @@
+//! Holds a whole history against the rules. Pure: what happened in, breaks and figures out.
+//!
+//! Each rule has a file; [`History`] is what they all look things up in. A rule that was broken names the
+//! key or the engine it was broken for, and [`story`] tells from all sides what led to it.
+
+mod answers;
+mod cold;
+mod drains;
+mod effects;
+mod order;
+mod records;
+mod service;
+pub mod story;
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+use std::time::Duration;
+
+use eideryard_standin::history::{Happened, How, Micros, Name, Process, Try, What};
+use eideryard_standin::scenario::{ClassSpec, EngineSpec, Scenario};
+
+pub use records::{of_records, Recorded};
+
+/// Breaks of one rule that are kept; all are counted.
+pub const MOST_BREAKS: usize = 100;
+/// What the machine and the wire may add to any time: as the protocol page grants.
+pub const SLACK: Micros = 50_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// Exactly one answer from a living gateway.
+    OneAnswer,
+    /// No effect twice.
+    EffectOnce,
+    Drains,
+    ColdEngines,
+    Order,
+    /// All that was asked has an end, and each loss a cause.
+    Conservation,
+    /// What records say is what clients saw.
+    Records,
+    /// A gateway ended though nobody told it to.
+    Crash,
+}
+
+impl Rule {
+    pub fn name(self) -> &'static str {
+        match self {
+            Rule::OneAnswer => "one answer",
+            Rule::EffectOnce => "no effect twice",
+            Rule::Drains => "drains",
+            Rule::ColdEngines => "cold engines",
+            Rule::Order => "order",
+            Rule::Conservation => "conservation",
+            Rule::Records => "records",
+            Rule::Crash => "no crash",
+        }
+    }
+}
+
+/// What a break is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum About {
+    Key(Name),
+    Request(u64),
+    Engine(Name),
+    Load(Name),
+    Gateway(Name),
+}
+
+impl fmt::Display for About {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            About::Key(key) => write!(f, "key {key}"),
+            About::Request(id) => write!(f, "request {id:016x}"),
+            About::Engine(name) => write!(f, "engine {name}"),
+            About::Load(name) => write!(f, "load {name}"),
+            About::Gateway(name) => write!(f, "gateway {name}"),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Break {
+    pub rule: Rule,
+    pub about: About,
+    /// From when to when it happened.
+    pub from: Micros,
+    pub to: Micros,
+    pub text: String,
+}
+
+/// What the rules need to know of a scenario.
+#[derive(Clone, Debug)]
+pub struct Facts {
+    pub classes: Vec<ClassSpec>,
+    pub engines: Vec<EngineSpec>,
+    pub gateways: usize,
+    pub drain_grace: Duration,
+    pub start_capacity: f64,
+    pub fall_multiple: f64,
+    pub fall_window: Duration,
+}
+
+impl Facts {
+    pub fn of(scenario: &Scenario) -> Self {
+        Facts {
+            classes: scenario.classes.clone(),
+            engines: scenario.engines.clone(),
+            gateways: scenario.gateways.len(),
+            drain_grace: crate::config::DRAIN_GRACE,
+            start_capacity: crate::config::START_CAPACITY,
+            fall_multiple: crate::config::FALL_MULTIPLE,
+            fall_window: crate::config::FALL_WINDOW,
+        }
+    }
+
+    pub fn class(&self, name: &str) -> Option<&ClassSpec> {
+        self.classes.iter().find(|class| class.name == name)
+    }
+}
+
+/// A stretch of time in which something was wrong.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Span {
+    pub from: Micros,
+    pub to: Micros,
+    pub what: &'static str,
+}
+
+impl Span {
+    pub fn meets(&self, from: Micros, to: Micros) -> bool {
+        self.from <= to && from <= self.to
+    }
+}
+
+/// A history with what the rules look up in it.
+pub struct History<'a> {
+    pub events: &'a [Happened],
+    /// Tries by id, with when they were asked.
+    pub tries: HashMap<u64, (Micros, &'a Try)>,
+    /// Ends of tries by id.
+    pub ends: HashMap<u64, Vec<(Micros, How)>>,
+    /// When gateways were not there or stood still, by name.
+    pub gateways: BTreeMap<Name, Vec<Span>>,
+    /// Faults of links, by their ends.
+    pub links: BTreeMap<(Name, Name), Vec<Span>>,
+    pub last: Micros,
+}
+
+impl<'a> History<'a> {
+    pub fn new(events: &'a [Happened]) -> Self {
+        let last = events.last().map_or(0, |last| last.at);
+        let mut history = History {
+            events,
+            tries: HashMap::new(),
+            ends: HashMap::new(),
+            gateways: BTreeMap::new(),
+            links: BTreeMap::new(),
+            last,
+        };
+        let mut absent: BTreeMap<Name, (Micros, &'static str)> = BTreeMap::new();
+        let mut paused: BTreeMap<Name, Micros> = BTreeMap::new();
+        // Several faults of one kind may lie on a link at once.
+        let mut faulty: BTreeMap<(Name, Name, &'static str), Vec<Micros>> = BTreeMap::new();
+        for Happened { at, what } in events {
+            match what {
+                What::Asked(tried) => _ = history.tries.insert(tried.id, (*at, tried)),
+                What::Over { id, how, .. } => history.ends.entry(*id).or_default().push((*at, *how)),
+                What::Gateway { gateway, how } => {
+                    let spans = history.gateways.entry(gateway.clone()).or_default();
+                    match how {
+                        Process::Killed => _ = absent.insert(gateway.clone(), (*at, "killed")),
+                        Process::Stopping => _ = absent.entry(gateway.clone()).or_insert((*at, "stopped")),
+                        Process::Ended => _ = absent.entry(gateway.clone()).or_insert((*at, "ended")),
+                        Process::Started(_) => {
+                            if let Some((from, what)) = absent.remove(gateway) {
+                                spans.push(Span { from, to: *at, what });
+                            }
+                        }
+                        Process::Paused => _ = paused.entry(gateway.clone()).or_insert(*at),
+                        Process::Continued => {
+                            if let Some(from) = paused.remove(gateway) {
+                                spans.push(Span { from, to: *at, what: "paused" });
+                            }
+                        }
+                    }
+                }
+                What::Link { from, to, fault, begins } => {
+                    let open = faulty.entry((from.clone(), to.clone(), fault)).or_default();
+                    if *begins {
+                        open.push(*at);
+                    } else if let Some(began) = open.pop() {
+                        let spans = history.links.entry((from.clone(), to.clone())).or_default();
+                        spans.push(Span { from: began, to: *at, what: fault });
+                    }
+                }
+                _ => {}
+            }
+        }
+        for (gateway, (from, what)) in absent {
+            history.gateways.entry(gateway).or_default().push(Span { from, to: last, what });
+        }
+        for (gateway, from) in paused {
+            history.gateways.entry(gateway).or_default().push(Span { from, to: last, what: "paused" });
+        }
+        for ((a, b, what), open) in faulty {
+            let spans = history.links.entry((a, b)).or_default();
+            spans.extend(open.into_iter().map(|from| Span { from, to: last, what }));
+        }
+        history
+    }
+
+    pub fn of_gateway(&self, gateway: &str) -> &[Span] {
+        self.gateways.get(gateway).map_or(&[], Vec::as_slice)
+    }
+
+    pub fn of_link(&self, from: &str, to: &str) -> &[Span] {
+        self.links.get(&(from.into(), to.into())).map_or(&[], Vec::as_slice)
+    }
+
+    /// What was wrong between a client and a gateway in a time, if anything was.
+    pub fn cause(&self, gateway: &str, from: Micros, to: Micros) -> Option<&'static str> {
+        let link = self.of_link(crate::links::CLIENTS, gateway);
+        let mut spans = self.of_gateway(gateway).iter().chain(link);
+        spans.find(|span| span.meets(from, to)).map(|span| span.what)
+    }
+
+    /// A gateway stood still somewhere in a time.
+    pub fn paused_within(&self, gateway: &str, from: Micros, to: Micros) -> bool {
+        self.of_gateway(gateway).iter().any(|span| span.what == "paused" && span.meets(from, to))
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Verdict {
+    pub breaks: Vec<Break>,
+    pub counts: BTreeMap<Rule, u64>,
+    pub figures: BTreeMap<String, u64>,
+}
+
+impl Verdict {
+    pub fn add(&mut self, found: Break) {
+        let count = self.counts.entry(found.rule).or_default();
+        *count += 1;
+        if *count <= MOST_BREAKS as u64 {
+            self.breaks.push(found);
+        }
+    }
+
+    pub fn count(&self, rule: Rule) -> u64 {
+        self.counts.get(&rule).copied().unwrap_or(0)
+    }
+
+    pub fn figure(&mut self, name: &str, value: u64) {
+        self.figures.insert(name.to_string(), value);
+    }
+
+    pub fn kept(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
+
+/// The verdict on a history, with what the records of its gateways say.
+pub fn check(facts: &Facts, events: &[Happened], records: &[Recorded], crashed: &[String]) -> Verdict {
+    let history = History::new(events);
+    let mut verdict = Verdict::default();
+    answers::check(&history, &mut verdict);
+    effects::check(facts, &history, &mut verdict);
+    drains::check(facts, &history, &mut verdict);
+    cold::check(facts, &history, &mut verdict);
+    order::check(facts, &history, &mut verdict);
+    records::check(&history, records, &mut verdict);
+    service::measure(facts, &history, &mut verdict);
+    for name in crashed {
+        let about = About::Gateway(name.as_str().into());
+        let text = format!("{name} ended though nobody told it to");
+        verdict.add(Break { rule: Rule::Crash, about, from: history.last, to: history.last, text });
+    }
+    verdict
+}
+
+/// Small histories for the tests of the rules.
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub fn facts() -> Facts {
+        let text =
+            "class booking {\n effect keyed\n scope cell\n window 1s\n}\nclass ledger {\n ordered\n}\n\
+                    engines 2 e {\n cores 4\n}\n";
+        let mut facts = Facts::of(&Scenario::read("facts", text).expect("it can be read"));
+        facts.engines[0].name = "e1".into();
+        facts.engines[1].name = "e2".into();
+        facts
+    }
+
+    pub fn checked(events: &[Happened]) -> Verdict {
+        check(&facts(), events, &[], &[])
+    }
+
+    fn tried(class: &str, id: u64, key: &str, gateway: &str, number: u64) -> Try {
+        let (load, marked, wait) = ("all".into(), number > 0, 2_000_000);
+        let (class, key, gateway) = (class.into(), key.into(), gateway.into());
+        Try { load, class, id, key, gateway, number, marked, wait }
+    }
+
+    pub fn asked(at: Micros, id: u64, key: &str, gateway: &str, number: u64) -> Happened {
+        Happened { at, what: What::Asked(tried("booking", id, key, gateway, number)) }
+    }
+
+    pub fn in_order(at: Micros, id: u64, key: &str) -> Happened {
+        Happened { at, what: What::Asked(tried("ledger", id, key, "g1", 0)) }
+    }
+
+    pub fn over(at: Micros, id: u64, how: How) -> Happened {
+        Happened { at, what: What::Over { id, how, advice: None } }
+    }
+
+    pub fn effect(at: Micros, engine: &str, id: u64) -> Happened {
+        Happened { at, what: What::Effect { engine: engine.into(), id, key: "".into() } }
+    }
+
+    pub fn began(at: Micros, engine: &str, id: u64, work: f64) -> Happened {
+        let (engine, class, key) = (engine.into(), "booking".into(), "".into());
+        Happened { at, what: What::Began { engine, id, class, key, work } }
+    }
+
+    pub fn gateway(at: Micros, name: &str, how: Process) -> Happened {
+        Happened { at, what: What::Gateway { gateway: name.into(), how } }
+    }
+
+    pub fn link(at: Micros, from: &str, to: &str, fault: &'static str, begins: bool) -> Happened {
+        Happened { at, what: What::Link { from: from.into(), to: to.into(), fault, begins } }
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/check/service.rs
@@ -0,0 +1,85 @@
+//! Figures, no verdicts: how service came back after a power loss, and how clients were spread.
+
+use std::collections::{BTreeMap, HashMap};
+
+use eideryard_standin::history::{Happened, How, Micros, Name, What};
+
+use super::{Facts, History, Verdict};
+
+/// Service is looked at over this time, moved on by a tenth of it.
+const WINDOW: Micros = 1_000_000;
+/// Service is back from this part of that before.
+const BACK: f64 = 0.95;
+/// A window with fewer first tries says nothing.
+const LEAST: usize = 5;
+
+/// Of first tries: when they were asked and whether they were served.
+type Firsts = Vec<(Micros, bool)>;
+
+fn share(firsts: &Firsts, from: Micros, to: Micros) -> Option<f64> {
+    let within: Vec<bool> =
+        firsts.iter().filter(|(at, _)| (from..to).contains(at)).map(|(_, served)| *served).collect();
+    let served = within.iter().filter(|served| **served).count();
+    (within.len() >= LEAST).then(|| served as f64 / within.len() as f64)
+}
+
+/// When a window begins from which service is back, counted from `from`.
+fn back(firsts: &Firsts, before: f64, from: Micros, last: Micros) -> Option<Micros> {
+    let mut starts = (from..last.saturating_sub(WINDOW)).step_by(WINDOW as usize / 10);
+    starts
+        .find(|at| share(firsts, *at, at + WINDOW).is_some_and(|now| now >= BACK * before))
+        .map(|at| at - from)
+}
+
+pub fn measure(facts: &Facts, history: &History, verdict: &mut Verdict) {
+    let mut firsts: BTreeMap<Name, Firsts> = BTreeMap::new();
+    let mut gateways: HashMap<&Name, u64> = HashMap::new();
+    let (mut loss, mut engine_back) = (None, None);
+    for Happened { at, what } in history.events {
+        match what {
+            What::Asked(tried) => {
+                *gateways.entry(&tried.gateway).or_default() += 1;
+                if tried.number == 0 {
+                    let end = history.ends.get(&tried.id).and_then(|ends| ends.first());
+                    let served = end.is_some_and(|(_, how)| *how == How::Served);
+                    firsts.entry(tried.class.clone()).or_default().push((*at, served));
+                    firsts.entry("all".into()).or_default().push((*at, served));
+                }
+            }
+            // A request that found no gateway was not served either.
+            What::NoDoor { .. } => firsts.entry("all".into()).or_default().push((*at, false)),
+            What::Did { what } if what == "power-loss" => _ = loss.get_or_insert(*at),
+            What::Engine { begins: Some(_), .. } if loss.is_some() => _ = engine_back.get_or_insert(*at),
+            _ => {}
+        }
+    }
+    let asked: u64 = gateways.values().sum();
+    let least = gateways.values().copied().min().filter(|_| gateways.len() == facts.gateways).unwrap_or(0);
+    verdict.figure("least_gateway_percent", least * facts.gateways as u64 * 100 / asked.max(1));
+    let (Some(loss), Some(from)) = (loss, engine_back) else { return };
+    for (class, firsts) in &firsts {
+        let Some(before) = share(firsts, 0, loss) else { continue };
+        verdict.figure(&format!("service_before_percent_{class}"), (100.0 * before) as u64);
+        // Without a figure service did not come back within the run.
+        if let Some(time) = back(firsts, before, from, history.last) {
+            verdict.figure(&format!("service95_ms_{class}"), time / 1000);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn service_is_back_where_a_whole_window_is_served_as_before() {
+        // Ten tries a second: all served for 5 s, none for 3 s, then all again.
+        let tries = (0..150u64).map(|number| (number * 100_000, !(50..80).contains(&number)));
+        let firsts: Firsts = tries.collect();
+        assert_eq!(share(&firsts, 0, 5_000_000), Some(1.0));
+        assert_eq!(share(&firsts, 0, 300_000), None, "three say nothing");
+        assert_eq!(back(&firsts, 1.0, 6_000_000, 15_000_000), Some(2_000_000));
+        let dead: Firsts = firsts.iter().map(|(at, _)| (*at, *at < 5_000_000)).collect();
+        assert_eq!(back(&dead, 1.0, 6_000_000, 15_000_000), None);
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/directories.rs
@@ -0,0 +1,110 @@
+//! Directories of gateways: kept, wiped, put back from an earlier copy, torn by a power loss.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use rand::Rng;
+
+/// A power loss takes up to so many bytes off the end of a file that nobody flushed.
+const MOST_TORN: u64 = 64 << 10;
+/// Files of the event record, whose writer never flushes. What the store flushes its own faulty file layer
+/// tears: from outside nobody can tell what was flushed.
+const UNFLUSHED: &str = "eyr";
+
+pub fn of(root: &Path, gateway: &str) -> PathBuf {
+    root.join(gateway)
+}
+
+fn copy_of(root: &Path, gateway: &str) -> PathBuf {
+    root.join(format!("{gateway}.saved"))
+}
+
+pub fn wipe(root: &Path, gateway: &str) -> io::Result<()> {
+    let own = of(root, gateway);
+    match std::fs::remove_dir_all(&own) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+        _ => {}
+    }
+    std::fs::create_dir_all(own)
+}
+
+pub fn save(root: &Path, gateway: &str) -> io::Result<()> {
+    let copy = copy_of(root, gateway);
+    match std::fs::remove_dir_all(&copy) {
+        Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+        _ => {}
+    }
+    copy_all(&of(root, gateway), &copy)
+}
+
+/// False: there is no copy.
+pub fn put_back(root: &Path, gateway: &str) -> io::Result<bool> {
+    let copy = copy_of(root, gateway);
+    if !copy.exists() {
+        return Ok(false);
+    }
+    wipe(root, gateway)?;
+    copy_all(&copy, &of(root, gateway)).map(|()| true)
+}
+
+fn copy_all(from: &Path, to: &Path) -> io::Result<()> {
+    std::fs::create_dir_all(to)?;
+    for file in std::fs::read_dir(from)? {
+        let file = file?;
+        let to = to.join(file.file_name());
+        if file.file_type()?.is_dir() {
+            copy_all(&file.path(), &to)?;
+        } else {
+            std::fs::copy(file.path(), to)?;
+        }
+    }
+    Ok(())
+}
+
+/// Cuts off a drawn part of the end of each file that was never flushed; gives how many lost something.
+pub fn tear(directory: &Path, rng: &mut impl Rng) -> io::Result<usize> {
+    let mut torn = 0;
+    let mut files: Vec<_> = std::fs::read_dir(directory)?.collect::<io::Result<_>>()?;
+    files.sort_by_key(std::fs::DirEntry::path);
+    for file in files {
+        let path = file.path();
+        if file.file_type()?.is_dir() {
+            torn += tear(&path, rng)?;
+        } else if path.extension().is_some_and(|ending| ending == UNFLUSHED) {
+            let length = file.metadata()?.len();
+            let lost = rng.random_range(0..=length.min(MOST_TORN));
+            if lost > 0 {
+                std::fs::OpenOptions::new().write(true).open(&path)?.set_len(length - lost)?;
+                torn += 1;
+            }
+        }
+    }
+    Ok(torn)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+
+    #[test]
+    fn a_directory_is_wiped_put_back_as_it_was_and_torn_only_where_nothing_was_flushed() {
+        let root = tempfile::tempdir().unwrap();
+        let root = root.path();
+        assert!(!put_back(root, "g1").unwrap(), "nothing was saved");
+        wipe(root, "g1").unwrap();
+        std::fs::create_dir(of(root, "g1").join("record")).unwrap();
+        let (record, other) = (of(root, "g1").join("record/a.eyr"), of(root, "g1").join("store"));
+        std::fs::write(&record, vec![7; 1000]).unwrap();
+        std::fs::write(&other, vec![7; 1000]).unwrap();
+        save(root, "g1").unwrap();
+        let mut rng = rand::rngs::StdRng::seed_from_u64(4);
+        assert_eq!(tear(&of(root, "g1"), &mut rng).unwrap(), 1);
+        assert!(std::fs::metadata(&record).unwrap().len() < 1000);
+        assert_eq!(std::fs::metadata(&other).unwrap().len(), 1000);
+        wipe(root, "g1").unwrap();
+        assert!(!record.exists());
+        assert!(put_back(root, "g1").unwrap());
+        assert_eq!(std::fs::read(&record).unwrap(), vec![7; 1000]);
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/lib.rs
@@ -0,0 +1,21 @@
+//! Starts several processes of the program, puts faults between them, and holds all that happened against the
+//! rules. No part of the program.
+//!
+//! [`plan`] draws faults from a seed, or takes a scenario's; [`world`] plays them: gateways as
+//! [`processes`] in [`directories`] of their own, every connection through a [`relay`] of [`links`].
+//! [`check`] judges the history of all sides and [`minimize`] drops the faults that a break does not need;
+//! both are pure, as [`plan`] is. [`run`] joins them.
+//!
+//! Bounds: 12 gateways by default are the most that are started, the history is bounded in
+//! `eideryard_standin::history`, and what a link holds in [`relay`].
+
+pub mod check;
+pub mod config;
+pub mod directories;
+pub mod links;
+pub mod minimize;
+pub mod plan;
+pub mod processes;
+pub mod relay;
+pub mod run;
+pub mod world;
--- /dev/null
+++ b/crates/fleet-rig/src/plan.rs
@@ -0,0 +1,357 @@
+//! Plans of faults: drawn from a seed for a case, or read from a scenario. Pure. A plan is the text of a
+//! scenario: its parts and loads, and one line for each fault, which can be dropped one by one.
+
+use std::fmt;
+use std::ops::Range;
+
+use eideryard_standin::scenario::Scenario;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+/// Faults are drawn from so long after the beginning, in milliseconds, so that there is a past to hold
+/// service against, and up to so long before the end, so that retries find an end.
+const QUIET_BEGIN: u64 = 2_000;
+const QUIET_END: u64 = 4_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Case {
+    /// Kills of gateways; clients come again to the same one.
+    Store,
+    /// Kills, pauses, cuts, wiped and old directories; clients come again elsewhere.
+    Copies,
+    /// Pauses of 0.5 to 20 s, cuts and kills.
+    Owner,
+    /// All parts end at once and return in drawn order.
+    Power,
+    /// Everything.
+    Mix,
+}
+
+impl Case {
+    pub fn name(self) -> &'static str {
+        match self {
+            Case::Store => "store",
+            Case::Copies => "copies",
+            Case::Owner => "owner",
+            Case::Power => "power",
+            Case::Mix => "mix",
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Plan {
+    /// All that is no fault.
+    pub head: String,
+    /// Lines that begin with `at`, in the order of their times.
+    pub faults: Vec<String>,
+}
+
+impl fmt::Display for Plan {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "{}", self.head)?;
+        self.faults.iter().try_for_each(|fault| writeln!(f, "{fault}"))
+    }
+}
+
+impl Plan {
+    /// Of a scenario's text.
+    pub fn of_text(text: &str) -> Self {
+        let is_fault = |line: &&str| line.starts_with("at ");
+        let head = text.lines().filter(|line| !is_fault(line)).map(|line| format!("{line}\n")).collect();
+        Plan { head, faults: text.lines().filter(is_fault).map(str::to_string).collect() }
+    }
+
+    pub fn scenario(&self, name: &str) -> Result<Scenario, String> {
+        Scenario::read(name, &self.to_string()).map_err(|e| e.to_string())
+    }
+
+    pub fn with(&self, faults: &[String]) -> Self {
+        Plan { head: self.head.clone(), faults: faults.to_vec() }
+    }
+}
+
+struct Draw {
+    rng: StdRng,
+    gateways: Vec<String>,
+    engines: Vec<String>,
+    /// Until when each gateway and engine has a fault of its process, in milliseconds.
+    busy: Vec<(String, u64)>,
+    from: u64,
+    until: u64,
+    faults: Vec<(u64, String)>,
+}
+
+/// The plan of a case for a seed: always the same.
+pub fn draw(case: Case, seed: u64, gateways: usize, seconds: u64) -> Plan {
+    let gateway_names: Vec<String> = (1..=gateways).map(|number| format!("g{number}")).collect();
+    let mut draw = Draw {
+        rng: StdRng::seed_from_u64(seed.wrapping_mul(0x9e37_79b9) ^ case as u64),
+        engines: ["a", "b", "c"].iter().flat_map(|cell| [1, 2].map(|n| format!("{cell}-{n}"))).collect(),
+        gateways: gateway_names,
+        busy: Vec::new(),
+        from: QUIET_BEGIN.min(seconds * 200),
+        until: (seconds * 1000).saturating_sub(QUIET_END).max(seconds * 400),
+        faults: Vec::new(),
+    };
+    let count = (draw.until - draw.from) as usize / 1000;
+    match case {
+        Case::Store => (0..2 * count).for_each(|_| draw.kill_gateway("kept")),
+        Case::Copies => (0..count).for_each(|_| draw.of_copies()),
+        Case::Owner => (0..count.div_ceil(2)).for_each(|_| draw.of_owner()),
+        Case::Power => draw.power(),
+        Case::Mix => (0..count).for_each(|_| draw.of_all()),
+    }
+    draw.faults.sort();
+    let faults = draw.faults.into_iter().map(|(at, fault)| format!("at {at}ms {fault}")).collect();
+    Plan { head: head(case, seed, &draw.gateways, seconds), faults }
+}
+
+/// Six engines in three cells that each know their own keys; clients of safe, keyed, unsafe and ordered
+/// classes that take a little under half of the cores.
+fn head(case: Case, seed: u64, gateways: &[String], seconds: u64) -> String {
+    let back = if case == Case::Store { "same" } else { "other" };
+    let mut head = format!("# Case {}, seed {seed}.\nseed {seed}\ntime {seconds}s\n", case.name());
+    head += "class report {\n    effect safe\n}\nclass booking {\n    effect keyed\n    scope cell\n    \
+             window 5s\n}\nclass payment {\n    effect unsafe\n}\nclass entry {\n    effect safe\n    \
+             ordered\n}\n";
+    for (cell, name) in ["a", "b", "c"].iter().enumerate() {
+        head += &format!(
+            "engines 2 {name} {{\n    cores 4\n    memory 8GB\n    warm-up 2s\n    cell {cell}\n    \
+             orphans finish\n}}\n"
+        );
+    }
+    for name in gateways {
+        head += &format!("gateway {name} {{\n    memory 64MB\n}}\n");
+    }
+    let load = |name: &str, class: &str, rate: u64, work: u64, more: &str| {
+        format!(
+            "load {name} {{\n    class {class}\n    rate {rate}/s\n    work {work}ms\n    wait 2s\n    \
+             connections 8\n    retries 2\n    hasty 10%\n{more}}}\n"
+        )
+    };
+    let returns = format!("    returns 2\n    back {back}\n    marked 70%\n");
+    head += &load("reports", "report", 60, 60, &returns);
+    head += &load("bookings", "booking", 25, 250, &format!("{returns}    late 5%\n"));
+    head += &load("payments", "payment", 10, 100, "");
+    head + &load("entries", "entry", 8, 40, "    keys 6\n")
+}
+
+impl Draw {
+    fn time(&mut self) -> u64 {
+        self.rng.random_range(self.from..self.until)
+    }
+
+    fn lasts(&mut self, range: Range<u64>) -> u64 {
+        self.rng.random_range(range)
+    }
+
+    fn put(&mut self, at: u64, fault: String) {
+        self.faults.push((at, fault));
+    }
+
+    /// One whose process has no other fault in a time; its own lasts that long from now on.
+    fn free(&mut self, engines: bool, at: u64, until: u64) -> Option<String> {
+        let all = if engines { &self.engines } else { &self.gateways };
+        // Faults are drawn in any order: a little room on both sides keeps them apart.
+        let apart = |(own, from): &(String, u64), name: &str| own != name || from.abs_diff(at) > 4_000;
+        let free: Vec<&String> =
+            all.iter().filter(|name| self.busy.iter().all(|busy| apart(busy, name))).collect();
+        let name = (*free.choose(&mut self.rng)?).clone();
+        self.busy.push((name.clone(), at.midpoint(until)));
+        Some(name)
+    }
+
+    fn gateway(&mut self) -> String {
+        self.gateways.choose(&mut self.rng).cloned().unwrap_or_default()
+    }
+
+    /// Killed, and started again with its directory `kept`, `wiped` or `old`.
+    fn kill_gateway(&mut self, directory: &str) {
+        let (at, down) = (self.time(), self.lasts(200..1_500));
+        let Some(name) = self.free(false, at, at + down) else { return };
+        self.put(at, format!("kill-gateway {name}"));
+        match directory {
+            "wiped" => self.put(at + down / 2, format!("wipe-directory {name}")),
+            "old" => {
+                let saved = self.lasts(self.from / 2..self.from);
+                self.put(saved, format!("save-directory {name}"));
+                self.put(at + down / 2, format!("put-back-directory {name}"));
+            }
+            _ => {}
+        }
+        self.put(at + down, format!("start-gateway {name}"));
+    }
+
+    fn restart_gateway(&mut self) {
+        let at = self.time();
+        let Some(name) = self.free(false, at, at + 1_500) else { return };
+        self.put(at, format!("stop-gateway {name}"));
+        self.put(at + 1_500, format!("start-gateway {name}"));
+    }
+
+    fn pause_gateway(&mut self, range: Range<u64>) {
+        let (at, lasts) = (self.time(), self.lasts(range));
+        let lasts = lasts.min(self.until.saturating_sub(at).max(500));
+        let Some(name) = self.free(false, at, at + lasts) else { return };
+        self.put(at, format!("pause-gateway {name} for {lasts}ms"));
+    }
+
+    fn restart_engine(&mut self) {
+        let (at, down) = (self.time(), self.lasts(300..2_000));
+        let Some(name) = self.free(true, at, at + down) else { return };
+        self.put(at, format!("kill {name}"));
+        self.put(at + down, format!("start {name}"));
+    }
+
+    fn drain(&mut self) {
+        let (at, lasts) = (self.time(), self.lasts(1_000..3_000));
+        let Some(name) = self.free(true, at, at + lasts) else { return };
+        self.put(at, format!("drain {name}"));
+        self.put(at + lasts, format!("list {name}"));
+    }
+
+    fn link(&mut self) {
+        let (at, lasts) = (self.time(), self.lasts(200..2_500));
+        let near = self.gateway();
+        let far = match self.rng.random_range(0..4) {
+            0 => "clients".to_string(),
+            1 => "bulletin".to_string(),
+            2 => "engines".to_string(),
+            _ => self.engines.choose(&mut self.rng).cloned().unwrap_or_default(),
+        };
+        let way = *["both", "both", "there", "back"].choose(&mut self.rng).unwrap_or(&"both");
+        let fault = match self.rng.random_range(0..7) {
+            0 | 1 => format!("link-cut {near} {far} way {way} for {lasts}ms"),
+            2 => format!("link-delay {near} {far} by {}ms for {lasts}ms", self.lasts(5..200)),
+            3 => format!("link-stall {near} {far} way {way} for {lasts}ms"),
+            4 => format!("link-swallow {near} {far} way {way} for {lasts}ms"),
+            5 => format!("link-flap {near} {far} every {}ms for {lasts}ms", self.lasts(30..300)),
+            _ => format!("link-throttle {near} {far} to 2KB for {lasts}ms"),
+        };
+        self.put(at, fault);
+    }
+
+    fn of_copies(&mut self) {
+        match self.rng.random_range(0..8) {
+            0 | 1 => self.kill_gateway("kept"),
+            2 => self.kill_gateway("wiped"),
+            3 => self.kill_gateway("old"),
+            4 => self.pause_gateway(500..4_000),
+            _ => self.link(),
+        }
+    }
+
+    fn of_owner(&mut self) {
+        match self.rng.random_range(0..4) {
+            0 | 1 => self.pause_gateway(500..20_000),
+            2 => self.kill_gateway("kept"),
+            _ => self.link(),
+        }
+    }
+
+    fn of_all(&mut self) {
+        match self.rng.random_range(0..12) {
+            0..=2 => self.kill_gateway("kept"),
+            3 => self.kill_gateway("wiped"),
+            4 => self.restart_gateway(),
+            5 => self.pause_gateway(300..3_000),
+            6 => self.restart_engine(),
+            7 => self.drain(),
+            8 => {
+                let (at, lasts) = (self.time(), self.lasts(500..3_000));
+                self.put(at, "bulletin down".into());
+                self.put(at + lasts, "bulletin up".into());
+            }
+            9 => {
+                let (at, near) = (self.time(), self.gateway());
+                self.put(at, format!("link-reset {near} engines"));
+            }
+            _ => self.link(),
+        }
+    }
+
+    /// One loss of power; some seeds lose it again while parts return, some have a gateway without its
+    /// directory, with an old one, or that comes late.
+    fn power(&mut self) {
+        let at = self.lasts(self.from..self.from + (self.until - self.from) / 3);
+        let mut back = at + self.lasts(500..2_000);
+        self.put(at, "power-loss".into());
+        if self.rng.random_bool(0.3) {
+            let within = self.lasts(500..2_000);
+            self.put(back, format!("power-back all within {within}ms"));
+            let again = back + within + self.lasts(100..1_000);
+            self.put(again, "power-loss".into());
+            back = again + self.lasts(500..1_500);
+        }
+        let gateways = self.gateways.clone();
+        if let Some(name) = gateways.choose(&mut self.rng).filter(|_| self.rng.random_bool(0.4)) {
+            self.put(back - 100, format!("wipe-directory {name}"));
+        }
+        if let Some(name) = gateways.choose(&mut self.rng).filter(|_| self.rng.random_bool(0.4)) {
+            self.put(self.from / 2, format!("save-directory {name}"));
+            self.put(back - 90, format!("put-back-directory {name}"));
+        }
+        let within = self.lasts(500..2_000);
+        let late = gateways.choose(&mut self.rng).filter(|_| self.rng.random_bool(0.4)).cloned();
+        let Some(late) = late else { return self.put(back, format!("power-back all within {within}ms")) };
+        let others: Vec<&str> = ["bulletin"]
+            .into_iter()
+            .chain(self.engines.iter().map(String::as_str))
+            .chain(gateways.iter().map(String::as_str).filter(|name| *name != late))
+            .collect();
+        self.put(back, format!("power-back {} within {within}ms", others.join(" ")));
+        let after = back + within + self.lasts(1_000..3_000);
+        self.put(after, format!("start-gateway {late}"));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const CASES: [Case; 5] = [Case::Store, Case::Copies, Case::Owner, Case::Power, Case::Mix];
+
+    #[test]
+    fn every_plan_can_be_read_and_comes_of_its_seed_alone() {
+        for case in CASES {
+            let plans: Vec<Plan> =
+                (0..200).map(|seed| draw(case, seed, 3 + seed as usize % 10, 20)).collect();
+            for (seed, plan) in plans.iter().enumerate() {
+                plan.scenario("drawn").unwrap_or_else(|e| panic!("{e}\n{plan}"));
+                assert!(!plan.faults.is_empty(), "seed {seed}");
+                assert_eq!(*plan, draw(case, seed as u64, 3 + seed % 10, 20));
+                assert_eq!(Plan::of_text(&plan.to_string()), *plan);
+            }
+            assert!(plans.windows(2).all(|pair| pair[0] != pair[1]));
+        }
+    }
+
+    #[test]
+    fn mixed_plans_hold_every_kind_of_fault() {
+        let all: String = (0..60).map(|seed| draw(Case::Mix, seed, 5, 20).faults.join("\n")).collect();
+        for fault in [
+            "kill-gateway",
+            "stop-gateway",
+            "pause-gateway",
+            "wipe-directory",
+            "link-cut",
+            "way there",
+            "link-delay",
+            "link-stall",
+            "link-swallow",
+            "link-flap",
+            "link-throttle",
+            "link-reset",
+            "kill a",
+            "drain",
+            "bulletin down",
+        ] {
+            assert!(all.contains(fault), "no {fault}");
+        }
+        let power: String = (0..60).map(|seed| draw(Case::Power, seed, 5, 20).faults.join("\n")).collect();
+        let twice = |seed| draw(Case::Power, seed, 5, 20).to_string().matches("power-loss").count() == 2;
+        assert!(power.contains("put-back-directory") && (0..60).any(twice));
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/processes.rs
@@ -0,0 +1,176 @@
+//! Gateways as processes: started, told to end, killed, paused; what each start left behind.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{self, BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use rustix::process::{kill_process, Pid, Signal};
+use tokio::time::{sleep, Instant};
+
+/// How long a gateway may take to listen, and to end.
+const PATIENCE: Duration = Duration::from_secs(20);
+const LOOKS_EVERY: Duration = Duration::from_millis(5);
+
+/// Gateways that a scenario starts: the program, and what more it is told.
+#[derive(Clone, Debug, Default)]
+pub struct Programs {
+    pub program: PathBuf,
+    pub arguments: Vec<String>,
+    pub variables: Vec<(String, String)>,
+    /// Configurations and logs go there.
+    pub directory: PathBuf,
+}
+
+/// How one start of a gateway ended.
+#[derive(Clone, Debug)]
+pub struct Ending {
+    pub name: String,
+    pub log: PathBuf,
+    /// Processor time of all its threads.
+    pub cpu: Duration,
+    /// Its last counters, unless it was killed.
+    pub counters: Option<BTreeMap<String, u64>>,
+    /// It was told to end, or killed.
+    pub wanted: bool,
+}
+
+struct Running {
+    child: Child,
+    log: PathBuf,
+    start: usize,
+    /// It was told to end, or killed.
+    wanted: bool,
+}
+
+#[derive(Default)]
+pub struct Processes {
+    running: BTreeMap<String, Running>,
+    starts: BTreeMap<String, usize>,
+    pub endings: Vec<Ending>,
+}
+
+impl Processes {
+    pub fn names(&self) -> Vec<String> {
+        self.running.keys().cloned().collect()
+    }
+
+    /// Starts one and waits until it listens; gives its address and the number of this start.
+    pub async fn start(
+        &mut self,
+        programs: &Programs,
+        name: &str,
+        config: &serde_json::Value,
+        more: &[String],
+    ) -> io::Result<(SocketAddr, usize)> {
+        let start = self.starts.entry(name.to_string()).or_default();
+        *start += 1;
+        let start = *start;
+        let path = programs.directory.join(format!("{name}-{start}.json"));
+        std::fs::write(&path, serde_json::to_string_pretty(config)?)?;
+        let log = programs.directory.join(format!("{name}-{start}.log"));
+        let child = Command::new(&programs.program)
+            .args(&programs.arguments)
+            .args(more)
+            .env("EDGE_CONFIG", &path)
+            .envs(programs.variables.iter().map(|(name, value)| (name, value)))
+            .stdout(Stdio::null())
+            .stderr(File::create(&log)?)
+            .spawn()
+            .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", programs.program.display())))?;
+        self.running.insert(name.to_string(), Running { child, log: log.clone(), start, wanted: false });
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(address) = find(&log, "listens on ").and_then(|line| address(&line)) {
+                return Ok((address, start));
+            }
+            let ended = match self.running.get_mut(name) {
+                Some(running) => running.child.try_wait()?.is_some(),
+                None => true,
+            };
+            if ended || Instant::now() > until {
+                return Err(io::Error::other(format!(
+                    "gateway {name} doesn't listen; see {}",
+                    log.display()
+                )));
+            }
+            sleep(LOOKS_EVERY).await;
+        }
+    }
+
+    pub fn signal(&mut self, name: &str, signal: Signal) {
+        if let Some(running) = self.running.get_mut(name) {
+            running.wanted |= signal == Signal::TERM || signal == Signal::KILL;
+            // One that has ended already needs none.
+            let _ = kill_process(Pid::from_child(&running.child), signal);
+        }
+    }
+
+    /// Those that ended though nobody told them to.
+    pub fn crashed(&mut self) -> Vec<String> {
+        let ended = |running: &mut Running| matches!(running.child.try_wait(), Ok(Some(_)));
+        let of = |(name, running): (&String, &mut Running)| {
+            (!running.wanted && ended(running)).then(|| name.clone())
+        };
+        self.running.iter_mut().filter_map(of).collect()
+    }
+
+    /// Waits until one has ended, if it runs, and notes how. False: it had to be killed.
+    pub async fn ended(&mut self, name: &str) -> io::Result<bool> {
+        let Some(mut running) = self.running.remove(name) else { return Ok(true) };
+        let until = Instant::now() + PATIENCE;
+        let (mut cpu, mut by_itself) = (Duration::ZERO, true);
+        while running.child.try_wait()?.is_none() {
+            cpu = processor_time(running.child.id()).unwrap_or(cpu).max(cpu);
+            if Instant::now() > until {
+                running.child.kill()?;
+                by_itself = false;
+            }
+            sleep(LOOKS_EVERY).await;
+        }
+        let counters = find(&running.log, "counters:").map(|line| counters(&line));
+        let name = format!("{name}#{}", running.start);
+        self.endings.push(Ending { name, log: running.log, cpu, counters, wanted: running.wanted });
+        Ok(by_itself)
+    }
+}
+
+/// Whatever ends a run early leaves no process behind.
+impl Drop for Processes {
+    fn drop(&mut self) {
+        for running in self.running.values_mut() {
+            // Those that have ended are waited for all the same.
+            let _ = running.child.kill();
+            let _ = running.child.wait();
+        }
+    }
+}
+
+/// Of a process that still runs, by the system's own account.
+fn processor_time(process: u32) -> Option<Duration> {
+    let mut sum = 0;
+    for task in std::fs::read_dir(format!("/proc/{process}/task")).ok()? {
+        let told = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+        sum += told.split(' ').next()?.parse::<u64>().ok()?;
+    }
+    Some(Duration::from_nanos(sum))
+}
+
+/// The last line of a log that holds a text.
+fn find(log: &Path, text: &str) -> Option<String> {
+    let lines = BufReader::new(File::open(log).ok()?).lines().map_while(Result::ok);
+    lines.filter(|line| line.contains(text)).last()
+}
+
+fn address(line: &str) -> Option<SocketAddr> {
+    line.split(' ').filter_map(|word| word.trim_matches('"').parse().ok()).next_back()
+}
+
+/// The counters of a line that tells them, by name.
+pub fn counters(line: &str) -> BTreeMap<String, u64> {
+    let pairs = line.split([' ', ';']).filter_map(|word| word.split_once('='));
+    pairs.filter_map(|(name, value)| Some((name.to_string(), value.parse().ok()?))).collect()
+}
--- /dev/null
+++ b/crates/fleet-rig/src/run.rs
@@ -0,0 +1,86 @@
+//! One run: a plan played with real processes, its history and records held against the rules.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use crate::check::{self, story, About, Break, Facts, History, Recorded, Rule, Verdict};
+use crate::directories;
+use crate::plan::Plan;
+use crate::processes::{Ending, Programs};
+use crate::world::{self, RECORD};
+
+/// Stories that are told of one run.
+const MOST_STORIES: usize = 3;
+
+#[derive(Debug, thiserror::Error)]
+pub enum Trouble {
+    #[error("the plan can't be read: {0}")]
+    Plan(String),
+    #[error("the run can't be played: {0}")]
+    Io(#[from] io::Error),
+}
+
+pub struct Ran {
+    pub verdict: Verdict,
+    /// Of the first breaks, each with its shortest history.
+    pub stories: Vec<(Break, Vec<String>)>,
+    pub endings: Vec<Ending>,
+}
+
+/// What a gateway counted itself: all that it took has an end.
+fn counted(endings: &[Ending], verdict: &mut Verdict) {
+    for ending in endings {
+        let Some(counters) = &ending.counters else { continue };
+        let of = |name: &str| counters.get(name).copied().unwrap_or(0);
+        let ends = ["served", "refused", "failed", "invalid", "forgotten", "lost"];
+        let ended: u64 = ends.iter().map(|name| of(name)).sum();
+        if of("taken") != ended {
+            let text = format!("{} took {} and ended {ended}", ending.name, of("taken"));
+            let about = About::Gateway(ending.name.as_str().into());
+            verdict.add(Break { rule: Rule::Conservation, about, from: 0, to: 0, text });
+        }
+    }
+}
+
+/// Plays a plan in a directory, which keeps all that the gateways leave behind.
+pub fn run(program: &Path, plan: &Plan, directory: &Path) -> Result<Ran, Trouble> {
+    let scenario = plan.scenario("plan").map_err(Trouble::Plan)?;
+    let facts = Facts::of(&scenario);
+    let gateways: Vec<String> = scenario.gateways.iter().map(|own| own.name.clone()).collect();
+    std::fs::create_dir_all(directory)?;
+    let programs = Programs {
+        program: program.to_path_buf(),
+        directory: directory.to_path_buf(),
+        ..Programs::default()
+    };
+    let mut played = world::play_linked(scenario, programs)?;
+    let events = played.ledger.history.take().unwrap_or_default();
+    if played.ledger.left_out > 0 {
+        let what = format!("{} events found no room in the history", played.ledger.left_out);
+        return Err(Trouble::Io(io::Error::other(what)));
+    }
+    let of_records = |name: &String| check::of_records(&directories::of(directory, name).join(RECORD));
+    let records: Vec<Recorded> = gateways.iter().flat_map(of_records).collect();
+    let mut verdict = check::check(&facts, &events, &records, &played.crashed);
+    counted(&played.endings, &mut verdict);
+    verdict.figure("faults", plan.faults.len() as u64);
+    let history = History::new(&events);
+    let stories = verdict.breaks.iter().take(MOST_STORIES);
+    let stories = stories.map(|found| (found.clone(), story::story(&history, &records, found))).collect();
+    Ok(Ran { verdict, stories, endings: played.endings })
+}
+
+/// The program that is tried: built beside this one, as a call of `cargo run` has it.
+pub fn program() -> io::Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let mut directory = own.parent();
+    // Tests and examples lie a folder deeper.
+    while let Some(at) = directory {
+        let program = at.join("eideryard");
+        if program.is_file() {
+            return Ok(program);
+        }
+        directory = at.parent().filter(|_| at.ends_with("deps") || at.ends_with("examples"));
+    }
+    Err(io::Error::new(io::ErrorKind::NotFound, "no program 'eideryard' is built beside this one"))
+}
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -3,6 +3,11 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+use crate::history::{Happened, What, MOST};
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Answers {
@@ -18,8 +23,27 @@
     pub advised: u64,
 }
 
+/// Turns this process's clock into Unix time, once: it doesn't step within a run.
+#[derive(Clone, Copy, Debug)]
+struct Began {
+    instant: Instant,
+    unix: u64,
+}
+
+impl Default for Began {
+    fn default() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64;
+        Began { instant: Instant::now(), unix }
+    }
+}
+
 #[derive(Debug, Default)]
 pub struct Ledger {
+    began: Began,
+    /// What happened, where it is kept.
+    pub history: Option<Vec<Happened>>,
+    /// Entries that there was no room for.
+    pub left_out: u64,
     /// By load.
     pub answers: BTreeMap<String, Answers>,
     /// How often a write took effect, by its key or id.
@@ -36,6 +60,20 @@
 const MOST_WORDS: usize = 50;
 
 impl Ledger {
+    pub fn now(&self) -> u64 {
+        self.began.unix + self.began.instant.elapsed().as_micros() as u64
+    }
+
+    pub fn happened(&mut self, what: impl FnOnce() -> What) {
+        let at = self.now();
+        let Some(history) = &mut self.history else { return };
+        if history.len() < MOST {
+            history.push(Happened { at, what: what() });
+        } else {
+            self.left_out += 1;
+        }
+    }
+
     pub fn break_rule(&mut self, what: String) {
         self.breaks += 1;
         if self.broken.len() < MOST_WORDS {
--- a/examples/toy-server/main.rs
+++ b/examples/toy-server/main.rs
@@ -1,7 +1,8 @@
 //! Plays a scenario of stand-ins without gateways: `cargo run --example toy-server -- FILE`. Without a file the
 //! engines and the bulletin that `examples/gateway.json` names.
 
-use eideryard_standin::{scenario::Scenario, world};
+use eideryard_fleet_rig::world;
+use eideryard_standin::scenario::Scenario;
 
 const USUAL: &str = "examples/toy.scenario";
 
