--- a/crates/fleet-rig/src/check/records.rs
+++ b/crates/fleet-rig/src/check/records.rs
@@ -105,8 +105,8 @@
 
 #[cfg(test)]
 mod tests {
+    use super::super::check;
     use super::super::tests::*;
-    use super::super::{check, Facts};
     use super::*;
 
     #[test]
@@ -117,9 +117,10 @@
             let verdict = check(&facts(), &events, records, &[]);
             verdict.count(Rule::Records)
         };
-        let _: Facts = facts();
         assert_eq!(count(&[said(AnswerKind::Served)]), 0);
         assert_eq!(count(&[said(AnswerKind::Refused)]), 1);
         assert_eq!(count(&[said(AnswerKind::Served), said(AnswerKind::Served)]), 1);
+        let crashed = check(&facts(), &events, &[], &["g1".to_string()]);
+        assert_eq!(crashed.count(Rule::Crash), 1);
     }
 }
--- a/crates/fleet-rig/src/check/service.rs
+++ b/crates/fleet-rig/src/check/service.rs
@@ -34,6 +34,8 @@
 pub fn measure(facts: &Facts, history: &History, verdict: &mut Verdict) {
     let mut firsts: BTreeMap<Name, Firsts> = BTreeMap::new();
     let mut gateways: HashMap<&Name, u64> = HashMap::new();
+    let classes: HashMap<&Name, &Name> =
+        history.tries.values().map(|(_, tried)| (&tried.load, &tried.class)).collect();
     let (mut loss, mut engine_back) = (None, None);
     for Happened { at, what } in history.events {
         match what {
@@ -47,8 +49,16 @@
                 }
             }
             // A request that found no gateway was not served either.
-            What::NoDoor { .. } => firsts.entry("all".into()).or_default().push((*at, false)),
-            What::Did { what } if what == "power-loss" => _ = loss.get_or_insert(*at),
+            What::NoDoor { load, .. } => {
+                firsts.entry("all".into()).or_default().push((*at, false));
+                let class = classes.get(load).into_iter();
+                class.for_each(|class| firsts.entry((*class).clone()).or_default().push((*at, false)));
+            }
+            // Where power is lost again, service comes back after the last time.
+            What::Did { what } if what == "power-loss" => {
+                loss.get_or_insert(*at);
+                engine_back = None;
+            }
             What::Engine { begins: Some(_), .. } if loss.is_some() => _ = engine_back.get_or_insert(*at),
             _ => {}
         }
--- a/crates/fleet-rig/src/plan.rs
+++ b/crates/fleet-rig/src/plan.rs
@@ -252,7 +252,7 @@
     }
 
     fn of_all(&mut self) {
-        match self.rng.random_range(0..12) {
+        match self.rng.random_range(0..14) {
             0..=2 => self.kill_gateway("kept"),
             3 => self.kill_gateway("wiped"),
             4 => self.restart_gateway(),
--- a/crates/record/src/recorder.rs
+++ b/crates/record/src/recorder.rs
@@ -24,8 +24,8 @@
 const MOST_ENTRY: usize = 4 << 10;
 /// What was recorded goes to the writer after this time at the latest: a killed gateway loses no more.
 const MOST_WAIT: Micros = 200_000;
-/// A gateway that has nothing to record says so much more often than a reader takes silence for its end: a few
-/// bytes, so that a gap begins where the gateway ended.
+/// A gateway that has nothing to record says so much more often than a reader takes silence for its end: a
+/// few bytes, so that a gap begins where the gateway ended.
 pub const ALIVE_EVERY: Micros = 1_000_000;
 /// A tally is told this often, so that totals are exact again behind damage.
 const TALLY_EVERY: Micros = 5_000_000;
