--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -156,8 +156,8 @@
     let who = listed(names.iter().map(|name| name.to_string()).collect());
     (!names.is_empty()).then(|| {
         format!(
-            "{who} broke off with {open} open, and what clients asked there after the last whole frame or while \
-             nobody listened is in no record: they have lost more than is counted here"
+            "{who} broke off with {open} open, and what clients asked there after the last whole frame or \
+             while nobody listened is in no record: they have lost more than is counted here"
         )
     })
 }
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -1,9 +1,9 @@
 //! Clients: one load of a scenario, at random times that come of its seed. Each answer is held against
 //! what was asked; what is wrong goes to the ledger.
 //!
-//! Each request goes to a gateway drawn anew, as behind a plain front, on a connection that is kept to it. Who
-//! is refused comes again by the advice, and who loses the connection comes again with the same key, as
-//! often as the scenario says; an unsafe request is never asked again after a loss.
+//! Each request goes to a gateway drawn anew, as behind a plain front, on a connection that is kept to it.
+//! Who is refused comes again by the advice, and who loses the connection comes again with the same key,
+//! as often as the scenario says; an unsafe request is never asked again after a loss.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
