The two circles inside crates/record are cut

entry and tally named each other, and so did recorder and writer. Totals are plain data in a file of their own, which both entry and the counting use; the plan and the buffers between loop and writer have one too. No behaviour changes.

--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -1,6 +1,7 @@
 //! What a record holds, entry by entry.
 
-use crate::tally::Tally;
+pub use crate::totals::AnswerKind;
+use crate::totals::Tally;
 use eideryard::interface::{end_tag, Action, EngineId, Event, Micros, RequestId};
 use std::net::IpAddr;
 
@@ -34,36 +35,6 @@
     pub booted_at: Micros,
 }
 
-/// How a request that was taken ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum AnswerKind {
-    Served,
-    Refused,
-    Failed,
-    Forgotten,
-    Lost,
-}
-
-impl AnswerKind {
-    pub const ALL: [AnswerKind; 5] = [
-        AnswerKind::Served,
-        AnswerKind::Refused,
-        AnswerKind::Failed,
-        AnswerKind::Forgotten,
-        AnswerKind::Lost,
-    ];
-
-    pub fn name(self) -> &'static str {
-        match self {
-            AnswerKind::Served => "served",
-            AnswerKind::Refused => "refused",
-            AnswerKind::Failed => "failed",
-            AnswerKind::Forgotten => "forgotten",
-            AnswerKind::Lost => "lost",
-        }
-    }
-}
-
 /// Why something that a client sent never became a request with a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum NotTaken {
--- a/crates/record/src/lib.rs
+++ b/crates/record/src/lib.rs
@@ -2,9 +2,9 @@
 //! beside that, as an append-only series of segment files that an incident can be folded from again.
 //!
 //! [`codec`] turns entries into bytes and back, [`frame`] wraps batches of them with checksums, both without
-//! I/O. [`tally`] counts entries, the same way where they are written, left out or read. [`recorder`] is the
-//! event loop's side, which never waits; [`writer`] is the thread behind it; [`reader`] merges any number of
-//! records by time and gets over damage.
+//! I/O. [`tally`] counts entries to [`totals`], the same way where they are written, left out or read.
+//! [`recorder`] is the event loop's side, which never waits; [`writer`] is the thread behind it; [`reader`]
+//! merges any number of records by time and gets over damage.
 //!
 //! Bounds: a recorder holds [`recorder::BATCHES`] buffers of [`recorder::BATCH`] bytes and nothing else that
 //! grows; a reader holds one buffer of [`frame::MOST_PAYLOAD`] and a little for each segment file.
@@ -12,9 +12,11 @@
 pub mod codec;
 pub mod entry;
 pub mod frame;
+pub mod plan;
 pub mod reader;
 pub mod recorder;
 pub mod tally;
+pub mod totals;
 pub mod writer;
 
 pub use entry::{AnswerKind, Entry, Host, Listed, Names, NotTaken, Offer, OpenRequest, Why};
--- a/crates/record/src/writer.rs
+++ b/crates/record/src/writer.rs
@@ -12,7 +12,7 @@
 use crate::codec::Context;
 use crate::entry::{EntryRef, Host};
 use crate::frame::{file_head, frame_head};
-use crate::recorder::{Batch, Plan};
+use crate::plan::{Batch, Plan};
 use crate::tally::Tally;
 
 /// Segments of one name, whatever the budget: a disk that fails again and again leaves many small ones.
