--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -19,6 +19,8 @@
     Bulletin,
     /// The spool's worker has done something.
     Spool,
+    /// The store's thread has made something durable.
+    Store,
     Stop,
     Reload,
     Report,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::counters::Counters;
 use crate::deadlines::{Deadlines, Due};
 use crate::engines::{self, Engines};
+use crate::keeping::{Keeping, Sending, Waiting};
 use crate::link::Link;
 use crate::requests::{self, place, Attempt, Call, Names, NotTaken, Requests};
 use crate::spooling::{Spooling, Told as Word, Waiter};
@@ -51,6 +52,7 @@
     pub counters: Counters,
     tap: Tap,
     spooling: Option<Box<Spooling>>,
+    keeping: Option<Box<Keeping>>,
     /// Requests whose results are coming into the spool.
     coming: std::collections::BTreeSet<Key>,
     events: VecDeque<Event>,
@@ -91,6 +93,19 @@
             }
             None => None,
         };
+        let keeping = match &operator.store {
+            Some(plan) => {
+                let (ping, woken) = calloop::ping::make_ping()?;
+                events
+                    .insert_source(woken, |(), _, wakes| wakes.push(Wake::Store))
+                    .map_err(io::Error::other)?;
+                // Another for each start and gateway: the seed alone is the same after a restart.
+                let random = config.seed ^ now.rotate_left(23) ^ u64::from(std::process::id());
+                let (classes, wake) = (config.settings.classes.clone(), Box::new(move || ping.ping()));
+                Some(Box::new(Keeping::start(plan, classes, config.memory_mb, now, random, wake)))
+            }
+            None => None,
+        };
         let tap = Tap::start(&config.name, now, names.of_record(), operator.record.as_ref());
         let mut gateway = Gateway {
             clients: Clients::new(events, config.listen, config.sockets, config.memory_mb, tap.is_on())?,
@@ -102,6 +117,7 @@
             counters: Counters::default(),
             tap,
             spooling,
+            keeping,
             coming: Default::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -133,7 +149,8 @@
             return Some(Duration::ZERO);
         }
         let spool = self.spooling.as_ref().and_then(|spooling| spooling.due(self.clock.now()));
-        let next = self.due.next().into_iter().chain(self.tap.due()).chain(spool).min()?;
+        let keeping = self.keeping.as_ref().and_then(|keeping| keeping.due());
+        let next = self.due.next().into_iter().chain(self.tap.due()).chain(spool).chain(keeping).min()?;
         Some(Duration::from_micros(next.saturating_sub(self.clock.now())))
     }
 
@@ -152,6 +169,7 @@
             self.settle();
         }
         self.spool_work();
+        self.keep_work();
         self.tell_changes();
         self.tell_state();
         self.tap.flush(self.clock.now());
@@ -185,7 +203,7 @@
                 items.into_iter().for_each(|item| self.listed(item));
             }
             // Its work is done at the end of each look.
-            Wake::Spool => {}
+            Wake::Spool | Wake::Store => {}
             Wake::Stop => self.stop(),
             Wake::Reload => self.reload(),
             Wake::Report => self.report(),
@@ -284,7 +302,9 @@
         let tables = self.tables().into_iter().map(|(name, size)| format!("{name}={size}"));
         let (counters, tables) = (&self.counters, tables.collect::<Vec<_>>());
         let spool = self.spooling.as_ref().map(|spooling| format!("; {:?}", spooling.counted));
-        tracing::info!("counters: {counters}; tables {}{}", tables.join(" "), spool.unwrap_or_default());
+        let kept = self.keeping.as_ref().map(|keeping| format!("; {:?}", keeping.counted));
+        let more = [spool, kept].into_iter().flatten().collect::<String>();
+        tracing::info!("counters: {counters}; tables {}{more}", tables.join(" "));
     }
 
     /// All that may grow, with its size: none of these may go on growing through a long day.
@@ -301,6 +321,7 @@
             ("deadlines", self.due.len()),
         ];
         tables.extend(self.spooling.iter().flat_map(|spooling| spooling.sizes()));
+        tables.extend(self.keeping.iter().flat_map(|keeping| keeping.sizes()));
         tables
     }
 
@@ -432,6 +453,13 @@
                 return;
             }
         }
+        let earlier = self.keeping.as_mut().map_or(Ok(Vec::new()), |keeping| {
+            keeping.arrives(now, call.class, call.key.as_deref(), call.marked)
+        });
+        let earlier = match earlier {
+            Ok(earlier) => earlier,
+            Err(why) => return self.no_store(client, id, of, why.name()),
+        };
         let deadline = now + call.wait;
         let arrived = Request {
             id: 0,
@@ -443,6 +471,7 @@
             work: call.work,
             memory_mb: call.memory_mb,
             group: call.group.unwrap_or(0),
+            earlier,
         };
         let request = match self.requests.insert(client, id, now, deadline, call) {
             Ok(request) => request,
@@ -471,6 +500,17 @@
         self.events.push_back(Event::Arrived(Request { id: request.number(), ..arrived }));
     }
 
+    /// A keyed request is not taken, since its intent can't be kept now.
+    fn no_store(&mut self, client: Key, id: u32, of: (usize, usize), why: &str) {
+        self.counters.refused += 1;
+        self.counters.no_room += 1;
+        self.tell_untaken(Untaken::NoRoom, Some(of));
+        let wait = (eideryard_ledger::state::ADVICE / 1000).to_string();
+        let mut fields = vec![("why", why)];
+        fields.extend(Some(("w", wait.as_str())).filter(|_| self.may_advise));
+        self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &fields));
+    }
+
     /// A request that can't be used gets an error that names the field.
     fn invalid(&mut self, client: Key, id: u32, field: &str) {
         tracing::debug!("a request can't be used: {field}");
@@ -676,8 +716,12 @@
         let Some(request) = self.requests.get_mut(key) else { return };
         let Some(tried) = request.attempts.get_mut(attempt) else { return };
         let engine = tried.engine;
-        tried.conn = None;
+        (tried.conn, tried.waits) = (None, false);
         self.due.take_back(tried.deadline.take());
+        if let Some(keeping) = &mut self.keeping {
+            let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
+            keeping.ended(self.clock.now(), request.class, request.key.as_deref(), never_ran);
+        }
         self.counters.attempts.count(outcome);
         self.events.push_back(Event::Ended(Ended {
             request: key.number(),
@@ -699,7 +743,11 @@
     /// No answer of an attempt is waited for any more: it ends with this outcome, or as never sent.
     fn give_up(&mut self, key: Key, attempt: usize, outcome: Outcome) {
         let Some(request) = self.requests.get_mut(key) else { return };
-        let Some(conn) = request.attempts.get_mut(attempt).and_then(|tried| tried.conn) else { return };
+        let Some(tried) = request.attempts.get_mut(attempt) else { return };
+        if tried.waits {
+            return self.over(key, attempt, Outcome::Unsent, false, None, None);
+        }
+        let Some(conn) = tried.conn else { return };
         let (now, due, heard) = (self.clock.now(), &mut self.due, &mut self.from_engines);
         let sent = self.engines.give_up(now, conn, &request.id, self.may_cancel, due, heard);
         self.over(key, attempt, if sent { outcome } else { Outcome::Unsent }, false, None, None);
@@ -768,6 +816,29 @@
             self.spooling.iter_mut().for_each(|spooling| spooling.restart(key.number(), of, now));
             self.coming.remove(&key);
         }
+        self.counters.sent += 1;
+        let (class, name) = (request.class, request.key.as_deref());
+        let sending = match &mut self.keeping {
+            Some(keeping) => keeping.sends(now, class, name, engine),
+            None => Sending::Now,
+        };
+        let waits = matches!(sending, Sending::Waits(_));
+        request.attempts.push(Attempt { engine, conn: None, sent_at: now, deadline: None, waits });
+        match sending {
+            Sending::Now => self.dispatch(now, key, attempt, engine, give_up_at),
+            Sending::Not => self.over(key, attempt, Outcome::Unsent, false, None, None),
+            Sending::Waits(ticket) => {
+                let deadline = self.due.set(give_up_at, Due::Attempt(key, attempt));
+                request.attempts[attempt].deadline = Some(deadline);
+                let waiting = Waiting { ticket, since: now, request: key, attempt, engine, give_up_at };
+                self.keeping.iter_mut().for_each(|keeping| keeping.waits(waiting));
+            }
+        }
+    }
+
+    /// The first byte of an attempt may go out.
+    fn dispatch(&mut self, now: Micros, key: Key, attempt: usize, engine: EngineId, give_up_at: Micros) {
+        let Some(request) = self.requests.get_mut(key) else { return };
         let wait_ms = give_up_at.saturating_sub(now) / 1000;
         let serve = Serve {
             id: &request.id,
@@ -778,7 +849,6 @@
             rank: request.rank,
             statement: &request.statement,
         };
-        self.counters.sent += 1;
         let conn = match wait_ms {
             0 => Err(Outcome::Unsent),
             _ => {
@@ -786,11 +856,46 @@
                 self.engines.send(now, engine, tried, &serve, &mut self.due, &mut self.counters)
             }
         };
-        let deadline = conn.ok().map(|_| self.due.set(give_up_at, Due::Attempt(key, attempt)));
-        request.attempts.push(Attempt { engine, conn: conn.ok(), sent_at: now, deadline });
-        if let Err(outcome) = conn {
-            self.over(key, attempt, outcome, false, None, None);
+        match conn {
+            Ok(conn) => {
+                let own = &mut request.attempts[attempt];
+                own.conn = Some(conn);
+                let due = &mut self.due;
+                own.deadline.get_or_insert_with(|| due.set(give_up_at, Due::Attempt(key, attempt)));
+            }
+            Err(outcome) => self.over(key, attempt, outcome, false, None, None),
+        }
+    }
+
+    /// Intents that are durable let their sends go; those that wait for too long are refused.
+    fn keep_work(&mut self) {
+        let now = self.clock.now();
+        let Some(keeping) = &mut self.keeping else { return };
+        let (go, late) = (keeping.durable(), keeping.work(now));
+        if go.is_empty() && late.is_empty() {
+            return;
+        }
+        for Waiting { request, attempt, engine, give_up_at, .. } in go {
+            let tried = self.requests.get_mut(request).and_then(|own| own.attempts.get_mut(attempt));
+            // One that was given up meanwhile waits no more.
+            if tried.is_some_and(|tried| std::mem::take(&mut tried.waits)) {
+                self.dispatch(now, request, attempt, engine, give_up_at);
+            }
+        }
+        let wait = (eideryard_ledger::state::ADVICE / 1000).to_string();
+        for Waiting { request, attempt, .. } in late {
+            let own = self.requests.get(request);
+            let alone = own.is_some_and(|own| own.attempts.len() == 1 && own.attempts[0].waits);
+            self.give_up(request, attempt, Outcome::Unsent);
+            if alone {
+                let advice = [("why", "store stalled"), ("w", wait.as_str())];
+                let advice = if self.may_advise { &advice[..] } else { &advice[..1] };
+                self.turn_down(request, "TryLater", advice);
+                self.events.push_back(Event::ClientLeft { request: request.number() });
+            }
         }
+        self.settle();
+        self.flush();
     }
 
     /// Refused or failed.
@@ -828,6 +933,9 @@
                     .ok(),
             };
             self.tell_listed(entry, listed);
+            if let Some(keeping) = &mut self.keeping {
+                keeping.listed(entry.engine, entry.zone, entry.cell);
+            }
             let (due, heard) = (&mut self.due, &mut self.from_engines);
             self.engines.listed(entry.engine, address, entry.booted_at, due, heard);
         }
@@ -846,6 +954,9 @@
         // Engines come under new names all day: a name stays as long as its engine or a connection to it.
         self.engine_names.retain(|&engine, _| self.engines.knows(engine));
         self.last_listed.retain(|&engine, _| self.engines.knows(engine));
+        if let Some(keeping) = &mut self.keeping {
+            keeping.forget_engines(|engine| self.engines.knows(engine));
+        }
     }
 
     fn tell_listed(&mut self, entry: &Entry, listed: &Listed) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod deadlines;
 mod engines;
 mod gateway;
+mod keeping;
 mod link;
 mod requests;
 mod spooling;
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -79,6 +79,8 @@
     pub class: usize,
     pub tenant: usize,
     pub key: Option<Box<str>>,
+    /// Its client says that it asks again.
+    pub marked: bool,
     pub wait: Micros,
     pub work: Option<f64>,
     pub memory_mb: Option<f64>,
@@ -130,6 +132,7 @@
             class,
             tenant,
             key: key.map(Into::into),
+            marked: field("r") == Some("1"),
             wait: (wait * 1e3) as Micros,
             work: estimate("h", names.most_work / 1e3)?.map(|ms| ms * 1e3),
             memory_mb: estimate("ram", names.most_memory_mb)?,
@@ -146,6 +149,8 @@
     pub conn: Option<Key>,
     pub sent_at: Micros,
     pub deadline: Option<DeadlineKey>,
+    /// It waits until its intent is durable: no byte of it has gone out.
+    pub waits: bool,
 }
 
 pub struct Request {
@@ -256,7 +261,9 @@
 
     /// Frees the slot of a request that is over, unless an attempt of it is still out.
     pub fn give_back(&mut self, key: Key, due: &mut Deadlines) {
-        let over = |r: &Request| r.answered && r.attempts.iter().all(|attempt| attempt.conn.is_none());
+        let over = |r: &Request| {
+            r.answered && r.attempts.iter().all(|attempt| attempt.conn.is_none() && !attempt.waits)
+        };
         if !self.table.get(key).is_some_and(over) {
             return;
         }
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,14 @@
+//! Intents: which keyed and unsafe requests a gateway may have sent, where and since when, across its restarts.
+//!
+//! Pure: time in, writes and verdicts out; [`state`] decides, [`entry`] turns entries to bytes and back. The
+//! host makes an intent durable before the first byte of the request goes to an engine, asks for each
+//! request that comes what of it may have run, and tells the module, which decides by the same seven rules.
+//!
+//! Bounds: [`state::Limits::entries`] keys, each for its class's window and [`state::SLACK`] more after its
+//! last attempt; a full ledger refuses, and forgets nothing early.
+
+pub mod entry;
+pub mod state;
+
+pub use entry::{Intent, Place};
+pub use state::{Doubt, Ledger, Limits, Refusal, Wish};
--- /dev/null
+++ b/crates/ledger/src/state.rs
@@ -0,0 +1,262 @@
+//! What is decided of intents: whether a send may go, has to wait for the disk, or is refused; what of a request
+//! that comes may have run.
+
+use std::collections::{BTreeSet, HashMap};
+
+use eideryard::interface::{Class, Earlier, Effect, Micros, Scope};
+
+use crate::entry::{stored_key, Intent, Place};
+
+/// Kept so much longer than a window says: clocks, and what an engine still does after its last answer.
+pub const SLACK: Micros = 2_000_000;
+/// A send that has waited so long for the disk is refused, and nothing keyed is taken until it writes again.
+pub const STALL: Micros = 1_000_000;
+/// Who is refused for the disk's sake comes again after this, at the earliest.
+pub const ADVICE: Micros = 500_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Keys that are known at once.
+    pub entries: usize,
+}
+
+/// What a gateway may not know, since its store was not whole or its clock stepped back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Doubt {
+    None,
+    /// Whatever came before this time.
+    Before(Micros),
+}
+
+/// A write that the store is to make durable; nothing removes the key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wish {
+    pub key: Vec<u8>,
+    pub intent: Option<Intent>,
+}
+
+/// Why a keyed request is not taken now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// All entries are in use.
+    Full,
+    /// The disk has not written for [`STALL`], or fails.
+    Stalled,
+}
+
+impl Refusal {
+    pub fn name(self) -> &'static str {
+        match self {
+            Refusal::Full => "ledger full",
+            Refusal::Stalled => "store stalled",
+        }
+    }
+}
+
+struct Entry {
+    intent: Intent,
+    /// The ticket of the write that made it durable; 0 since before this start.
+    ticket: u64,
+}
+
+/// What is known of keys, by class.
+pub struct Ledger {
+    limits: Limits,
+    classes: Vec<Class>,
+    entries: HashMap<Vec<u8>, Entry>,
+    /// All keys, by when they may be dropped.
+    expiry: BTreeSet<(Micros, Vec<u8>)>,
+    doubt: Doubt,
+    /// The first write that is not durable, and since when.
+    waits_since: Option<Micros>,
+}
+
+/// Whether requests of a class are known by what they may have done.
+pub fn is_kept(class: &Class) -> bool {
+    class.effect != Effect::Safe
+}
+
+impl Ledger {
+    /// From what a store held, at the start of a gateway. `life` is when the store's knowledge begins.
+    pub fn restore(
+        limits: Limits,
+        classes: Vec<Class>,
+        found: impl Iterator<Item = (Vec<u8>, Intent)>,
+        life: Micros,
+        now: Micros,
+    ) -> Self {
+        let longest = classes.iter().filter(|class| is_kept(class)).map(|class| class.window).max();
+        let longest = longest.unwrap_or(0) + SLACK;
+        let doubt = match life.min(now) + longest > now {
+            true => Doubt::Before(life.min(now)),
+            false => Doubt::None,
+        };
+        let (entries, expiry) = (HashMap::new(), BTreeSet::new());
+        let mut ledger = Ledger { limits, classes, entries, expiry, doubt, waits_since: None };
+        let mut found: Vec<(Vec<u8>, Intent)> = found.collect();
+        for (_, intent) in &mut found {
+            // Its attempts went with the process that sent them, but may run on: as if they ended now.
+            if std::mem::take(&mut intent.out) > 0 {
+                intent.ran = true;
+                intent.until = intent.until.max(now + longest);
+            }
+            if intent.since > now {
+                // The clock stepped back: how old it is can't be told, nor when an engine forgets it.
+                (intent.since, intent.until) = (0, now + longest);
+            }
+        }
+        for (key, intent) in found {
+            ledger.expiry.insert((intent.until, key.clone()));
+            ledger.entries.insert(key, Entry { intent, ticket: 0 });
+        }
+        ledger
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    pub fn doubt(&self) -> Doubt {
+        self.doubt
+    }
+
+    /// What of a request that comes may have run before, for the module; or why it is not taken now.
+    pub fn arrives(
+        &mut self,
+        now: Micros,
+        class: usize,
+        key: Option<&str>,
+        marked: bool,
+        failing: bool,
+    ) -> Result<Vec<Earlier>, Refusal> {
+        let Some(own) = self.classes.get(class).filter(|class| is_kept(class)) else { return Ok(Vec::new()) };
+        let Some(key) = key else { return Ok(Vec::new()) };
+        if failing || self.is_stalled(now) {
+            return Err(Refusal::Stalled);
+        }
+        let nowhere = Earlier { zone: 0, cell: 0, since: 0 };
+        if let Some(entry) = self.entries.get(&stored_key(class, key)) {
+            let Intent { since, place, .. } = entry.intent;
+            return Ok(vec![Earlier { zone: place.zone, cell: place.cell, since }]);
+        }
+        if self.entries.len() >= self.limits.entries {
+            return Err(Refusal::Full);
+        }
+        // A retry that nothing is known of, at one who may have forgotten: it may have run anywhere. Where
+        // all engines drop its repeats that does no harm.
+        let may_be_forgotten = matches!(self.doubt, Doubt::Before(life) if now < life + own.window + SLACK);
+        let harmless = own.effect == Effect::Keyed && own.scope == Scope::All;
+        Ok(if marked && may_be_forgotten && !harmless { vec![nowhere] } else { Vec::new() })
+    }
+
+    /// A request is to be sent: what the store has to know, and whether the send waits until it does. A key
+    /// that is known to run in this scope since then needs no second flush. `durable` is the last ticket that
+    /// is. Nothing: no store needs to know of it.
+    pub fn sends(
+        &mut self,
+        now: Micros,
+        class: usize,
+        key: Option<&str>,
+        place: Place,
+        durable: u64,
+    ) -> Option<(Wish, bool)> {
+        let own = self.classes.get(class).filter(|class| is_kept(class))?;
+        let key = stored_key(class, key?);
+        let (scope, until) = (own.scope, now + own.window + SLACK);
+        let fresh = Intent { since: now, place, out: 0, ran: false, until: 0 };
+        let entry = self.entries.entry(key.clone()).or_insert(Entry { intent: fresh, ticket: u64::MAX });
+        let (before, intent) = (entry.intent, &mut entry.intent);
+        let same = match scope {
+            Scope::All => true,
+            Scope::Zone => before.place.zone == place.zone,
+            Scope::Cell => before.place.cell == place.cell,
+        };
+        if !same {
+            // At several places: no engine drops the repeats of both.
+            intent.since = 0;
+        }
+        intent.out += 1;
+        intent.until = before.until.max(until);
+        let waits = entry.ticket > durable || intent.since != before.since;
+        let intent = *intent;
+        self.dated(before.until, intent.until, &key);
+        Some((Wish { key, intent: Some(intent) }, waits))
+    }
+
+    fn dated(&mut self, before: Micros, until: Micros, key: &[u8]) {
+        if before != until {
+            self.expiry.remove(&(before, key.to_vec()));
+            self.expiry.insert((until, key.to_vec()));
+        }
+    }
+
+    /// The write of a send was handed over under a ticket.
+    pub fn handed(&mut self, now: Micros, key: &[u8], ticket: u64) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.ticket = ticket;
+        }
+        self.waits_since.get_or_insert(now);
+    }
+
+    /// Since when the oldest send waits that still does.
+    pub fn waits(&mut self, since: Option<Micros>) {
+        self.waits_since = since;
+    }
+
+    /// Writes have waited for so long that nothing keyed is taken.
+    pub fn is_stalled(&self, now: Micros) -> bool {
+        self.waits_since.is_some_and(|since| now >= since + STALL)
+    }
+
+    /// An attempt has its end. One that never ran leaves nothing, if it was the only one; the write may wait.
+    pub fn ended(&mut self, now: Micros, class: usize, key: Option<&str>, never_ran: bool) -> Option<Wish> {
+        let own = self.classes.get(class).filter(|class| is_kept(class))?;
+        let (key, window) = (stored_key(class, key?), own.window);
+        let entry = self.entries.get_mut(&key)?;
+        let (before, intent) = (entry.intent, &mut entry.intent);
+        intent.out = intent.out.saturating_sub(1);
+        intent.ran |= !never_ran;
+        if intent.out == 0 && !intent.ran {
+            self.expiry.remove(&(before.until, key.clone()));
+            self.entries.remove(&key);
+            return Some(Wish { key, intent: None });
+        }
+        intent.until = before.until.max(now + window + SLACK);
+        let intent = *intent;
+        self.dated(before.until, intent.until, &key);
+        Some(Wish { key, intent: Some(intent) })
+    }
+
+    /// Forgets keys whose windows are over; gives those that the store may forget.
+    pub fn expire(&mut self, now: Micros) -> Vec<Wish> {
+        let mut gone = Vec::new();
+        while self.expiry.first().is_some_and(|(until, _)| *until <= now) {
+            let Some((until, key)) = self.expiry.pop_first() else { break };
+            match self.entries.get_mut(&key) {
+                // An attempt that is out is looked at again when it may be over.
+                Some(entry) if entry.intent.out > 0 => {
+                    entry.intent.until = until + SLACK;
+                    self.expiry.insert((until + SLACK, key));
+                }
+                _ => {
+                    self.entries.remove(&key);
+                    gone.push(Wish { key, intent: None });
+                }
+            }
+        }
+        let longest = self.classes.iter().filter(|class| is_kept(class)).map(|class| class.window).max();
+        if matches!(self.doubt, Doubt::Before(life) if now >= life + longest.unwrap_or(0) + SLACK) {
+            self.doubt = Doubt::None;
+        }
+        gone
+    }
+
+    /// When [`Ledger::expire`] has something to do.
+    pub fn due(&self) -> Option<Micros> {
+        self.expiry.first().map(|(until, _)| *until)
+    }
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -82,6 +82,18 @@
         "none",
         "The secret before it: its tokens are taken still.",
     ),
+    Spec::new(
+        "store-dir",
+        &[Kind::Path],
+        "no store",
+        "Directory of this gateway's durable state, one for each; it is made where it is missing. Turns it on.",
+    ),
+    Spec::new(
+        "store-budget",
+        &[Kind::Size { least: MB, most: 1 << 40 }],
+        "64MB",
+        "Bytes of the store's files at the most; a third of them may be live.",
+    ),
     Spec::new(
         "log-level",
         &[Kind::Choice(&["error", "warn", "info", "debug", "trace"])],
@@ -112,6 +124,13 @@
     pub segment_time: u64,
 }
 
+/// Durable state: where, and how much.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StorePlan {
+    pub directory: PathBuf,
+    pub budget: u64,
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Log {
     pub level: Option<String>,
@@ -148,6 +167,7 @@
 pub struct Operator {
     pub record: Option<Record>,
     pub spool: Option<SpoolPlan>,
+    pub store: Option<StorePlan>,
     pub log: Log,
 }
 
@@ -221,10 +241,16 @@
                 })
             }
         };
+        let store = text("store-dir").map(PathBuf::from);
+        if let Some(setting) = setting("store-budget").filter(|_| store.is_none()) {
+            let hint = "add store-dir PATH, which turns it on";
+            return Err(Fault::new(setting.place.clone(), "'store-budget' without a store", hint));
+        }
         let targets = settings.iter().filter(|setting| setting.name == "log-target");
         let target = |s: &Setting| (s.values[0].text().to_string(), s.values[1].text().to_string());
         Ok(Operator {
             spool,
+            store: store.map(|directory| StorePlan { directory, budget: number("store-budget", 64 * MB) }),
             record: directory.map(|directory| Record {
                 directory,
                 budget,
--- a/crates/record/src/codec.rs
+++ b/crates/record/src/codec.rs
@@ -37,6 +37,8 @@
     pub const PROBED: u8 = 8;
     pub const CLIENT_LEFT: u8 = 9;
     pub const TIMER: u8 = 10;
+    /// `ARRIVED` of one that may have run before.
+    pub const ARRIVED_AGAIN: u8 = 11;
     pub const TERMS: u8 = 20;
     pub const SEND: u8 = 21;
     pub const PROBE: u8 = 22;
@@ -159,6 +161,9 @@
     }
 }
 
+/// Earlier attempts of one request that are told; whatever says more is damage.
+const MOST_EARLIER: usize = 64;
+
 const OUTCOMES: [Outcome; 8] = [
     Outcome::Answered,
     Outcome::Error,
@@ -236,7 +241,16 @@
                 put_reals(out, &[r.work, r.memory_mb]);
                 put_number(out, r.group);
                 put_text(out, r.key.as_deref().unwrap_or(""));
-                kind::ARRIVED
+                if r.earlier.is_empty() {
+                    return kind::ARRIVED;
+                }
+                put_number(out, r.earlier.len() as u64);
+                for earlier in &r.earlier {
+                    put_number(out, earlier.zone.into());
+                    put_number(out, earlier.cell.into());
+                    put_number(out, earlier.since);
+                }
+                kind::ARRIVED_AGAIN
             }
             Event::StreamBegan { request } => {
                 self.put_request(out, *request);
@@ -710,13 +724,29 @@
             kind::FULL_LIST => Event::FullList(self.entries()?),
             kind::LIST_CHANGES => Event::ListChanges(self.entries()?),
             kind::LIST_FAILED => Event::ListFailed,
-            kind::ARRIVED => {
+            kind::ARRIVED | kind::ARRIVED_AGAIN => {
                 let (id, class, tenant) = (self.request()?, self.place()?, self.place()?);
                 let deadline = self.after(at)?;
                 let [work, memory_mb] = self.reals()?;
                 let group = self.number()?;
                 let key = Some(self.text()?).filter(|key| !key.is_empty()).map(str::to_string);
-                Event::Arrived(i::Request { id, class, tenant, key, deadline, work, memory_mb, group })
+                let count = if kind == kind::ARRIVED { 0 } else { self.length(MOST_EARLIER)? };
+                let mut earlier = Vec::new();
+                for _ in 0..count {
+                    let (zone, cell, since) = (self.number()? as u32, self.number()? as u32, self.number()?);
+                    earlier.push(i::Earlier { zone, cell, since });
+                }
+                Event::Arrived(i::Request {
+                    id,
+                    class,
+                    tenant,
+                    key,
+                    deadline,
+                    work,
+                    memory_mb,
+                    group,
+                    earlier,
+                })
             }
             kind::STREAM_BEGAN => Event::StreamBegan { request: self.request()? },
             kind::NOTED => {
--- a/crates/record/tests/common/mod.rs
+++ b/crates/record/tests/common/mod.rs
@@ -80,6 +80,13 @@
             work: rng.bool().then(|| real(rng)),
             memory_mb: rng.bool().then(|| real(rng)),
             group: rng.u64(0..500),
+            earlier: (0..rng.usize(0..3))
+                .map(|_| eideryard::interface::Earlier {
+                    zone: rng.u32(0..9),
+                    cell: rng.u32(..),
+                    since: rng.u64(..),
+                })
+                .collect(),
         })),
         7 => Entry::In(Event::StreamBegan { request: id }),
         8 => {
@@ -294,6 +301,7 @@
         key: None,
         deadline: begin + 1_500_000,
         work: Some(812_000.0 + number as f64 * 100.0),
+        earlier: Vec::new(),
         memory_mb: Some(96.0),
         group: 17,
     };
--- /dev/null
+++ b/crates/store/src/recovery.rs
@@ -0,0 +1,228 @@
+//! Segment files to a state: what holds, up to where, and what is not trusted. Pure.
+//!
+//! The newest whole snapshot is taken, and behind it each log in order. A log may end in a torn frame: what
+//! was not flushed. But what the next segment says came before it must be there: less is damage, and the
+//! state is that up to it.
+
+use std::collections::BTreeMap;
+
+use crate::frame::{self, Bad, Batch, Frame, Head, Write};
+
+/// A live key's value, and when it is dropped (0: never).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Value {
+    pub bytes: Box<[u8]>,
+    pub until_ms: u64,
+}
+
+pub type Keys = BTreeMap<Box<[u8]>, Value>;
+
+/// How far what was found is to be trusted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Trust {
+    /// Nothing was there: a new store, or one that was wiped.
+    New,
+    /// All that was ever acknowledged is there.
+    Whole,
+    /// It holds what it held at some time, but it is not the directory that was written then.
+    Copy,
+    /// It holds up to a point, and something behind it is gone.
+    Damaged { segment: String, at: u64 },
+}
+
+/// What was there, in figures.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found {
+    pub trust: Trust,
+    pub identity: u64,
+    /// When this life of the store began, in Unix milliseconds: when it was made, or found not to be whole. What
+    /// happened before it may not be known here.
+    pub life_ms: u64,
+    /// How often the store was opened, this time included.
+    pub start: u64,
+    /// When the last segment was begun.
+    pub last_at_ms: u64,
+    pub keys: usize,
+    /// Bytes at the end of logs that were never whole: writes that nobody was told were durable.
+    pub torn: u64,
+}
+
+#[derive(Debug, thiserror::Error)]
+pub enum Unusable {
+    #[error("another process has the store; stop it, or name another directory with store-dir")]
+    InUse,
+    #[error("{segment} can't be used: {why}; {remedy}")]
+    Segment { segment: String, why: Bad, remedy: &'static str },
+    #[error(
+        "the store has lost its beginning: {segment} follows batch {after}, which no snapshot holds; move the \
+         directory away, the gateway then starts as a stranger"
+    )]
+    NoBeginning { segment: String, after: u64 },
+    #[error("{segment} belongs to another store; put one store's files into a directory, not two's")]
+    Mixed { segment: String },
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// A file's name, by the segment's number.
+pub fn name(number: u64) -> String {
+    format!("{number:016x}.seg")
+}
+
+/// The number that a file's name tells, if it is a segment's.
+pub fn number(name: &str) -> Option<u64> {
+    u64::from_str_radix(name.strip_suffix(".seg")?, 16).ok().filter(|_| name.len() == 20)
+}
+
+pub fn put(keys: &mut Keys, write: Write) {
+    let key = write.key.into_boxed_slice();
+    match write.value {
+        Some(value) => {
+            let value = Value { bytes: value.into_boxed_slice(), until_ms: write.until_ms };
+            _ = keys.insert(key, value);
+        }
+        None => _ = keys.remove(&key),
+    }
+}
+
+fn apply(keys: &mut Keys, batch: Batch) {
+    batch.writes.into_iter().for_each(|write| put(keys, write));
+}
+
+/// The state that segments hold.
+#[derive(Debug)]
+pub struct Recovered {
+    pub keys: Keys,
+    /// The last batch that holds.
+    pub last: u64,
+    /// The newest segment's head, if there was one.
+    pub newest: Option<Head>,
+    pub damaged: Option<(String, u64)>,
+    pub torn: u64,
+    /// Bytes of the logs behind the snapshot.
+    pub log_bytes: u64,
+}
+
+struct Segment<'a> {
+    name: &'a str,
+    head: Head,
+    frames: usize,
+    bytes: &'a [u8],
+}
+
+impl Segment<'_> {
+    /// All frames up to one that can't be read; and where that is.
+    fn read(&self, mut each: impl FnMut(Frame) -> bool) -> usize {
+        let mut at = self.frames;
+        while let Some((frame, length)) = frame::read(&self.bytes[at..]) {
+            if !each(frame) {
+                break;
+            }
+            at += length;
+        }
+        at
+    }
+
+    /// The keys of a snapshot, if it is whole.
+    fn snapshot(&self) -> Option<Keys> {
+        let (mut keys, mut writes, mut whole) = (Keys::new(), 0u64, false);
+        self.read(|frame| {
+            match frame {
+                Frame::Part(batch) if !whole => {
+                    writes += batch.writes.len() as u64;
+                    apply(&mut keys, batch);
+                }
+                Frame::Whole(count) => whole = count == writes,
+                _ => return false,
+            }
+            true
+        });
+        whole.then_some(keys)
+    }
+}
+
+/// Folds the files of a directory, by name and content, in the order of their names.
+pub fn recover(files: &[(String, Vec<u8>)]) -> Result<Recovered, Unusable> {
+    let mut segments = Vec::new();
+    for (name, bytes) in files {
+        match frame::read_head(bytes) {
+            Ok((head, frames)) => segments.push(Segment { name, head, frames, bytes }),
+            // A crash or a fault while it was begun leaves a head that was never whole, and no frame behind it.
+            Err(_) if bytes.len() <= frame::HEAD => {}
+            Err(why) => {
+                let remedy = match why {
+                    Bad::Version(_) => "use the program that wrote it, or move the directory away",
+                    _ => "move the directory away; the gateway then starts as a stranger",
+                };
+                return Err(Unusable::Segment { segment: name.clone(), why, remedy });
+            }
+        }
+    }
+    let first = segments.first().map(|segment| segment.head.identity);
+    if let Some(other) = segments.iter().find(|segment| Some(segment.head.identity) != first) {
+        return Err(Unusable::Mixed { segment: other.name.to_string() });
+    }
+    let mut recovered = Recovered {
+        keys: Keys::new(),
+        last: 0,
+        newest: segments.last().map(|segment| segment.head),
+        damaged: None,
+        torn: 0,
+        log_bytes: 0,
+    };
+    let mut from = 0;
+    let snapshots = segments.iter().enumerate().rev().filter(|(_, segment)| segment.head.snapshot);
+    for (place, segment) in snapshots {
+        if let Some(keys) = segment.snapshot() {
+            (recovered.keys, recovered.last, from) = (keys, segment.head.after, place + 1);
+            break;
+        }
+    }
+    let mut logs = 0;
+    for segment in segments.iter().skip(from).filter(|own| !own.head.snapshot) {
+        if segment.head.after > recovered.last {
+            return missing(recovered, segment, from == 0 && logs == 0);
+        }
+        logs += 1;
+        recovered.log_bytes += segment.bytes.len() as u64;
+        let (last, keys) = (&mut recovered.last, &mut recovered.keys);
+        let end = segment.read(|frame| match frame {
+            Frame::Batch(number, _, batch) if number == *last + 1 => {
+                apply(keys, batch);
+                *last = number;
+                true
+            }
+            // Batches that an earlier segment told too: its writer saw them fail and wrote them again.
+            Frame::Batch(number, ..) => number <= *last,
+            _ => false,
+        });
+        if end == segment.bytes.len() {
+            continue;
+        }
+        // Something can't be read here. It was never flushed, unless a frame behind it was written when more
+        // than there is was durable: then it is damage.
+        let (rest, last) = (&segment.bytes[end..], recovered.last);
+        let knew_more =
+            |skip| matches!(frame::read(&rest[skip..]), Some((Frame::Batch(_, had, _), _)) if had > last);
+        if (1..rest.len()).any(knew_more) {
+            recovered.damaged = Some((segment.name.to_string(), end as u64));
+            return Ok(recovered);
+        }
+        recovered.torn += rest.len() as u64;
+    }
+    // What was acknowledged when a segment was begun is there, whatever has become of that segment.
+    match segments.iter().rev().find(|segment| segment.head.acknowledged > recovered.last) {
+        Some(segment) => missing(recovered, segment, from == 0 && logs == 0),
+        None => Ok(recovered),
+    }
+}
+
+/// What came before a segment is not there: nothing at all, or something in between.
+fn missing(mut recovered: Recovered, segment: &Segment, all: bool) -> Result<Recovered, Unusable> {
+    let (segment, after) = (segment.name.to_string(), segment.head.after);
+    if all {
+        return Err(Unusable::NoBeginning { segment, after });
+    }
+    recovered.damaged = Some((segment, 0));
+    Ok(recovered)
+}
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -225,6 +225,7 @@
         work: (options & 1 != 0 && work > 0.0).then_some(work),
         memory_mb: (memory > 0.0).then_some(memory),
         group: fields.or("schema-no", 0.0)? as u64,
+        earlier: Vec::new(),
     })
 }
 
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -192,9 +192,10 @@
         self.actions.push(Action::SetTimer { after: end_by - self.now, tag: end_tag(req.id) });
         self.queue.insert((due, req.id), req.class);
         let held = Held { req, work, ideal, memory, due, end_by, worth, ..Default::default() };
+        let over = !self.may_repeat(&held); // It may have run before, at a place or a time that forbids a repeat
         self.requests.insert(id, held);
         // Work that cannot end in time only holds what others need, for long where no cancel is heeded.
-        if self.now as f64 + ideal > end_by as f64 {
+        if over || self.now as f64 + ideal > end_by as f64 {
             return self.end(id, 0);
         }
         let known = &mut self.learned[class_id].work;
@@ -523,7 +524,7 @@
     /// Effects: whether any engine at all may still be sent this.
     fn may_repeat(&self, held: &Held) -> bool {
         let class = &self.set.classes[held.req.class];
-        let first = held.attempts.iter().filter(|a| a.state != State::NeverRan).map(|a| a.sent_at).min();
+        let first = held.may_have_run().map(|ran| ran.since).min();
         match class.effect {
             Effect::Safe => true,
             Effect::Unsafe => first.is_none(),
@@ -533,16 +534,15 @@
 
     /// Effects: what an earlier attempt may have done decides where a further one may go.
     fn effect_allows(&self, held: &Held, class: &Class, engine: &Engine) -> bool {
-        let same = |a: &Attempt| match class.scope {
+        let same = |ran: Earlier| match class.scope {
             Scope::All => true,
-            Scope::Zone => a.entry.zone == engine.entry.zone,
-            Scope::Cell => a.entry.cell == engine.entry.cell,
+            Scope::Zone => ran.zone == engine.entry.zone,
+            Scope::Cell => ran.cell == engine.entry.cell,
         };
-        let mut ran = held.attempts.iter().filter(|a| a.state != State::NeverRan);
         let out = held.attempts.iter().any(|a| a.state == State::Out);
         (!out || self.set.may_duplicate)
             && self.may_repeat(held)
-            && (class.effect != Effect::Keyed || ran.all(same))
+            && (class.effect != Effect::Keyed || held.may_have_run().all(same))
     }
 
     /// Order: only the first of its key that is not over, and after the pause that its forerunner left.
@@ -786,7 +786,7 @@
         };
         held.ended = true;
         let class = &self.set.classes[held.req.class];
-        let ran = held.attempts.iter().any(|a| a.state != State::NeverRan);
+        let ran = held.may_have_run().next().is_some();
         let known_to_all = class.effect == Effect::Keyed && class.scope == Scope::All;
         let may_refuse = !ran || class.effect == Effect::Safe || known_to_all;
         let retry_after = if self.set.may_advise { retry_after.min(self.set.max_advice) } else { 0 };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,6 +135,15 @@
     pub booted_at: Micros,
 }
 
+/// An attempt that an earlier life of this gateway, or another gateway, may have made of a request: its engine's
+/// scope, and since when it may have run. A time of 0 says that neither is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Earlier {
+    pub zone: u32,
+    pub cell: u32,
+    pub since: Micros,
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Request {
     pub id: RequestId,
@@ -146,6 +155,8 @@
     pub work: Option<f64>,
     pub memory_mb: Option<f64>,
     pub group: u64,
+    /// What of it may have run before it came here.
+    pub earlier: Vec<Earlier>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,13 @@
         self.attempts.iter().filter(|a| a.erred).map(|a| a.entry.engine)
     }
 
+    /// What may have run: scope and since when, of its attempts and of those before it came here.
+    pub(crate) fn may_have_run(&self) -> impl Iterator<Item = Earlier> + use<'_> {
+        let own = self.attempts.iter().filter(|a| a.state != State::NeverRan);
+        let own = own.map(|a| Earlier { zone: a.entry.zone, cell: a.entry.cell, since: a.sent_at });
+        own.chain(self.req.earlier.iter().copied())
+    }
+
     pub(crate) fn erred_at_several(&self) -> bool {
         self.erred_at().any(|engine| Some(engine) != self.erred_at().next())
     }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -74,6 +74,7 @@
         work: Some(100.0 * MS as f64),
         memory_mb: Some(10.0),
         group: 1,
+        earlier: Vec::new(),
     }
 }
 
