--- a/crates/command/src/arguments.rs
+++ b/crates/command/src/arguments.rs
@@ -38,6 +38,11 @@
         #[command(subcommand)]
         what: RecordsCommand,
     },
+    /// Look into a gateway's store, while no gateway has it
+    Store {
+        #[command(subcommand)]
+        what: StoreCommand,
+    },
     /// Watch gateways through their records, live or at any time that they hold
     Console {
         #[arg(required = true, value_name = "DIR")]
@@ -75,6 +80,25 @@
     pub to: Option<Moment>,
 }
 
+#[derive(Subcommand)]
+pub enum StoreCommand {
+    /// Read all of it and say what it holds, and what of it a gateway would trust; change nothing
+    Check {
+        #[arg(value_name = "DIR")]
+        directory: PathBuf,
+    },
+    /// Print every key, one a line; change nothing
+    Dump {
+        #[arg(value_name = "DIR")]
+        directory: PathBuf,
+    },
+    /// Rewrite it as one snapshot, without what has expired
+    Compact {
+        #[arg(value_name = "DIR")]
+        directory: PathBuf,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum RecordsCommand {
     /// Read all of it, say what is damaged or missing, and hold what was counted against the gateways' own
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -5,9 +5,10 @@
 mod logger;
 mod moment;
 mod records;
+mod store;
 mod view;
 
-use arguments::{Arguments, Command, RecordsCommand};
+use arguments::{Arguments, Command, RecordsCommand, StoreCommand};
 use clap::{CommandFactory, Parser};
 use eideryard_operator::Operator;
 use std::process::ExitCode;
@@ -23,6 +24,11 @@
             RecordsCommand::Find { id, directories } => records::find(&id, &directories),
             RecordsCommand::Dump { directories } => records::dump(&directories),
         },
+        Command::Store { what } => match what {
+            StoreCommand::Check { directory } => store::check(&directory),
+            StoreCommand::Dump { directory } => store::dump(&directory),
+            StoreCommand::Compact { directory } => store::compact(&directory),
+        },
         Command::Console { directories, at } => {
             view::moment(&directories, at).and_then(|at| eideryard_console::run(&directories, at))
         }
--- a/crates/command/tests/common/mod.rs
+++ b/crates/command/tests/common/mod.rs
@@ -68,18 +68,27 @@
 
     /// With more lines in the operator's file.
     pub fn start_with(config: &Value, operator: &str) -> Self {
+        let mut running = Self::launched(config, operator);
+        running.listens();
+        running
+    }
+
+    /// What it says before it listens is there to be read.
+    pub fn launched(config: &Value, operator: &str) -> Self {
         let (child, log, config) = launch(config, operator);
-        let mut running = Running {
-            child,
-            config,
-            address: "127.0.0.1:0".parse().expect("an address"),
-            log,
-            counted: None,
-        };
-        let line = running.line_with("listens on ");
+        let address = "127.0.0.1:0".parse().expect("an address");
+        Running { child, config, address, log, counted: None }
+    }
+
+    pub fn listens(&mut self) {
+        let line = self.line_with("listens on ");
         let address = line.rsplit(' ').next().expect("a last word");
-        running.address = address.parse().expect("the log names the address");
-        running
+        self.address = address.parse().expect("the log names the address");
+    }
+
+    pub fn kill(mut self) {
+        self.child.kill().expect("the gateway runs");
+        self.child.wait().expect("it ends");
     }
 
     /// The next line of the log that holds a text.
@@ -103,8 +112,12 @@
     }
 
     pub fn counters(&mut self) -> BTreeMap<String, u64> {
+        counters(&self.counters_line())
+    }
+
+    pub fn counters_line(&mut self) -> String {
         self.signal(Signal::USR1);
-        counters(&self.line_with("counters:"))
+        self.line_with("counters:")
     }
 
     /// Puts other text in the place of the configuration, or takes the file away, and sends SIGHUP.
--- a/crates/fleet-rig/src/check/mod.rs
+++ b/crates/fleet-rig/src/check/mod.rs
@@ -274,7 +274,7 @@
     service::measure(facts, &history, &mut verdict);
     for name in crashed {
         let about = About::Gateway(name.as_str().into());
-        let text = format!("{name} ended though nobody told it to");
+        let text = format!("{name} ended though nobody told it to, or didn't when it was told");
         verdict.add(Break { rule: Rule::Crash, about, from: history.last, to: history.last, text });
     }
     verdict
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -37,6 +37,9 @@
     /// Where a rule is broken, drops faults one by one and prints the smallest plan that still breaks it.
     #[arg(long)]
     minimize: bool,
+    /// Plays the same plan without what the case is for, as a baseline.
+    #[arg(long)]
+    off: bool,
     /// Prints the plan and plays nothing.
     #[arg(long)]
     plan: bool,
@@ -75,7 +78,7 @@
             plan
         }
         (None, Some(case)) => {
-            plan::draw(case, arguments.seed, arguments.gateways as usize, arguments.seconds)
+            plan::draw(case, arguments.seed, arguments.gateways as usize, arguments.seconds, !arguments.off)
         }
         (None, None) => return Err("name a case or a scenario".into()),
     };
--- a/crates/fleet-rig/src/plan.rs
+++ b/crates/fleet-rig/src/plan.rs
@@ -76,28 +76,32 @@
     rng: StdRng,
     gateways: Vec<String>,
     engines: Vec<String>,
-    /// Until when each gateway and engine has a fault of its process, in milliseconds.
-    busy: Vec<(String, u64)>,
+    /// From when to when each gateway and engine has a fault of its process, in milliseconds, and how far others
+    /// keep away.
+    busy: Vec<(String, u64, u64)>,
+    apart: u64,
     from: u64,
     until: u64,
     faults: Vec<(u64, String)>,
 }
 
-/// The plan of a case for a seed: always the same.
-pub fn draw(case: Case, seed: u64, gateways: usize, seconds: u64) -> Plan {
+/// The plan of a case for a seed: always the same. `on`: with what the case is for; without it the faults and
+/// loads are the same.
+pub fn draw(case: Case, seed: u64, gateways: usize, seconds: u64, on: bool) -> Plan {
     let gateway_names: Vec<String> = (1..=gateways).map(|number| format!("g{number}")).collect();
     let mut draw = Draw {
         rng: StdRng::seed_from_u64(seed.wrapping_mul(0x9e37_79b9) ^ case as u64),
         engines: ["a", "b", "c"].iter().flat_map(|cell| [1, 2].map(|n| format!("{cell}-{n}"))).collect(),
         gateways: gateway_names,
         busy: Vec::new(),
+        apart: if case == Case::Store { 400 } else { 2_500 },
         from: QUIET_BEGIN.min(seconds * 200),
         until: (seconds * 1000).saturating_sub(QUIET_END).max(seconds * 400),
         faults: Vec::new(),
     };
     let count = (draw.until - draw.from) as usize / 1000;
     match case {
-        Case::Store => (0..2 * count).for_each(|_| draw.kill_gateway("kept")),
+        Case::Store => (0..8 * count).for_each(|_| draw.kill_gateway("kept")),
         Case::Copies => (0..count).for_each(|_| draw.of_copies()),
         Case::Owner => (0..count.div_ceil(2)).for_each(|_| draw.of_owner()),
         Case::Power => draw.power(),
@@ -105,12 +109,12 @@
     }
     draw.faults.sort();
     let faults = draw.faults.into_iter().map(|(at, fault)| format!("at {at}ms {fault}")).collect();
-    Plan { head: head(case, seed, &draw.gateways, seconds), faults }
+    Plan { head: head(case, seed, &draw.gateways, seconds, on), faults }
 }
 
 /// Six engines in three cells that each know their own keys; clients of safe, keyed, unsafe and ordered
 /// classes that take a little under half of the cores.
-fn head(case: Case, seed: u64, gateways: &[String], seconds: u64) -> String {
+fn head(case: Case, seed: u64, gateways: &[String], seconds: u64, on: bool) -> String {
     let back = if case == Case::Store { "same" } else { "other" };
     let mut head = format!("# Case {}, seed {seed}.\nseed {seed}\ntime {seconds}s\n", case.name());
     head += "class report {\n    effect safe\n}\nclass booking {\n    effect keyed\n    scope cell\n    \
@@ -123,7 +127,11 @@
         );
     }
     for name in gateways {
-        head += &format!("gateway {name} {{\n    memory 64MB\n}}\n");
+        let store = match on && case == Case::Store {
+            true => "    operator \"store-dir {directory}/store\"\n",
+            false => "",
+        };
+        head += &format!("gateway {name} {{\n    memory 64MB\n{store}}}\n");
     }
     let load = |name: &str, class: &str, rate: u64, work: u64, more: &str| {
         format!(
@@ -133,7 +141,8 @@
     };
     let returns = format!("    returns 2\n    back {back}\n    marked 70%\n");
     head += &load("reports", "report", 60, 60, &returns);
-    head += &load("bookings", "booking", 25, 250, &format!("{returns}    late 5%\n"));
+    let bookings = if case == Case::Store { 40 } else { 25 };
+    head += &load("bookings", "booking", bookings, 250, &format!("{returns}    late 5%\n"));
     head += &load("payments", "payment", 10, 100, "");
     head + &load("entries", "entry", 8, 40, "    keys 6\n")
 }
@@ -154,12 +163,14 @@
     /// One whose process has no other fault in a time; its own lasts that long from now on.
     fn free(&mut self, engines: bool, at: u64, until: u64) -> Option<String> {
         let all = if engines { &self.engines } else { &self.gateways };
-        // Faults are drawn in any order: a little room on both sides keeps them apart.
-        let apart = |(own, from): &(String, u64), name: &str| own != name || from.abs_diff(at) > 4_000;
+        // Faults are drawn in any order.
+        let apart = |(own, from, to): &(String, u64, u64), name: &str| {
+            own != name || at > to + self.apart || until + self.apart < *from
+        };
         let free: Vec<&String> =
             all.iter().filter(|name| self.busy.iter().all(|busy| apart(busy, name))).collect();
         let name = (*free.choose(&mut self.rng)?).clone();
-        self.busy.push((name.clone(), at.midpoint(until)));
+        self.busy.push((name.clone(), at, until));
         Some(name)
     }
 
@@ -169,7 +180,7 @@
 
     /// Killed, and started again with its directory `kept`, `wiped` or `old`.
     fn kill_gateway(&mut self, directory: &str) {
-        let (at, down) = (self.time(), self.lasts(200..1_500));
+        let (at, down) = (self.time(), self.lasts(100..1_500.min(2 * self.apart)));
         let Some(name) = self.free(false, at, at + down) else { return };
         self.put(at, format!("kill-gateway {name}"));
         match directory {
@@ -317,11 +328,11 @@
     fn every_plan_can_be_read_and_comes_of_its_seed_alone() {
         for case in CASES {
             let plans: Vec<Plan> =
-                (0..200).map(|seed| draw(case, seed, 3 + seed as usize % 10, 20)).collect();
+                (0..200).map(|seed| draw(case, seed, 3 + seed as usize % 10, 20, true)).collect();
             for (seed, plan) in plans.iter().enumerate() {
                 plan.scenario("drawn").unwrap_or_else(|e| panic!("{e}\n{plan}"));
                 assert!(!plan.faults.is_empty(), "seed {seed}");
-                assert_eq!(*plan, draw(case, seed as u64, 3 + seed % 10, 20));
+                assert_eq!(*plan, draw(case, seed as u64, 3 + seed % 10, 20, true));
                 assert_eq!(Plan::of_text(&plan.to_string()), *plan);
             }
             assert!(plans.windows(2).all(|pair| pair[0] != pair[1]));
@@ -330,7 +341,7 @@
 
     #[test]
     fn mixed_plans_hold_every_kind_of_fault() {
-        let all: String = (0..60).map(|seed| draw(Case::Mix, seed, 5, 20).faults.join("\n")).collect();
+        let all: String = (0..60).map(|seed| draw(Case::Mix, seed, 5, 20, true).faults.join("\n")).collect();
         for fault in [
             "kill-gateway",
             "stop-gateway",
@@ -350,8 +361,10 @@
         ] {
             assert!(all.contains(fault), "no {fault}");
         }
-        let power: String = (0..60).map(|seed| draw(Case::Power, seed, 5, 20).faults.join("\n")).collect();
-        let twice = |seed| draw(Case::Power, seed, 5, 20).to_string().matches("power-loss").count() == 2;
+        let power: String =
+            (0..60).map(|seed| draw(Case::Power, seed, 5, 20, true).faults.join("\n")).collect();
+        let twice =
+            |seed| draw(Case::Power, seed, 5, 20, true).to_string().matches("power-loss").count() == 2;
         assert!(power.contains("put-back-directory") && (0..60).any(twice));
     }
 }
--- a/crates/fleet-rig/src/processes.rs
+++ b/crates/fleet-rig/src/processes.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// It runs, and nobody told it to end.
+    pub fn is_running(&self, name: &str) -> bool {
+        self.running.get(name).is_some_and(|running| !running.wanted)
+    }
+
     /// Those that ended though nobody told them to.
     pub fn crashed(&mut self) -> Vec<String> {
         let ended = |running: &mut Running| matches!(running.child.try_wait(), Ok(Some(_)));
--- a/crates/fleet-rig/src/world.rs
+++ b/crates/fleet-rig/src/world.rs
@@ -33,7 +33,7 @@
 pub struct Played {
     pub ledger: Ledger,
     pub endings: Vec<Ending>,
-    /// Gateways that ended though nobody told them to.
+    /// Gateways that ended though nobody told them to, or didn't end when they were.
     pub crashed: Vec<String>,
 }
 
@@ -267,9 +267,15 @@
                 step.names.iter().for_each(|name| self.signal(name, Signal::TERM, Process::Stopping))
             }
             "start-gateway" => {
-                for name in &step.names {
-                    self.ended(name).await?;
-                    self.start_gateway(name).await?;
+                for name in step
+                    .names
+                    .iter()
+                    .filter(|name| !self.processes.is_running(name))
+                    .cloned()
+                    .collect::<Vec<_>>()
+                {
+                    self.ended(&name).await?;
+                    self.start_gateway(&name).await?;
                 }
             }
             "pause-gateway" => {
@@ -428,6 +434,7 @@
         self.processes.signal(name, Signal::CONT);
         if !self.processes.ended(name).await? {
             self.ledger.borrow_mut().break_rule(format!("gateway {name} doesn't end"));
+            self.crashed.push(name.to_string());
         }
         self.links.iter().for_each(|links| links.lead_to(name, None));
         self.note(name, Process::Ended);
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -34,6 +34,9 @@
 const GRACE: Duration = Duration::from_secs(2);
 /// After a loss a client comes again within this time, at random.
 const COMES_BACK: (f64, f64) = (0.05, 0.5);
+/// How often and how long a client that comes again to the same gateway looks whether it is back.
+const LOOKS_EVERY: Duration = Duration::from_millis(50);
+const LOOKS_AGAIN: usize = 60;
 /// Who comes before the advice is over comes after this part of it.
 const HASTY: f64 = 0.3;
 /// Who comes after the window comes so long after it.
@@ -168,7 +171,17 @@
             self.count(|answers| answers.asked += 1);
             asked.id = format!("{:016x}", self.rng.borrow_mut().random::<u64>());
             let wanted = before.clone().filter(|_| losses > 0).map(|gateway| (gateway, self.spec.back));
-            let Some(line) = self.line(wanted).await else {
+            let mut line = self.line(wanted.clone()).await;
+            // Who comes again to the same one waits until it is back.
+            let insists = matches!(wanted, Some((_, Back::Same)));
+            for _ in 0..if insists { LOOKS_AGAIN } else { 0 } {
+                if line.is_some() {
+                    break;
+                }
+                sleep(LOOKS_EVERY).await;
+                line = self.line(wanted.clone()).await;
+            }
+            let Some(line) = line else {
                 let (load, key) = (self.name.clone(), asked.key.as_str().into());
                 self.ledger.borrow_mut().happened(|| What::NoDoor { load, key });
                 return self.count(|answers| answers.lost += 1);
