--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -85,8 +85,24 @@
     }
 }
 
-fn apply(keys: &mut Keys, batch: Batch) {
-    batch.writes.into_iter().for_each(|write| put(keys, write));
+/// Writes in their order, of which the last for each key holds: sorted once at the end, which takes a third of
+/// the time that as many inserts take.
+#[derive(Default)]
+struct Writes(Vec<(Box<[u8]>, Option<Value>)>);
+
+impl Writes {
+    fn take(&mut self, batch: Batch) {
+        self.0.extend(batch.writes.into_iter().map(|write| {
+            let value = write.value.map(|bytes| Value { bytes: bytes.into(), until_ms: write.until_ms });
+            (write.key.into(), value)
+        }));
+    }
+
+    fn fold(self) -> Keys {
+        // Of equal keys the map keeps the last.
+        let all: BTreeMap<Box<[u8]>, Option<Value>> = self.0.into_iter().collect();
+        all.into_iter().filter_map(|(key, value)| Some((key, value?))).collect()
+    }
 }
 
 /// The state that segments hold.
@@ -124,13 +140,13 @@
     }
 
     /// The keys of a snapshot, if it is whole.
-    fn snapshot(&self) -> Option<Keys> {
-        let (mut keys, mut writes, mut whole) = (Keys::new(), 0u64, false);
+    fn snapshot(&self) -> Option<Writes> {
+        let (mut keys, mut writes, mut whole) = (Writes::default(), 0u64, false);
         self.read(|frame| {
             match frame {
                 Frame::Part(batch) if !whole => {
                     writes += batch.writes.len() as u64;
-                    apply(&mut keys, batch);
+                    keys.take(batch);
                 }
                 Frame::Whole(count) => whole = count == writes,
                 _ => return false,
@@ -170,25 +186,33 @@
         torn: 0,
         log_bytes: 0,
     };
-    let mut from = 0;
+    let writes = writes(&segments, &mut recovered)?;
+    recovered.keys = writes.fold();
+    Ok(recovered)
+}
+
+/// The writes of the newest whole snapshot and of the logs behind it, up to the first thing that is missing.
+fn writes(segments: &[Segment], recovered: &mut Recovered) -> Result<Writes, Unusable> {
+    let (mut from, mut writes) = (0, Writes::default());
     let snapshots = segments.iter().enumerate().rev().filter(|(_, segment)| segment.head.snapshot);
     for (place, segment) in snapshots {
         if let Some(keys) = segment.snapshot() {
-            (recovered.keys, recovered.last, from) = (keys, segment.head.after, place + 1);
+            (writes, recovered.last, from) = (keys, segment.head.after, place + 1);
             break;
         }
     }
     let mut logs = 0;
     for segment in segments.iter().skip(from).filter(|own| !own.head.snapshot) {
         if segment.head.after > recovered.last {
-            return missing(recovered, segment, from == 0 && logs == 0);
+            missing(recovered, segment, from == 0 && logs == 0)?;
+            return Ok(writes);
         }
         logs += 1;
         recovered.log_bytes += segment.bytes.len() as u64;
-        let (last, keys) = (&mut recovered.last, &mut recovered.keys);
+        let last = &mut recovered.last;
         let end = segment.read(|frame| match frame {
             Frame::Batch(number, _, batch) if number == *last + 1 => {
-                apply(keys, batch);
+                writes.take(batch);
                 *last = number;
                 true
             }
@@ -202,27 +226,29 @@
         // Something can't be read here. It was never flushed, unless a frame behind it was written when more
         // than there is was durable: then it is damage.
         let (rest, last) = (&segment.bytes[end..], recovered.last);
-        let knew_more =
-            |skip| matches!(frame::read(&rest[skip..]), Some((Frame::Batch(_, had, _), _)) if had > last);
+        let knew_more = |skip| match frame::read(&rest[skip..]) {
+            Some((Frame::Batch(number, behind, _), _)) => number.saturating_sub(behind) > last,
+            _ => false,
+        };
         if (1..rest.len()).any(knew_more) {
             recovered.damaged = Some((segment.name.to_string(), end as u64));
-            return Ok(recovered);
+            return Ok(writes);
         }
         recovered.torn += rest.len() as u64;
     }
     // What was acknowledged when a segment was begun is there, whatever has become of that segment.
-    match segments.iter().rev().find(|segment| segment.head.acknowledged > recovered.last) {
-        Some(segment) => missing(recovered, segment, from == 0 && logs == 0),
-        None => Ok(recovered),
+    if let Some(segment) = segments.iter().rev().find(|own| own.head.acknowledged > recovered.last) {
+        missing(recovered, segment, from == 0 && logs == 0)?;
     }
+    Ok(writes)
 }
 
 /// What came before a segment is not there: nothing at all, or something in between.
-fn missing(mut recovered: Recovered, segment: &Segment, all: bool) -> Result<Recovered, Unusable> {
+fn missing(recovered: &mut Recovered, segment: &Segment, all: bool) -> Result<(), Unusable> {
     let (segment, after) = (segment.name.to_string(), segment.head.after);
     if all {
         return Err(Unusable::NoBeginning { segment, after });
     }
     recovered.damaged = Some((segment, 0));
-    Ok(recovered)
+    Ok(())
 }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -182,7 +182,7 @@
 
     /// Takes a batch; it is durable once [`Store::flush`] has told its number. Nothing: it is too long.
     pub fn write(&mut self, batch: Batch) -> Option<u64> {
-        let frame = Frame::Batch(self.last + 1, self.durable, batch);
+        let frame = Frame::Batch(self.last + 1, self.last + 1 - self.durable, batch);
         if !frame::put(&mut self.pending, &frame) {
             return None;
         }
--- a/crates/store/src/worker.rs
+++ b/crates/store/src/worker.rs
@@ -15,8 +15,8 @@
 /// Batches between the loop and the thread; one more is refused.
 pub const MOST_WAITING: usize = 4096;
 /// The rewriting of a log: bytes of one slice, and bytes a second.
-const SLICE: u64 = 64 << 10;
-const SLICES_PER_S: f64 = 32.0 * (1 << 20) as f64;
+const SLICE: u64 = 16 << 10;
+const SLICES_PER_S: f64 = 8.0 * (1 << 20) as f64;
 /// After a fault the log is written anew no sooner than this.
 const PAUSE: Duration = Duration::from_millis(500);
 /// How often the thread looks round where nothing comes.
