A gateway that starts holds engines in use until a report tells, and may probe at once, where shares are thin

Also: a stand-in engine drops a repeat that begins within the window of the effect, as the rule on repeats is about when they are sent; two of 296 kills in rig case store had broken on one that had run for 4 s.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -25,6 +25,8 @@
 const MOST_ANSWERS: usize = 4096;
 const MOST_STATEMENT: usize = 1 << 20;
 const PAGE: usize = 6000;
+/// No query runs for longer, so what it could repeat is remembered for as long.
+const LONGEST_RUN: Duration = Duration::from_secs(60);
 /// A query that spills does this many times its work.
 const SPILLS: f64 = 1.5;
 
@@ -45,12 +47,13 @@
 type Keys = HashMap<(Group, String), (Instant, Duration)>;
 
 impl Remembered {
-    /// Whether a write is none that the group dropped; from now on the group remembers it.
-    fn is_new(&self, group: Group, key: &str, window: Duration) -> bool {
+    /// Whether a write that began then is none that the group drops, as it knows of an effect whose window had not
+    /// passed by then; from now on the group remembers it.
+    fn is_new(&self, group: Group, key: &str, window: Duration, began: Instant) -> bool {
         let mut known = self.0.borrow_mut();
-        known.retain(|_, (at, window)| at.elapsed() < *window);
+        known.retain(|_, (at, window)| at.elapsed() < *window + LONGEST_RUN);
         let place = (group, key.to_string());
-        let new = !known.contains_key(&place);
+        let new = known.get(&place).is_none_or(|(at, window)| *at + *window < began);
         if new {
             known.insert(place, (Instant::now(), window));
         }
@@ -68,6 +71,7 @@
 struct Job {
     connection: u64,
     id: String,
+    began: Instant,
     effect: Option<Effect>,
     work: f64,
     memory_mb: f64,
@@ -348,7 +352,10 @@
             key: key.as_str().into(),
             work: work / 1e3,
         });
-        state.jobs.insert(number, Job { connection, id, effect, work, memory_mb, rows, error });
+        state.jobs.insert(
+            number,
+            Job { connection, id, began: Instant::now(), effect, work, memory_mb, rows, error },
+        );
     }
 
     /// Ends queries when they are done.
@@ -385,7 +392,7 @@
         if let Some(effect) = &job.effect {
             let (key, new) = match effect {
                 Effect::Keyed(key, group, window) => {
-                    (key, self.remembered.is_new(group.clone(), key, *window))
+                    (key, self.remembered.is_new(group.clone(), key, *window, job.began))
                 }
                 Effect::Once(id) => (id, true),
             };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,6 +12,7 @@
 
 const START_ROOM: f64 = 3.0; // Memories of an engine at the start: so far a gradient keeps pace (paper, 4.2)
 const START_BOUND: f64 = 2.0; // Threads a core of this gateway's share at the start: gains end there
+const START_LEVEL: f64 = 1.0; // Threads a core that others are held to have until a report tells: in use, not full
 const LEAST_BOUND: f64 = 0.7; // Part of its start that pressure leaves of a bound: it must not choke
 const BOUND_STEP: f64 = 0.01; // Step by which calm widens the bounds
 const BOUND_CUT: f64 = 4.0; // Such steps that an outcome under pressure cuts
@@ -116,6 +117,8 @@
         let widest = set.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
         let thin = START_BOUND * cores / set.peers < widest;
         let latency = (STRETCH_MEMORY * set.warm_within as f64).max(1.0);
+        // A stranger takes no engine for idle that nobody told of, and asks at once, where others are many.
+        let (level, probes) = if thin { (START_LEVEL, SAVED) } else { (0.0, 0.0) };
         let fresh = Learned { work_ratio: 1.0, memory_ratio: 1.0, work: 0.0, memory: None };
         Gateway {
             rng: fastrand::Rng::with_seed(seed),
@@ -125,7 +128,7 @@
             queue: BTreeMap::new(),
             keys: BTreeMap::new(),
             learned: vec![fresh; set.classes.len()],
-            traffic: Traffic { last: now, ..Default::default() },
+            traffic: Traffic { last: now, level, probes, ..Default::default() },
             share: if thin { 1.0 } else { 1.0 / set.peers },
             thin,
             tokens: set.tenants.iter().map(|t| (t.quota_per_s / set.peers, now)).collect(),
