--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -7,7 +7,7 @@
 use eideryard_ledger::{entry, state, Doubt, Ledger, Limits, Place, Refusal, Wish};
 use eideryard_operator::StorePlan;
 use eideryard_store::worker::Worker;
-use eideryard_store::{Batch, Directory, Found, Plan, Store, Trust};
+use eideryard_store::{Batch, Directory, Files, Found, Plan, Store, Trust};
 
 use crate::table::Key;
 
@@ -100,15 +100,22 @@
         now: Micros,
         random: u64,
         wake: Box<dyn Fn() + Send>,
+    ) -> Self {
+        Self::start_on(Box::new(Directory::new(&plan.directory)), plan, classes, memory_mb, now, random, wake)
+    }
+
+    fn start_on(
+        files: Box<dyn Files>,
+        plan: &StorePlan,
+        classes: Vec<Class>,
+        memory_mb: u64,
+        now: Micros,
+        random: u64,
+        wake: Box<dyn Fn() + Send>,
     ) -> Self {
         let entries = ((memory_mb << 20) / PART_OF_MEMORY / ENTRY_BYTES).min(plan.budget / 3 / DISK_BYTES);
         let limits = Limits { entries: entries as usize };
-        let opened = Store::open(
-            Box::new(Directory::new(&plan.directory)),
-            Plan { budget: plan.budget },
-            now / 1000,
-            random,
-        );
+        let opened = Store::open(files, Plan { budget: plan.budget }, now / 1000, random);
         let (waiting, stalled_at, places, counted) = Default::default();
         match opened {
             Ok((store, found)) => {
@@ -243,3 +250,64 @@
         [("intents", self.ledger.len()), ("intents_waiting", self.waiting.len())]
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use eideryard::interface::{Effect, Scope};
+    use eideryard_store::faulty::Faulty;
+
+    const KEYS: [&str; 2] = ["00000000000000000000000000000abc", "00000000000000000000000000000def"];
+
+    fn class(effect: Effect) -> Class {
+        Class {
+            aim: 0,
+            aim_stretch: 0.0,
+            worth: 1.0,
+            effect,
+            scope: Scope::All,
+            window: 15_000_000,
+            ordered: false,
+            zones_only: None,
+            kinds_only: None,
+            threads: 1.0,
+            is_load: false,
+            waits_for_load: false,
+        }
+    }
+
+    /// A disk that stalls: what waits is given back after the bound, keyed work is refused until the disk writes
+    /// again, and safe classes never notice.
+    #[test]
+    fn a_disk_that_stalls_delays_keyed_work_to_its_bound_and_then_refuses_it() {
+        let (disk, mut now) = (Faulty::default(), 1_800_000_000_000_000);
+        let plan = StorePlan { directory: "".into(), budget: 1 << 20 };
+        let classes = vec![class(Effect::Safe), class(Effect::Keyed)];
+        let files = Box::new(disk.clone());
+        let mut keeping = Keeping::start_on(files, &plan, classes, 64, now, 1, Box::new(|| {}));
+        disk.stall(true);
+        assert!(matches!(keeping.sends(now, 0, None, 1), Sending::Now), "a safe class needs no store");
+        let Sending::Waits(ticket) = keeping.sends(now, 1, Some(KEYS[0]), 1) else { panic!("it went") };
+        let request = Key::from_number(1 << 32);
+        keeping.waits(Waiting { ticket, since: now, request, attempt: 0, engine: 1, give_up_at: now + 9 });
+        now += state::STALL - 1;
+        assert!(keeping.durable().is_empty() && keeping.work(now).is_empty());
+        assert!(keeping.arrives(now, 1, Some(KEYS[1]), false).is_ok());
+        now += 1;
+        assert_eq!(keeping.work(now).len(), 1, "it has waited for long enough");
+        keeping.ended(now, 1, Some(KEYS[0]), true);
+        for _ in 0..3 {
+            assert!(keeping.durable().is_empty());
+            assert_eq!(keeping.arrives(now, 1, Some(KEYS[1]), false), Err(Refusal::Stalled));
+            assert_eq!(keeping.arrives(now, 0, None, false), Ok(Vec::new()));
+        }
+        disk.stall(false);
+        let until = std::time::Instant::now() + std::time::Duration::from_secs(20);
+        while keeping.arrives(now, 1, Some(KEYS[1]), false).is_err() {
+            assert!(std::time::Instant::now() < until, "keyed work is refused though the disk writes again");
+            std::thread::sleep(std::time::Duration::from_millis(5));
+            keeping.durable();
+        }
+        assert!(keeping.counted.refused_stalled >= 3);
+    }
+}
--- a/crates/store/src/faulty.rs
+++ b/crates/store/src/faulty.rs
@@ -29,6 +29,8 @@
     fail_at: Option<u64>,
     room: Option<usize>,
     crashed: bool,
+    /// Flushes wait.
+    stalled: bool,
     locked: bool,
     births: u64,
 }
@@ -59,6 +61,11 @@
         state.fail_at = Some(state.calls + calls);
     }
 
+    /// Flushes don't come back until they may.
+    pub fn stall(&self, stalled: bool) {
+        self.state().stalled = stalled;
+    }
+
     /// Bytes that there is room for from now on.
     pub fn room(&self, bytes: Option<usize>) {
         self.state().room = bytes;
@@ -224,6 +231,9 @@
     }
 
     fn sync(&mut self) -> io::Result<()> {
+        while self.0.state().stalled {
+            std::thread::sleep(std::time::Duration::from_millis(2));
+        }
         let mut state = self.0.state();
         let called = state.call();
         let crashed = state.crashed;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -12,7 +12,7 @@
 
 const START_ROOM: f64 = 3.0; // Memories of an engine at the start: so far a gradient keeps pace (paper, 4.2)
 const START_BOUND: f64 = 2.0; // Threads a core of this gateway's share at the start: gains end there
-const START_LEVEL: f64 = 1.0; // Threads a core that others are held to have until a report tells: in use, not full
+const START_LEVEL: f64 = 1.0; // Threads a core that others are held to have until a report tells; it fades
 const LEAST_BOUND: f64 = 0.7; // Part of its start that pressure leaves of a bound: it must not choke
 const BOUND_STEP: f64 = 0.01; // Step by which calm widens the bounds
 const BOUND_CUT: f64 = 4.0; // Such steps that an outcome under pressure cuts
@@ -117,7 +117,7 @@
         let widest = set.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
         let thin = START_BOUND * cores / set.peers < widest;
         let latency = (STRETCH_MEMORY * set.warm_within as f64).max(1.0);
-        // A stranger takes no engine for idle that nobody told of, and asks at once, where others are many.
+        // A stranger takes no engine for idle that none told of, and asks at once, where others are many.
         let (level, probes) = if thin { (START_LEVEL, SAVED) } else { (0.0, 0.0) };
         let fresh = Learned { work_ratio: 1.0, memory_ratio: 1.0, work: 0.0, memory: None };
         Gateway {
@@ -195,7 +195,7 @@
         self.actions.push(Action::SetTimer { after: end_by - self.now, tag: end_tag(req.id) });
         self.queue.insert((due, req.id), req.class);
         let held = Held { req, work, ideal, memory, due, end_by, worth, ..Default::default() };
-        let over = !self.may_repeat(&held); // It may have run before, at a place or a time that forbids a repeat
+        let over = !self.may_repeat(&held); // It may have run before, when or where none may repeat it
         self.requests.insert(id, held);
         // Work that cannot end in time only holds what others need, for long where no cancel is heeded.
         if over || self.now as f64 + ideal > end_by as f64 {
@@ -712,6 +712,7 @@
         engine.others = (threads - engine.threads).max(0.0);
         engine.reported_at = self.now;
         self.traffic.counted |= counted.is_some();
+        self.traffic.heard = true;
         self.traffic.level += LEARN * (engine.others / cores - self.traffic.level);
     }
 
@@ -968,6 +969,9 @@
         self.draw_again();
         self.shed();
         let (now, memory) = (self.now, self.latency);
+        // Where nobody reports, what a stranger assumes must not outlive its start.
+        let kept = (-((BEAT_TICKS * self.set.tick) as f64) / memory).exp();
+        self.traffic.level *= if self.traffic.heard { 1.0 } else { kept };
         self.keys.retain(|_, (line, rests_until)| !line.is_empty() || *rests_until > now);
         let since = now.saturating_sub(self.set.attempt_budget.map_or(0, |budget| budget.span));
         self.traffic.taken.retain(|&at| at >= since);
--- a/src/state.rs
+++ b/src/state.rs
@@ -139,6 +139,7 @@
     /// Threads a core that engines hold by what reports say, and whether reports count queries.
     pub(crate) level: f64,
     pub(crate) counted: bool,
+    pub(crate) heard: bool,
     /// Share of bad outcomes among all.
     pub(crate) fleet_bad: f64,
     /// Probes and further draws that may still be made.
--- a/tests/size.rs
+++ b/tests/size.rs
@@ -51,6 +51,24 @@
     }
 }
 
+/// Gateways that start together take no engine for idle that none told of: what they add to one there is bounded as if
+/// others used it, until a report tells or that has faded. Where a probe may ask, the first request asks already.
+#[test]
+fn a_gateway_that_starts_takes_no_engine_for_idle() {
+    let mut silent = Settings { may_probe: false, peers: 9.0, ..wide() };
+    silent.classes[REPORT].threads = 2.0;
+    let mut bench = Bench::new(silent, &[ready(1)]);
+    let deadline = bench.now + 20 * S;
+    assert_eq!(targets(&bench.take(report(1, deadline, 10.0))), [1]);
+    let second = targets(&bench.take(report(2, deadline, 10.0)));
+    assert!(second.is_empty(), "an engine that nobody told of counts as idle");
+    (0..50).for_each(|_| drop(bench.pass(20_000)));
+    let later = targets(&bench.take(report(3, deadline, 10.0)));
+    assert_eq!(later, [1], "what was assumed at the start has not faded");
+    let asked = probed(&Bench::new(wide(), &fleet()).take(report(1, deadline, 10.0)));
+    assert_eq!(asked.len(), 2, "the first request asks");
+}
+
 #[test]
 fn a_report_of_others_work_holds_reports_back_though_this_gateway_is_idle_there() {
     let mut bench = Bench::new(wide(), &fleet());
