--- a/crates/command/tests/store.rs
+++ b/crates/command/tests/store.rs
@@ -201,3 +201,27 @@
     let (code, text) = said(&["store", "check", "/nowhere/at/all"]);
     assert!(code == Some(1) && text.contains("no such directory"), "{text}");
 }
+
+/// What was learned comes back after a planned restart with its age, and not under other settings.
+#[test]
+fn learned_figures_come_back_as_hints_and_are_dropped_under_other_settings() {
+    let directory = tempfile::tempdir().unwrap();
+    let engine = Engine::listen("127.0.0.1:0").unwrap();
+    let bulletin = Bulletin::listen("127.0.0.1:0").unwrap();
+    let mut config = config(bulletin.address(), &[engine.address()]);
+    let operator = directive(directory.path());
+    let mut first = Running::start_with(&config, &operator);
+    first.terminate();
+    first.ended();
+    let mut again = Running::launched(&config, &operator);
+    let line = again.line_with("learned figures");
+    assert!(line.contains("of 1 engines") && line.contains("doubted by their age"), "{line}");
+    again.listens();
+    again.terminate();
+    again.ended();
+    config["settings"]["peers-total"] = json!(2);
+    let mut other = Running::launched(&config, &operator);
+    let line = other.line_with("learned figures");
+    assert!(line.contains("dropped") && line.contains("settings differ"), "{line}");
+    other.kill();
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -101,8 +101,9 @@
                     .map_err(io::Error::other)?;
                 // Another for each start and gateway: the seed alone is the same after a restart.
                 let random = config.seed ^ now.rotate_left(23) ^ u64::from(std::process::id());
-                let (classes, wake) = (config.settings.classes.clone(), Box::new(move || ping.ping()));
-                Some(Box::new(Keeping::start(plan, classes, config.memory_mb, now, random, wake)))
+                let wake = Box::new(move || ping.ping());
+                let (settings, memory_mb) = (&config.settings, config.memory_mb);
+                Some(Box::new(Keeping::start(plan, settings, memory_mb, now, random, wake)))
             }
             None => None,
         };
@@ -139,6 +140,11 @@
         config.known.items.into_iter().for_each(|item| gateway.listed(item));
         gateway.link.call(now, &mut gateway.due, &mut gateway.counters);
         gateway.settle();
+        // Behind the list: what was learned is held against the engines that are there now.
+        if let Some((lessons, age)) = gateway.keeping.as_mut().and_then(|keeping| keeping.lessons()) {
+            gateway.events.push_back(Event::Remembered { lessons, age });
+        }
+        gateway.settle();
         tracing::info!("{} listens on {}", config.name, gateway.clients.address()?);
         Ok(gateway)
     }
@@ -289,8 +295,11 @@
         self.tap.host(self.clock.now(), Host::NotTaken { how, class, tenant });
     }
 
-    /// The last word of the record and of the log.
+    /// The last word of the record, the store and of the log.
     pub fn end(&mut self) {
+        if let Some(keeping) = &mut self.keeping {
+            keeping.learns(self.clock.now(), &self.module.lessons());
+        }
         self.tell_changes();
         let counters = self.counters.pairs().map(|(name, value)| (name.to_string(), value)).collect();
         self.tap.host(self.clock.now(), Host::Ended { counters });
@@ -871,6 +880,9 @@
     fn keep_work(&mut self) {
         let now = self.clock.now();
         let Some(keeping) = &mut self.keeping else { return };
+        if keeping.wants_lessons(now) {
+            keeping.learns(now, &self.module.lessons());
+        }
         let (go, late) = (keeping.durable(), keeping.work(now));
         if go.is_empty() && late.is_empty() {
             return;
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -3,12 +3,13 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use eideryard::interface::{Class, Earlier, EngineId, Micros};
+use eideryard::interface::{Class, Earlier, EngineId, Lessons, Micros, Settings};
 use eideryard_ledger::{entry, state, Doubt, Ledger, Limits, Place, Refusal, Wish};
 use eideryard_operator::StorePlan;
 use eideryard_store::worker::Worker;
 use eideryard_store::{Batch, Directory, Files, Found, Plan, Store, Trust};
 
+use crate::lessons;
 use crate::table::Key;
 
 /// A sixteenth of the memory limit is the ledger's; an entry takes about so much, here and in the store's
@@ -56,6 +57,10 @@
     /// A send waited for too long: until this ticket is durable nothing keyed is taken.
     stalled_at: Option<u64>,
     places: BTreeMap<EngineId, Place>,
+    /// What tells these settings from others, when the last checkpoint was, and the one that a start found.
+    settings: u64,
+    learned_at: Micros,
+    found: Option<(Lessons, Micros)>,
     pub counted: Counted,
 }
 
@@ -95,19 +100,27 @@
 impl Keeping {
     pub fn start(
         plan: &StorePlan,
-        classes: Vec<Class>,
+        settings: &Settings,
         memory_mb: u64,
         now: Micros,
         random: u64,
         wake: Box<dyn Fn() + Send>,
     ) -> Self {
-        Self::start_on(Box::new(Directory::new(&plan.directory)), plan, classes, memory_mb, now, random, wake)
+        Self::start_on(
+            Box::new(Directory::new(&plan.directory)),
+            plan,
+            settings,
+            memory_mb,
+            now,
+            random,
+            wake,
+        )
     }
 
     fn start_on(
         files: Box<dyn Files>,
         plan: &StorePlan,
-        classes: Vec<Class>,
+        settings: &Settings,
         memory_mb: u64,
         now: Micros,
         random: u64,
@@ -115,8 +128,10 @@
     ) -> Self {
         let entries = ((memory_mb << 20) / PART_OF_MEMORY / ENTRY_BYTES).min(plan.budget / 3 / DISK_BYTES);
         let limits = Limits { entries: entries as usize };
+        let classes: Vec<Class> = settings.classes.clone();
         let opened = Store::open(files, Plan { budget: plan.budget }, now / 1000, random);
         let (waiting, stalled_at, places, counted) = Default::default();
+        let (settings, learned_at) = (lessons::print_of(settings), now);
         match opened {
             Ok((store, found)) => {
                 let kept = store.prefix(entry::prefix());
@@ -126,10 +141,24 @@
                 let life = found.life_ms * 1000;
                 let ledger = Ledger::restore(limits, classes, kept.into_iter(), life, now);
                 tell(&found, now, ledger.doubt());
+                let found =
+                    store.get(lessons::KEY).map(|told| lessons::from_bytes(&told.bytes, now, settings));
+                let found = match found {
+                    Some(Err(void)) => {
+                        tracing::info!("store: learned figures are dropped: {}", void.reason());
+                        None
+                    }
+                    Some(Ok((lessons, age))) => {
+                        let (engines, age_s) = (lessons.engines.len(), age as f64 / 1e6);
+                        tracing::info!("store: learned figures of {engines} engines, {age_s:.1} s old: hints, doubted by their age");
+                        Some((lessons, age))
+                    }
+                    None => None,
+                };
                 let worker = Worker::start(store, wake)
                     .inspect_err(|e| tracing::error!("store: {e}; keyed requests are refused"))
                     .ok();
-                Keeping { ledger, worker, waiting, stalled_at, places, counted }
+                Keeping { ledger, worker, waiting, stalled_at, places, settings, learned_at, found, counted }
             }
             Err(e) => {
                 tracing::error!(
@@ -138,11 +167,30 @@
                     plan.directory.display()
                 );
                 let ledger = Ledger::restore(limits, classes, std::iter::empty(), now, now);
-                Keeping { ledger, worker: None, waiting, stalled_at, places, counted }
+                let (worker, found) = (None, None);
+                Keeping { ledger, worker, waiting, stalled_at, places, settings, learned_at, found, counted }
             }
         }
     }
 
+    /// What an earlier life had learned, once.
+    pub fn lessons(&mut self) -> Option<(Lessons, Micros)> {
+        self.found.take()
+    }
+
+    /// Whether it is time for a checkpoint.
+    pub fn wants_lessons(&self, now: Micros) -> bool {
+        self.worker.is_some() && now >= self.learned_at + lessons::EVERY
+    }
+
+    pub fn learns(&mut self, now: Micros, learned: &Lessons) {
+        self.learned_at = now;
+        let mut batch = Batch::default();
+        batch.put(lessons::KEY.to_vec(), lessons::to_bytes(learned, now, self.settings), 0);
+        // Where the thread takes no more, the next one will do.
+        self.worker.iter_mut().for_each(|worker| _ = worker.write(batch.clone()));
+    }
+
     /// Where an engine's scope is, as the list says.
     pub fn listed(&mut self, engine: EngineId, zone: u32, cell: u32) {
         self.places.insert(engine, Place { zone, cell });
@@ -276,15 +324,20 @@
         }
     }
 
+    fn settings(classes: Vec<Class>) -> Settings {
+        let tree = eideryard_settings::Tree::from_json(&serde_json::json!({}));
+        Settings { classes, ..eideryard_settings::settings(&tree).expect("nothing has to be set") }
+    }
+
     /// A disk that stalls: what waits is given back after the bound, keyed work is refused until the disk writes
     /// again, and safe classes never notice.
     #[test]
     fn a_disk_that_stalls_delays_keyed_work_to_its_bound_and_then_refuses_it() {
         let (disk, mut now) = (Faulty::default(), 1_800_000_000_000_000);
         let plan = StorePlan { directory: "".into(), budget: 1 << 20 };
-        let classes = vec![class(Effect::Safe), class(Effect::Keyed)];
+        let settings = settings(vec![class(Effect::Safe), class(Effect::Keyed)]);
         let files = Box::new(disk.clone());
-        let mut keeping = Keeping::start_on(files, &plan, classes, 64, now, 1, Box::new(|| {}));
+        let mut keeping = Keeping::start_on(files, &plan, &settings, 64, now, 1, Box::new(|| {}));
         disk.stall(true);
         assert!(matches!(keeping.sends(now, 0, None, 1), Sending::Now), "a safe class needs no store");
         let Sending::Waits(ticket) = keeping.sends(now, 1, Some(KEYS[0]), 1) else { panic!("it went") };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod engines;
 mod gateway;
 mod keeping;
+mod lessons;
 mod link;
 mod requests;
 mod spooling;
--- a/crates/record/src/codec.rs
+++ b/crates/record/src/codec.rs
@@ -39,6 +39,7 @@
     pub const TIMER: u8 = 10;
     /// `ARRIVED` of one that may have run before.
     pub const ARRIVED_AGAIN: u8 = 11;
+    pub const REMEMBERED: u8 = 12;
     pub const TERMS: u8 = 20;
     pub const SEND: u8 = 21;
     pub const PROBE: u8 = 22;
@@ -161,6 +162,9 @@
     }
 }
 
+/// Engines that an earlier life learned of.
+const MOST_LESSONS: usize = 4096;
+
 /// Earlier attempts of one request that are told; whatever says more is damage.
 const MOST_EARLIER: usize = 64;
 
@@ -233,6 +237,23 @@
                 }
             }
             Event::ListFailed => kind::LIST_FAILED,
+            Event::Remembered { lessons, age } => {
+                put_number(out, *age);
+                put_number(out, lessons.classes.len() as u64);
+                for class in &lessons.classes {
+                    put_reals(out, &[Some(class.work_ratio), Some(class.memory_ratio)]);
+                    put_reals(out, &[Some(class.work), class.memory_mb]);
+                }
+                put_number(out, lessons.engines.len() as u64);
+                for engine in &lessons.engines {
+                    put_number(out, engine.engine.into());
+                    put_number(out, engine.booted_at);
+                    put_reals(out, &[Some(engine.stretch), Some(engine.best)]);
+                    put_reals(out, &[Some(engine.bad), Some(engine.others)]);
+                }
+                put_real(out, lessons.level);
+                kind::REMEMBERED
+            }
             Event::Arrived(r) => {
                 self.put_request(out, r.id);
                 put_number(out, r.class as u64);
@@ -724,6 +745,24 @@
             kind::FULL_LIST => Event::FullList(self.entries()?),
             kind::LIST_CHANGES => Event::ListChanges(self.entries()?),
             kind::LIST_FAILED => Event::ListFailed,
+            kind::REMEMBERED => {
+                let age = self.number()?;
+                let real = |value: Option<f64>| value.unwrap_or_default();
+                let (mut classes, mut engines) = (Vec::new(), Vec::new());
+                for _ in 0..self.length(MOST_LANES)? {
+                    let ([work_ratio, memory_ratio], [work, memory_mb]) = (self.reals()?, self.reals()?);
+                    let (work_ratio, memory_ratio) = (real(work_ratio), real(memory_ratio));
+                    classes.push(i::ClassLesson { work_ratio, memory_ratio, work: real(work), memory_mb });
+                }
+                for _ in 0..self.length(MOST_LESSONS)? {
+                    let (engine, booted_at) = (self.number()? as u32, self.number()?);
+                    let ([stretch, best], [bad, others]) = (self.reals()?, self.reals()?);
+                    let (stretch, best, bad, others) = (real(stretch), real(best), real(bad), real(others));
+                    engines.push(i::EngineLesson { engine, booted_at, stretch, best, bad, others });
+                }
+                let level = self.real()?;
+                Event::Remembered { lessons: i::Lessons { classes, engines, level }, age }
+            }
             kind::ARRIVED | kind::ARRIVED_AGAIN => {
                 let (id, class, tenant) = (self.request()?, self.place()?, self.place()?);
                 let deadline = self.after(at)?;
--- a/crates/record/tests/common/mod.rs
+++ b/crates/record/tests/common/mod.rs
@@ -70,7 +70,26 @@
     match rng.u8(0..34) {
         0 => Entry::In(Event::FullList(listed(rng))),
         1 => Entry::In(Event::ListChanges(listed(rng))),
-        2 => Entry::In(Event::ListFailed),
+        2 if rng.bool() => Entry::In(Event::ListFailed),
+        2 => {
+            let class = |rng: &mut Rng| eideryard::interface::ClassLesson {
+                work_ratio: real(rng),
+                memory_ratio: real(rng),
+                work: real(rng),
+                memory_mb: rng.bool().then(|| real(rng)),
+            };
+            let engine = |rng: &mut Rng| eideryard::interface::EngineLesson {
+                engine: rng.u32(..),
+                booted_at: rng.u64(..),
+                stretch: real(rng),
+                best: real(rng),
+                bad: real(rng),
+                others: real(rng),
+            };
+            let (classes, engines) = ((0..rng.usize(0..4)).map(|_| class(rng)).collect(), vec![engine(rng)]);
+            let lessons = eideryard::interface::Lessons { classes, engines, level: real(rng) };
+            Entry::In(Event::Remembered { lessons, age: rng.u64(..) })
+        }
         3..=6 => Entry::In(Event::Arrived(Request {
             id,
             class,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -13,6 +13,8 @@
 const START_ROOM: f64 = 3.0; // Memories of an engine at the start: so far a gradient keeps pace (paper, 4.2)
 const START_BOUND: f64 = 2.0; // Threads a core of this gateway's share at the start: gains end there
 const START_LEVEL: f64 = 1.0; // Threads a core that others are held to have until a report tells; it fades
+const LESSON_SPAN: f64 = 20.0; // Times to warm up over which what an earlier life learned fades
+const LEAST_LESSON: f64 = 0.05; // Part of it that is left, under which it is void
 const LEAST_BOUND: f64 = 0.7; // Part of its start that pressure leaves of a bound: it must not choke
 const BOUND_STEP: f64 = 0.01; // Step by which calm widens the bounds
 const BOUND_CUT: f64 = 4.0; // Such steps that an outcome under pressure cuts
@@ -155,6 +157,7 @@
             Event::Timer { tag } => self.end(tag - 1, 0),
             Event::FullList(entries) => self.full_list(entries),
             Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
+            Event::Remembered { lessons, age } => self.remember(lessons, age),
             Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
         }
         if self.subscribe_at.take_if(|at| *at <= now).is_some() {
@@ -986,6 +989,57 @@
         self.engines.retain(|_, engine| engine.listed || !engine.out.is_empty());
     }
 
+    // ---- Earlier lives ----
+
+    /// What a later life of this gateway may want to know.
+    pub fn lessons(&self) -> Lessons {
+        let class = |own: &Learned| ClassLesson {
+            work_ratio: own.work_ratio,
+            memory_ratio: own.memory_ratio,
+            work: own.work,
+            memory_mb: own.memory,
+        };
+        let engine = |(&engine, own): (&EngineId, &Engine)| EngineLesson {
+            engine,
+            booted_at: own.entry.booted_at,
+            stretch: own.stretch,
+            best: own.best,
+            bad: own.bad,
+            others: own.others,
+        };
+        Lessons {
+            classes: self.learned.iter().map(class).collect(),
+            engines: self.engines.iter().filter(|(_, own)| own.listed).map(engine).collect(),
+            level: self.traffic.level,
+        }
+    }
+
+    /// Doubt grows with age: what was learned moves back to what a stranger holds. Of another process than
+    /// the one that runs now, or where this life has learned already, nothing is taken back.
+    fn remember(&mut self, lessons: Lessons, age: Micros) {
+        let kept = (-(age as f64) / (LESSON_SPAN * self.set.warm_within.max(1) as f64)).exp();
+        if kept < LEAST_LESSON {
+            return;
+        }
+        let doubted = |stranger: f64, learned: f64| stranger + kept * (learned - stranger);
+        for (own, told) in self.learned.iter_mut().zip(&lessons.classes).filter(|(own, _)| own.work == 0.0) {
+            own.work_ratio = doubted(own.work_ratio, told.work_ratio.clamp(1.0 / CLIP, CLIP));
+            own.memory_ratio = doubted(own.memory_ratio, told.memory_ratio.clamp(1.0 / CLIP, CLIP));
+            (own.work, own.memory) = (told.work, told.memory_mb);
+        }
+        for told in &lessons.engines {
+            let same =
+                |own: &&mut Engine| own.listed && own.entry.booted_at == told.booted_at && own.ideal == 0.0;
+            let Some(own) = self.engines.get_mut(&told.engine).filter(same) else { continue };
+            own.best = doubted(1.0, told.best.clamp(0.0, 1.0));
+            own.stretch = doubted(own.best, told.stretch.max(own.best));
+            own.bad = doubted(0.0, told.bad.clamp(0.0, BAD_SHARE));
+            (own.stretch_at, own.others) = (self.now, told.others.max(0.0));
+            own.reported_at = self.now.saturating_sub(age);
+        }
+        self.traffic.level = doubted(self.traffic.level, lessons.level.max(0.0));
+    }
+
     // ---- List of engines ----
 
     fn full_list(&mut self, entries: Vec<Entry>) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -135,8 +135,8 @@
     pub booted_at: Micros,
 }
 
-/// An attempt that an earlier life of this gateway, or another gateway, may have made of a request: its engine's
-/// scope, and since when it may have run. A time of 0 says that neither is known.
+/// An attempt that an earlier life of this gateway, or another gateway, may have made of a request: its
+/// engine's scope, and since when it may have run. A time of 0 says that neither is known.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Earlier {
     pub zone: u32,
@@ -227,8 +227,43 @@
     pub report: Option<LoadReport>,
 }
 
+/// What outcomes taught of a class: true over estimated work and memory, and means (work 0: none).
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ClassLesson {
+    pub work_ratio: f64,
+    pub memory_ratio: f64,
+    pub work: f64,
+    pub memory_mb: Option<f64>,
+}
+
+/// What was learned of one process of an engine: time over ideal time now and at its best, its share of bad
+/// outcomes, and the threads of others there.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct EngineLesson {
+    pub engine: EngineId,
+    pub booted_at: Micros,
+    pub stretch: f64,
+    pub best: f64,
+    pub bad: f64,
+    pub others: f64,
+}
+
+/// What a gateway has learned, to be told to a later life of it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Lessons {
+    pub classes: Vec<ClassLesson>,
+    pub engines: Vec<EngineLesson>,
+    /// Threads a core that engines hold on the whole.
+    pub level: f64,
+}
+
 #[derive(Clone, Debug)]
 pub enum Event {
+    /// What an earlier life had learned, so long ago.
+    Remembered {
+        lessons: Lessons,
+        age: Micros,
+    },
     /// The complete list: an engine that it lacks is gone.
     FullList(Vec<Entry>),
     ListChanges(Vec<Entry>),
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -212,3 +212,24 @@
     }
     assert!(further > 0 && further <= 5, "{further} further attempts for 30 requests");
 }
+
+/// What an earlier life learned counts for less with age, and nothing of it for another process of an engine.
+#[test]
+fn lessons_of_an_earlier_life_are_doubted_by_their_age_and_void_for_another_process() {
+    let taught = |age, booted_at| {
+        let engines = [Entry { booted_at: 5, ..ready(1) }, ready(2)];
+        let mut bench = Bench::new(settings(), &engines);
+        let class = ClassLesson { work_ratio: 2.0, memory_ratio: 0.5, work: 10.0, memory_mb: Some(64.0) };
+        let classes = vec![class; settings().classes.len()];
+        let lesson = EngineLesson { engine: 1, booted_at, stretch: 2.0, best: 1.0, bad: 0.4, others: 0.0 };
+        bench
+            .tell(Event::Remembered { lessons: Lessons { classes, engines: vec![lesson], level: 0.5 }, age });
+        bench.gateway.lessons()
+    };
+    let (now, later, old) = (taught(0, 5), taught(60 * S, 5), taught(3600 * S, 5));
+    let ratio = |lessons: &Lessons| (lessons.classes[0].work_ratio, lessons.engines[0].bad);
+    assert_eq!(ratio(&now), (2.0, 0.4));
+    assert!(ratio(&later).0 < 2.0 && ratio(&later).0 > 1.0 && ratio(&later).1 < 0.4, "{later:?}");
+    assert_eq!(ratio(&old), (1.0, 0.0), "too old to count");
+    assert_eq!(ratio(&taught(0, 4)).1, 0.0, "another process");
+}
