--- a/crates/fleet-rig/src/check/cold.rs
+++ b/crates/fleet-rig/src/check/cold.rs
@@ -48,7 +48,8 @@
                 if sent > most && !std::mem::replace(&mut own.over, true) {
                     over += 1;
                     let text = format!(
-                        "{engine} was sent {sent:.1} s of work within {:.1} s, {:.0} ms after its cold start; \
+                        "{engine} was sent {sent:.1} s of work within {:.1} s, {:.0} ms after its cold \
+                        start; \
                          {most:.1} s are the most",
                         window as f64 / 1e6,
                         (*at - own.since) as f64 / 1e3
--- a/crates/fleet-rig/src/plan.rs
+++ b/crates/fleet-rig/src/plan.rs
@@ -76,8 +76,8 @@
     rng: StdRng,
     gateways: Vec<String>,
     engines: Vec<String>,
-    /// From when to when each gateway and engine has a fault of its process, in milliseconds, and how far others
-    /// keep away.
+    /// From when to when each gateway and engine has a fault of its process, in milliseconds, and how far
+    /// others keep away.
     busy: Vec<(String, u64, u64)>,
     apart: u64,
     from: u64,
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -1,5 +1,5 @@
-//! Joins the ledger of intents to the store's thread: what is written before a send, what waits for it, and what
-//! a start finds. Off without `store-dir` in the operator's file. Decides nothing: the ledger does.
+//! Joins the ledger of intents to the store's thread: what is written before a send, what waits for it, and
+//! what a start finds. Off without `store-dir` in the operator's file. Decides nothing: the ledger does.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -74,12 +74,14 @@
             format!("{} keys, last begun {age:.1} s ago, whole: all of it is trusted", found.keys)
         }
         Trust::Copy => format!(
-            "{} keys in a copy of the directory that was written, last begun {age:.1} s ago: what came behind it \
+            "{} keys in a copy of the directory that was written, last begun {age:.1} s ago: what came \
+            behind it \
              is not known here, so it begins as a stranger with hints",
             found.keys
         ),
         Trust::Damaged { segment, at } => format!(
-            "{} keys up to byte {at} of {segment}, which is damaged: what lies behind is dropped, so it begins as \
+            "{} keys up to byte {at} of {segment}, which is damaged: what lies behind is dropped, so it \
+            begins as \
              a stranger with hints",
             found.keys
         ),
@@ -90,7 +92,8 @@
     }
     if let Doubt::Before(life) = doubt {
         tracing::info!(
-            "store: retries of keys that it doesn't know are not run until their class's window after {} ms has \
+            "store: retries of keys that it doesn't know are not run until their class's window after \
+            {} ms has \
              passed (Unix time), except where all engines drop a repeat",
             life / 1000
         );
@@ -150,7 +153,10 @@
                     }
                     Some(Ok((lessons, age))) => {
                         let (engines, age_s) = (lessons.engines.len(), age as f64 / 1e6);
-                        tracing::info!("store: learned figures of {engines} engines, {age_s:.1} s old: hints, doubted by their age");
+                        tracing::info!(
+                            "store: learned figures of {engines} engines, {age_s:.1} s old: hints, \
+                             doubted by their age"
+                        );
                         Some((lessons, age))
                     }
                     None => None,
@@ -329,8 +335,8 @@
         Settings { classes, ..eideryard_settings::settings(&tree).expect("nothing has to be set") }
     }
 
-    /// A disk that stalls: what waits is given back after the bound, keyed work is refused until the disk writes
-    /// again, and safe classes never notice.
+    /// A disk that stalls: what waits is given back after the bound, keyed work is refused until the disk
+    /// writes again, and safe classes never notice.
     #[test]
     fn a_disk_that_stalls_delays_keyed_work_to_its_bound_and_then_refuses_it() {
         let (disk, mut now) = (Faulty::default(), 1_800_000_000_000_000);
--- a/crates/gateway/src/lessons.rs
+++ b/crates/gateway/src/lessons.rs
@@ -1,5 +1,5 @@
-//! What the module has learned, as bytes in the store and back, with when it was and under which settings. What of
-//! it still counts the module decides.
+//! What the module has learned, as bytes in the store and back, with when it was and under which settings.
+//! What of it still counts the module decides.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,4 +1,5 @@
-//! Intents: which keyed and unsafe requests a gateway may have sent, where and since when, across its restarts.
+//! Intents: which keyed and unsafe requests a gateway may have sent, where and since when, across its
+//! restarts.
 //!
 //! Pure: time in, writes and verdicts out; [`state`] decides, [`entry`] turns entries to bytes and back. The
 //! host makes an intent durable before the first byte of the request goes to an engine, asks for each
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -1,5 +1,5 @@
-//! What is decided of intents: whether a send may go, has to wait for the disk, or is refused; what of a request
-//! that comes may have run.
+//! What is decided of intents: whether a send may go, has to wait for the disk, or is refused; what of a
+//! request that comes may have run.
 
 use std::collections::{BTreeSet, HashMap};
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -86,7 +86,7 @@
         "store-dir",
         &[Kind::Path],
         "no store",
-        "Directory of this gateway's durable state, one for each; it is made where it is missing. Turns it on.",
+        "Directory of this gateway's durable state, one for each; made where it is missing. Turns it on.",
     ),
     Spec::new(
         "store-budget",
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -47,8 +47,8 @@
 type Keys = HashMap<(Group, String), (Instant, Duration)>;
 
 impl Remembered {
-    /// Whether a write that began then is none that the group drops, as it knows of an effect whose window had not
-    /// passed by then; from now on the group remembers it.
+    /// Whether a write that began then is none that the group drops, as it knows of an effect whose window
+    /// had not passed by then; from now on the group remembers it.
     fn is_new(&self, group: Group, key: &str, window: Duration, began: Instant) -> bool {
         let mut known = self.0.borrow_mut();
         known.retain(|_, (at, window)| at.elapsed() < *window + LONGEST_RUN);
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -35,8 +35,8 @@
 pub struct Found {
     pub trust: Trust,
     pub identity: u64,
-    /// When this life of the store began, in Unix milliseconds: when it was made, or found not to be whole. What
-    /// happened before it may not be known here.
+    /// When this life of the store began, in Unix milliseconds: when it was made, or found not to be whole.
+    /// What happened before it may not be known here.
     pub life_ms: u64,
     /// How often the store was opened, this time included.
     pub start: u64,
@@ -54,7 +54,8 @@
     #[error("{segment} can't be used: {why}; {remedy}")]
     Segment { segment: String, why: Bad, remedy: &'static str },
     #[error(
-        "the store has lost its beginning: {segment} follows batch {after}, which no snapshot holds; move the \
+        "the store has lost its beginning: {segment} follows batch {after}, which no snapshot holds; \
+        move the \
          directory away, the gateway then starts as a stranger"
     )]
     NoBeginning { segment: String, after: u64 },
@@ -85,8 +86,8 @@
     }
 }
 
-/// Writes in their order, of which the last for each key holds: sorted once at the end, which takes a third of
-/// the time that as many inserts take.
+/// Writes in their order, of which the last for each key holds: sorted once at the end, which takes a third
+/// of the time that as many inserts take.
 #[derive(Default)]
 struct Writes(Vec<(Box<[u8]>, Option<Value>)>);
 
@@ -163,7 +164,8 @@
     for (name, bytes) in files {
         match frame::read_head(bytes) {
             Ok((head, frames)) => segments.push(Segment { name, head, frames, bytes }),
-            // A crash or a fault while it was begun leaves a head that was never whole, and no frame behind it.
+            // A crash or a fault while it was begun leaves a head that was never whole, and no frame behind
+            // it.
             Err(_) if bytes.len() <= frame::HEAD => {}
             Err(why) => {
                 let remedy = match why {
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -269,7 +269,8 @@
         while left > 0 {
             let part = self.part(&mut own, now_ms);
             if part.writes.is_empty() {
-                // It may hold a part of a batch that came meanwhile: with the log behind it all of that is there.
+                // It may hold a part of a batch that came meanwhile: with the log behind it all of that is
+                // there.
                 self.flush()?;
                 return self.finish(own).map(|()| true);
             }
