--- a/crates/store/src/worker.rs
+++ b/crates/store/src/worker.rs
@@ -109,7 +109,7 @@
         // One flush for all that waits by now.
         for batch in first.into_iter().chain(batches.try_iter().take(MOST_WAITING)) {
             taken += 1;
-            // One that is too long was never acknowledged, nor is anything behind it said to be.
+            // Only what nobody waits for can be too long: an intent is some sixty bytes.
             if store.write(batch).is_none() {
                 log::error!("a batch is too long for the store and was left out");
             }
