--- a/crates/command/src/arguments.rs
+++ b/crates/command/src/arguments.rs
@@ -43,6 +43,11 @@
         #[command(subcommand)]
         what: StoreCommand,
     },
+    /// How the gateways of a fleet stand to each other, by what their store directories say
+    Fleet {
+        #[command(subcommand)]
+        what: FleetCommand,
+    },
     /// Watch gateways through their records, live or at any time that they hold
     Console {
         #[arg(required = true, value_name = "DIR")]
@@ -80,6 +85,20 @@
     pub to: Option<Moment>,
 }
 
+#[derive(Subcommand)]
+pub enum FleetCommand {
+    /// One line a gateway: whether it votes, reaches a majority, and what of its peers is wrong
+    Status {
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+    },
+    /// Which copies differ between keepers, and what each lacks; changes nothing
+    Copies {
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum StoreCommand {
     /// Read all of it and say what it holds, and what of it a gateway would trust; change nothing
--- /dev/null
+++ b/crates/command/src/fleet.rs
@@ -0,0 +1,110 @@
+//! `eideryard fleet`: how the gateways of a fleet stand, from their status files and stores.
+
+use std::path::{Path, PathBuf};
+
+use eideryard_replica::compare::{compare, held, Held};
+use serde_json::Value;
+
+/// A status file that is older than this is of a gateway that does not run.
+const OLD_MS: u64 = 3_000;
+
+fn now_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.unwrap_or_default().as_millis() as u64
+}
+
+fn read(directory: &Path) -> Result<Value, String> {
+    let path = directory.join("STATUS");
+    let wrong = |e: &dyn std::fmt::Display| {
+        format!("{}: {e}; name the store-dir of a gateway whose file has 'fleet'", path.display())
+    };
+    let text = std::fs::read(&path).map_err(|e| wrong(&e))?;
+    serde_json::from_slice(&text).map_err(|e| wrong(&e))
+}
+
+fn names(told: &Value, state: &str) -> Vec<String> {
+    let peers = told["peers"].as_object().into_iter().flatten();
+    peers.filter(|(_, own)| own["state"] == state).map(|(name, _)| name.clone()).collect()
+}
+
+/// One line for each gateway, and what is wrong below it.
+pub fn status(directories: &[PathBuf]) -> Result<(), String> {
+    println!(
+        "{:<12} {:<9} {:<9} {:<8} {:>7} {:>7} {:>8} {:>8} {:>7} {:>7}",
+        "gateway", "as", "majority", "seen", "copies", "lagging", "claims", "earlier", "refused", "mended"
+    );
+    let mut apart = Vec::new();
+    for directory in directories {
+        let told = read(directory)?;
+        let age = now_ms().saturating_sub(told["at_ms"].as_u64().unwrap_or(0));
+        let name = told["name"].as_str().unwrap_or("?");
+        let role = match (told["keeper"] == true, told["votes"] == true) {
+            (false, _) => "asker",
+            (true, true) => "votes",
+            (true, false) => "catch-up",
+        };
+        let majority = if told["majority"] == true { "yes" } else { "NO" };
+        let seen = if age > OLD_MS { format!("{} s ago", age / 1000) } else { "now".into() };
+        let count = |name: &str| told[name].as_u64().unwrap_or(0);
+        println!(
+            "{name:<12} {role:<9} {majority:<9} {seen:<8} {:>7} {:>7} {:>8} {:>8} {:>7} {:>7}",
+            count("copies"),
+            count("lagging"),
+            count("claims"),
+            count("earlier"),
+            count("without_majority"),
+            count("mended")
+        );
+        for state in ["slow", "silent", "gone"] {
+            let names = names(&told, state);
+            if !names.is_empty() {
+                println!("    {state}: {}", names.join(" "));
+            }
+        }
+        for (peer, why) in told["turned"].as_object().into_iter().flatten() {
+            println!("    no link with {peer}: {}", why.as_str().unwrap_or_default());
+        }
+        apart.extend((told["majority"] != true).then(|| name.to_string()));
+    }
+    match apart.is_empty() {
+        true => Ok(()),
+        false => Err(format!(
+            "no majority of keepers at {}: keyed and unsafe requests are refused there, or sent at a risk",
+            apart.join(" ")
+        )),
+    }
+}
+
+/// Which copies differ between keepers, and why.
+pub fn copies(directories: &[PathBuf]) -> Result<(), String> {
+    let mut keepers: Vec<(String, Held)> = Vec::new();
+    for directory in directories {
+        let told = read(directory)?;
+        if told["keeper"] != true {
+            continue;
+        }
+        let found = eideryard_store::look(directory).map_err(|e| format!("{}: {e}", directory.display()))?;
+        let keys = found.keys.iter().map(|(key, value)| (&key[..], &value.bytes[..]));
+        keepers.push((told["name"].as_str().unwrap_or("?").to_string(), held(keys)));
+    }
+    if keepers.len() < 2 {
+        return Err("copies are compared between keepers: name the store-dir of two or more".into());
+    }
+    let all: Vec<Held> = keepers.iter().map(|(_, held)| held.clone()).collect();
+    let (compared, differ) = compare(&all, now_ms());
+    println!("{compared} keys at {} keepers, {} differ", keepers.len(), differ.len());
+    for own in &differ {
+        let key: String = own.key.iter().map(|byte| format!("{byte:02x}")).collect();
+        for ((name, _), lacks) in keepers.iter().zip(&own.lacks) {
+            for (origin, had) in lacks {
+                let of = format!("what start {} of {:016x} said", origin.start, origin.identity);
+                let had = had.map_or("nothing of it".into(), |version| format!("version {version}"));
+                println!("{key}: {name} has {had} of {of}, others have more");
+            }
+        }
+    }
+    if !differ.is_empty() {
+        println!("keepers that run and reach each other mend this by themselves within seconds");
+    }
+    Ok(())
+}
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -2,13 +2,14 @@
 
 mod arguments;
 mod check;
+mod fleet;
 mod logger;
 mod moment;
 mod records;
 mod store;
 mod view;
 
-use arguments::{Arguments, Command, RecordsCommand, StoreCommand};
+use arguments::{Arguments, Command, FleetCommand, RecordsCommand, StoreCommand};
 use clap::{CommandFactory, Parser};
 use eideryard_operator::Operator;
 use std::process::ExitCode;
@@ -29,6 +30,10 @@
             StoreCommand::Dump { directory } => store::dump(&directory),
             StoreCommand::Compact { directory } => store::compact(&directory),
         },
+        Command::Fleet { what } => match what {
+            FleetCommand::Status { directories } => fleet::status(&directories),
+            FleetCommand::Copies { directories } => fleet::copies(&directories),
+        },
         Command::Console { directories, at } => {
             view::moment(&directories, at).and_then(|at| eideryard_console::run(&directories, at))
         }
--- a/crates/command/src/store.rs
+++ b/crates/command/src/store.rs
@@ -4,8 +4,8 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use eideryard_ledger::entry;
-use eideryard_store::recovery::{self, Recovered};
-use eideryard_store::{Directory, Files, Plan, Store, Trust};
+use eideryard_store::recovery::Recovered;
+use eideryard_store::{Directory, Plan, Store, Trust};
 
 /// A store that is rewritten by hand may grow as it has to.
 const ANY_BUDGET: u64 = 1 << 44;
@@ -19,15 +19,7 @@
     if !directory.is_dir() {
         return Err(wrong(&"no such directory; name the one that store-dir names"));
     }
-    let mut files = Directory::new(directory);
-    let mut segments = Vec::new();
-    for (name, _) in files.list().map_err(|e| wrong(&e))? {
-        if recovery::number(&name).is_some() {
-            let bytes = files.read(&name).map_err(|e| wrong(&e))?;
-            segments.push((name, bytes));
-        }
-    }
-    recovery::recover(&segments).map_err(|e| wrong(&e))
+    eideryard_store::look(directory).map_err(|e| wrong(&e))
 }
 
 pub fn check(directory: &Path) -> Result<(), String> {
--- a/crates/console/src/draw.rs
+++ b/crates/console/src/draw.rs
@@ -91,10 +91,18 @@
         .filter(|episode| episode.end.is_none())
         .map(|episode| format!("{} ({})", episode.kind.word(), story::subject(view, &episode.kind)))
         .collect();
+    let wanting = story::wanting(&story::totals(view)).map(|reasons| format!("  for want: {reasons}"));
+    let second = second + &wanting.unwrap_or_default();
+    let apart = view.fleet.running().filter(|(_, start)| start.majority == Some(false));
+    let apart: Vec<&str> = apart.map(|(_, start)| start.name.as_str()).collect();
     let third = match lasting.is_empty() {
         true => "no trouble now".to_string(),
         false => format!("NOW: {}", lasting.join(", ")),
     };
+    let third = match apart.is_empty() {
+        true => third,
+        false => format!("{third}  NO MAJORITY of keepers at {}", apart.join(" ")),
+    };
     let style =
         if look.colours && !lasting.is_empty() { bold().fg(ratatui::style::Color::Red) } else { bold() };
     let lines = vec![Line::styled(first, bold()), Line::from(second), Line::styled(third, style)];
--- a/crates/fleet-rig/src/check/mod.rs
+++ b/crates/fleet-rig/src/check/mod.rs
@@ -5,6 +5,7 @@
 
 mod answers;
 mod cold;
+pub mod copies;
 mod drains;
 mod effects;
 mod order;
@@ -39,6 +40,8 @@
     Conservation,
     /// What records say is what clients saw.
     Records,
+    /// What keepers hold of a key is the same once nothing new comes.
+    Copies,
     /// A gateway ended though nobody told it to.
     Crash,
 }
@@ -53,6 +56,7 @@
             Rule::Order => "order",
             Rule::Conservation => "conservation",
             Rule::Records => "records",
+            Rule::Copies => "copies agree",
             Rule::Crash => "no crash",
         }
     }
--- a/crates/fleet-rig/src/check/service.rs
+++ b/crates/fleet-rig/src/check/service.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use eideryard_standin::history::{Happened, How, Micros, Name, What};
+use eideryard_standin::history::{Happened, How, Micros, Name, Process, What};
 
 use super::{Facts, History, Verdict};
 
@@ -31,7 +31,39 @@
         .map(|at| at - from)
 }
 
+/// The time after a restart that is looked at, where all starts that were not the first are close together.
+const RESTART: Micros = 30_000_000;
+const TOGETHER: Micros = 1_000_000;
+
+/// How first tries went in the time after the fleet was started again: their part served, and how long that
+/// took.
+fn restarted(history: &History, verdict: &mut Verdict) {
+    let starts = history
+        .events
+        .iter()
+        .filter(|own| matches!(own.what, What::Gateway { how: Process::Started(number), .. } if number > 1));
+    let starts: Vec<Micros> = starts.map(|own| own.at).collect();
+    let (Some(first), Some(last)) = (starts.first(), starts.last()) else { return };
+    if last - first > TOGETHER || history.last < last + RESTART / 3 {
+        return;
+    }
+    let within = *last..last + RESTART;
+    let (mut asked, mut took) = (0u64, Vec::new());
+    for (at, tried) in history.tries.values().filter(|(at, tried)| within.contains(at) && tried.number == 0) {
+        asked += 1;
+        let end = history.ends.get(&tried.id).and_then(|ends| ends.first());
+        took.extend(end.filter(|(_, how)| *how == How::Served).map(|(end, _)| end.saturating_sub(*at)));
+    }
+    took.sort_unstable();
+    let part = |share: usize| took.get(took.len() * share / 100).copied().unwrap_or(0) / 1000;
+    verdict.figure("restart30_asked", asked);
+    verdict.figure("restart30_served_permille", took.len() as u64 * 1000 / asked.max(1));
+    verdict.figure("restart30_median_ms", part(50));
+    verdict.figure("restart30_p99_ms", part(99));
+}
+
 pub fn measure(facts: &Facts, history: &History, verdict: &mut Verdict) {
+    restarted(history, verdict);
     let mut firsts: BTreeMap<Name, Firsts> = BTreeMap::new();
     let mut gateways: HashMap<&Name, u64> = HashMap::new();
     let classes: HashMap<&Name, &Name> =
--- a/crates/fleet-rig/src/directories.rs
+++ b/crates/fleet-rig/src/directories.rs
@@ -19,6 +19,16 @@
     root.join(format!("{gateway}.saved"))
 }
 
+/// The store of a gateway, and the file in it that tells how it stands in its fleet.
+pub const STORE: &str = "store";
+const STATUS: &str = "STATUS";
+
+/// What a gateway last said of itself.
+pub fn status(root: &Path, gateway: &str) -> Option<serde_json::Value> {
+    let text = std::fs::read(of(root, gateway).join(STORE).join(STATUS)).ok()?;
+    serde_json::from_slice(&text).ok()
+}
+
 pub fn wipe(root: &Path, gateway: &str) -> io::Result<()> {
     let own = of(root, gateway);
     match std::fs::remove_dir_all(&own) {
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -4,7 +4,8 @@
 //! [`plan`] draws faults from a seed, or takes a scenario's; [`world`] plays them: gateways as
 //! [`processes`] in [`directories`] of their own, every connection through a [`relay`] of [`links`].
 //! [`check`] judges the history of all sides and [`minimize`] drops the faults that a break does not need;
-//! both are pure, as [`plan`] is. [`run`] joins them.
+//! both are pure, as [`plan`] is. [`run`] joins them. [`simulated`] is a fleet of hundreds in virtual time,
+//! with the program's own cores.
 //!
 //! Bounds: 12 gateways by default are the most that are started, the history is bounded in
 //! `eideryard_standin::history`, and what a link holds in [`relay`].
@@ -18,4 +19,6 @@
 pub mod processes;
 pub mod relay;
 pub mod run;
+pub mod simulated;
+pub mod stall;
 pub mod world;
--- a/crates/fleet-rig/src/links.rs
+++ b/crates/fleet-rig/src/links.rs
@@ -56,6 +56,12 @@
         self.links.iter().filter(|((_, own), _)| **own == *to).for_each(|(_, relay)| relay.lead_to(target));
     }
 
+    /// Where gateways reach another one of them.
+    pub fn lead_peers(&self, to: &str, target: Option<SocketAddr>) {
+        let of_peers = |(from, own): &(Name, Name)| **own == *to && self.gateways.contains(from);
+        self.links.iter().filter(|(ends, _)| of_peers(ends)).for_each(|(_, relay)| relay.lead_to(target));
+    }
+
     pub fn lead(&self, from: &str, to: &str, target: Option<SocketAddr>) {
         self.link(from, to).into_iter().for_each(|relay| relay.lead_to(target));
     }
--- a/crates/fleet-rig/src/plan.rs
+++ b/crates/fleet-rig/src/plan.rs
@@ -80,6 +80,8 @@
     /// others keep away.
     busy: Vec<(String, u64, u64)>,
     apart: u64,
+    /// Links between gateways have faults too.
+    peers: bool,
     from: u64,
     until: u64,
     faults: Vec<(u64, String)>,
@@ -95,6 +97,7 @@
         gateways: gateway_names,
         busy: Vec::new(),
         apart: if case == Case::Store { 400 } else { 2_500 },
+        peers: matches!(case, Case::Copies | Case::Owner),
         from: QUIET_BEGIN.min(seconds * 200),
         until: (seconds * 1000).saturating_sub(QUIET_END).max(seconds * 400),
         faults: Vec::new(),
@@ -112,13 +115,22 @@
     Plan { head: head(case, seed, &draw.gateways, seconds, on), faults }
 }
 
+/// Keepers of a fleet of so many gateways.
+pub fn keepers(gateways: usize) -> usize {
+    match gateways {
+        ..7 => 3,
+        _ => 5,
+    }
+}
+
 /// Six engines in three cells that each know their own keys; clients of safe, keyed, unsafe and ordered
 /// classes that take a little under half of the cores.
 fn head(case: Case, seed: u64, gateways: &[String], seconds: u64, on: bool) -> String {
     let back = if case == Case::Store { "same" } else { "other" };
     let mut head = format!("# Case {}, seed {seed}.\nseed {seed}\ntime {seconds}s\n", case.name());
     head += "class report {\n    effect safe\n}\nclass booking {\n    effect keyed\n    scope cell\n    \
-             window 5s\n}\nclass payment {\n    effect unsafe\n}\nclass entry {\n    effect safe\n    \
+             window 5s\n}\nclass payment {\n    effect unsafe\n    window 5s\n}\nclass entry {\n    \
+             effect safe\n    \
              ordered\n}\n";
     for (cell, name) in ["a", "b", "c"].iter().enumerate() {
         head += &format!(
@@ -127,11 +139,18 @@
         );
     }
     for name in gateways {
-        let store = match on && case == Case::Store {
-            true => "    operator \"store-dir {directory}/store\"\n",
-            false => "",
-        };
-        head += &format!("gateway {name} {{\n    memory 64MB\n{store}}}\n");
+        let mut lines = Vec::new();
+        if on && matches!(case, Case::Store | Case::Copies) {
+            lines.push("store-dir {directory}/store".to_string());
+        }
+        if on && case == Case::Copies {
+            lines.extend(["fleet rig {".into(), "listen 127.0.0.1:0".into()]);
+            let keepers = gateways.iter().take(keepers(gateways.len()));
+            lines.extend(keepers.map(|keeper| format!("keeper {keeper} {{peer {keeper}}}")));
+            lines.push("}".into());
+        }
+        let lines: String = lines.iter().map(|line| format!("    operator \"{line}\"\n")).collect();
+        head += &format!("gateway {name} {{\n    memory 64MB\n{lines}}}\n");
     }
     let load = |name: &str, class: &str, rate: u64, work: u64, more: &str| {
         format!(
@@ -226,7 +245,12 @@
     fn link(&mut self) {
         let (at, lasts) = (self.time(), self.lasts(200..2_500));
         let near = self.gateway();
-        let far = match self.rng.random_range(0..4) {
+        let far = match self.rng.random_range(0..if self.peers { 8 } else { 4 }) {
+            4 => "gateways".to_string(),
+            5.. => {
+                let others = self.gateways.iter().filter(|own| **own != near).collect::<Vec<_>>();
+                others.choose(&mut self.rng).map(|name| name.to_string()).unwrap_or_default()
+            }
             0 => "clients".to_string(),
             1 => "bulletin".to_string(),
             2 => "engines".to_string(),
@@ -244,12 +268,19 @@
         self.put(at, fault);
     }
 
+    fn stall_disk(&mut self) {
+        let (at, lasts) = (self.time(), self.lasts(200..3_000));
+        let name = self.gateway();
+        self.put(at, format!("stall-disk {name} for {lasts}ms"));
+    }
+
     fn of_copies(&mut self) {
-        match self.rng.random_range(0..8) {
+        match self.rng.random_range(0..9) {
             0 | 1 => self.kill_gateway("kept"),
             2 => self.kill_gateway("wiped"),
             3 => self.kill_gateway("old"),
             4 => self.pause_gateway(500..4_000),
+            5 => self.stall_disk(),
             _ => self.link(),
         }
     }
--- a/crates/fleet-rig/src/processes.rs
+++ b/crates/fleet-rig/src/processes.rs
@@ -8,6 +8,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+use crate::stall::Held;
 use rustix::process::{kill_process, Pid, Signal};
 use tokio::time::{sleep, Instant};
 
@@ -44,6 +45,8 @@
     start: usize,
     /// It was told to end, or killed.
     wanted: bool,
+    /// A thread of it that stands still.
+    held: Option<Held>,
 }
 
 #[derive(Default)]
@@ -81,7 +84,8 @@
             .stderr(File::create(&log)?)
             .spawn()
             .map_err(|e| io::Error::new(e.kind(), format!("{}: {e}", programs.program.display())))?;
-        self.running.insert(name.to_string(), Running { child, log: log.clone(), start, wanted: false });
+        self.running
+            .insert(name.to_string(), Running { child, log: log.clone(), start, wanted: false, held: None });
         let until = Instant::now() + PATIENCE;
         loop {
             if let Some(address) = find(&log, "listens on ").and_then(|line| address(&line)) {
@@ -101,6 +105,25 @@
         }
     }
 
+    /// Where the gateways of its fleet reach one, as its log says.
+    pub fn peers_reach(&self, name: &str) -> Option<SocketAddr> {
+        let log = &self.running.get(name)?.log;
+        find(log, "peers reach this gateway at ").and_then(|line| address(&line))
+    }
+
+    /// Holds one thread of a process until it is let go or ends.
+    pub fn hold(&mut self, name: &str, thread: &str) -> io::Result<()> {
+        if let Some(running) = self.running.get_mut(name).filter(|own| own.held.is_none()) {
+            running.held = Held::hold(running.child.id(), thread)?;
+        }
+        Ok(())
+    }
+
+    pub fn let_go(&mut self, name: &str) {
+        let held = self.running.get_mut(name).and_then(|running| running.held.take());
+        held.into_iter().for_each(Held::let_go);
+    }
+
     pub fn signal(&mut self, name: &str, signal: Signal) {
         if let Some(running) = self.running.get_mut(name) {
             running.wanted |= signal == Signal::TERM || signal == Signal::KILL;
@@ -128,6 +151,11 @@
         let Some(mut running) = self.running.remove(name) else { return Ok(true) };
         let until = Instant::now() + PATIENCE;
         let (mut cpu, mut by_itself) = (Duration::ZERO, true);
+        // What is held ends with a kill, and else goes on, so that it can end by itself.
+        match running.held.take() {
+            Some(held) if running.wanted => held.let_go_or_ended(),
+            held => held.into_iter().for_each(Held::let_go),
+        }
         while running.child.try_wait()?.is_none() {
             cpu = processor_time(running.child.id()).unwrap_or(cpu).max(cpu);
             if Instant::now() > until {
@@ -149,6 +177,7 @@
         for running in self.running.values_mut() {
             // Those that have ended are waited for all the same.
             let _ = running.child.kill();
+            running.held.take().into_iter().for_each(Held::let_go_or_ended);
             let _ = running.child.wait();
         }
     }
--- a/crates/fleet-rig/src/run.rs
+++ b/crates/fleet-rig/src/run.rs
@@ -42,6 +42,35 @@
     }
 }
 
+/// Holds the keepers' copies against each other, where there are any.
+fn compare(
+    directory: &Path,
+    gateways: &[String],
+    agreed: Option<u64>,
+    verdict: &mut Verdict,
+) -> io::Result<()> {
+    let (mut keepers, mut last) = (Vec::new(), 0);
+    for name in gateways {
+        let Some(told) = directories::status(directory, name).filter(|told| told["keeper"] == true) else {
+            continue;
+        };
+        last = last.max(told["at_ms"].as_u64().unwrap_or(0));
+        let store = directories::of(directory, name).join(directories::STORE);
+        let found = eideryard_store::look(&store).map_err(|e| io::Error::other(e.to_string()))?;
+        let keys = found.keys.iter().map(|(key, value)| (&key[..], &value.bytes[..]));
+        keepers.push((name.clone(), eideryard_replica::compare::held(keys)));
+        for figure in ["mended", "caught_up_bytes"] {
+            let sum = verdict.figures.get(figure).copied().unwrap_or(0);
+            verdict.figure(figure, sum + told[figure].as_u64().unwrap_or(0));
+        }
+    }
+    if !keepers.is_empty() {
+        check::copies::check(&keepers, last, verdict);
+        agreed.into_iter().for_each(|time| verdict.figure("agree_ms", time));
+    }
+    Ok(())
+}
+
 /// Plays a plan in a directory, which keeps all that the gateways leave behind.
 pub fn run(program: &Path, plan: &Plan, directory: &Path) -> Result<Ran, Trouble> {
     let scenario = plan.scenario("plan").map_err(Trouble::Plan)?;
@@ -63,6 +92,7 @@
     let records: Vec<Recorded> = gateways.iter().flat_map(of_records).collect();
     let mut verdict = check::check(&facts, &events, &records, &played.crashed);
     counted(&played.endings, &mut verdict);
+    compare(directory, &gateways, played.agreed, &mut verdict)?;
     verdict.figure("faults", plan.faults.len() as u64);
     let history = History::new(&events);
     let stories = verdict.breaks.iter().take(MOST_STORIES);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -6,7 +6,7 @@
 use eideryard::interface::{Action, EngineId, Event, Micros, Outcome, Phase, RequestId};
 use eideryard_record::reader::What;
 use eideryard_record::tally::{Counted, Tally};
-use eideryard_record::{AnswerKind, Entry, Host, Listed, Names, NotTaken, Source};
+use eideryard_record::{AnswerKind, Entry, FleetWord, Host, Listed, Names, NotTaken, Source};
 use hdrhistogram::Histogram;
 
 /// Open requests of one gateway that are kept; a gateway's own limits are far below.
@@ -22,6 +22,9 @@
 /// Classes that latencies are kept of.
 const MOST_CLASSES: usize = 256;
 
+/// Peers of one gateway that are told of.
+const MOST_PEERS: usize = 400;
+
 /// Something that happened, in words that need no state.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fact {
@@ -158,6 +161,13 @@
     /// Latency of served requests by class, in milliseconds.
     pub latency: Vec<Histogram<u64>>,
     pub heard_roster: bool,
+    /// How its peers do, by name; whether it votes as a keeper, and whether a majority can be asked, where it
+    /// said so.
+    pub peers: BTreeMap<String, String>,
+    pub votes: Option<bool>,
+    pub majority: Option<bool>,
+    /// Peers that were turned away, and why.
+    pub turned: BTreeMap<String, String>,
     pub stopping: bool,
     /// The counters that it ended with.
     pub own: Option<Vec<(String, u64)>>,
@@ -187,6 +197,10 @@
             connections: HashMap::new(),
             latency: Vec::new(),
             heard_roster: false,
+            peers: BTreeMap::new(),
+            votes: None,
+            majority: None,
+            turned: BTreeMap::new(),
             stopping: false,
             own: None,
             first_at: at,
@@ -515,7 +529,7 @@
                 self.keep(offer.request, request);
             }
             Host::NotTaken { how, class, tenant } => {
-                if *how == NotTaken::NoRoom {
+                if !matches!(how, NotTaken::Invalid | NotTaken::Gone) {
                     say(Fact::Refused { class: *class, tenant: *tenant });
                 }
             }
@@ -568,7 +582,25 @@
             Host::Attached { class, tenant } => {
                 say(Fact::Taken { class: *class, tenant: *tenant, from: None })
             }
-            Host::Reloaded { .. } | Host::Ending { .. } | Host::Alive => {}
+            Host::Fleet(word) => self.fleet_word(word),
+            Host::Reloaded { .. } | Host::Ending { .. } | Host::Alive | Host::Because { .. } => {}
+        }
+    }
+
+    fn fleet_word(&mut self, word: &FleetWord) {
+        match word {
+            FleetWord::Peer { name, state } => {
+                if self.peers.len() < MOST_PEERS || self.peers.contains_key(name) {
+                    self.peers.insert(name.clone(), state.clone());
+                }
+                self.turned.remove(name);
+            }
+            FleetWord::Turned { name, why } if self.turned.len() < MOST_PEERS => {
+                self.turned.insert(name.clone(), why.clone());
+            }
+            FleetWord::Turned { .. } => {}
+            FleetWord::Votes { votes } => self.votes = Some(*votes),
+            FleetWord::Majority { stands } => self.majority = Some(*stands),
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,9 +20,10 @@
 use crate::counters::Counters;
 use crate::deadlines::{Deadlines, Due};
 use crate::engines::{self, Engines};
-use crate::keeping::{Keeping, Sending, Waiting};
+use crate::keeping::{Keeping, Ready, Sending, Waiting};
 use crate::link::Link;
 use crate::requests::{self, place, Attempt, Call, Names, NotTaken, Requests};
+use crate::sharing::About;
 use crate::spooling::{Spooling, Told as Word, Waiter};
 use crate::table::Key;
 use crate::tap::Tap;
@@ -103,7 +104,23 @@
                 let random = config.seed ^ now.rotate_left(23) ^ u64::from(std::process::id());
                 let wake = Box::new(move || ping.ping());
                 let (settings, memory_mb) = (&config.settings, config.memory_mb);
-                Some(Box::new(Keeping::start(plan, settings, memory_mb, now, random, wake)))
+                let (mut keeping, shared) = Keeping::start(plan, settings, memory_mb, now, random, wake);
+                if let Some(fleet) = &operator.fleet {
+                    let (ping, woken) = calloop::ping::make_ping()?;
+                    events
+                        .insert_source(woken, |(), _, wakes| wakes.push(Wake::Store))
+                        .map_err(io::Error::other)?;
+                    let about = About {
+                        name: &config.name,
+                        settings,
+                        longest_wait: config.host.longest_wait,
+                        entries: Keeping::room_for_copies(memory_mb),
+                        now,
+                        seed: random,
+                    };
+                    keeping.join((fleet, plan), about, shared, Box::new(move || ping.ping()))?;
+                }
+                Some(Box::new(keeping))
             }
             None => None,
         };
@@ -256,7 +273,8 @@
             })
         });
         let link = Host::Link { up: self.link.is_heard() };
-        self.tap.state(now, engines.chain(connections).chain(open).chain([link]));
+        let fleet = self.keeping.iter().flat_map(|keeping| keeping.fleet_state()).map(Host::Fleet);
+        self.tap.state(now, engines.chain(connections).chain(open).chain([link]).chain(fleet));
     }
 
     /// Connections of clients that have come and gone.
@@ -311,7 +329,7 @@
         let tables = self.tables().into_iter().map(|(name, size)| format!("{name}={size}"));
         let (counters, tables) = (&self.counters, tables.collect::<Vec<_>>());
         let spool = self.spooling.as_ref().map(|spooling| format!("; {:?}", spooling.counted));
-        let kept = self.keeping.as_ref().map(|keeping| format!("; {:?}", keeping.counted));
+        let kept = self.keeping.as_ref().map(|keeping| keeping.told());
         let more = [spool, kept].into_iter().flatten().collect::<String>();
         tracing::info!("counters: {counters}; tables {}{more}", tables.join(" "));
     }
@@ -467,7 +485,7 @@
         });
         let earlier = match earlier {
             Ok(earlier) => earlier,
-            Err(why) => return self.no_store(client, id, of, why.name()),
+            Err(why) => return self.no_store(client, id, of, why),
         };
         let deadline = now + call.wait;
         let arrived = Request {
@@ -480,7 +498,7 @@
             work: call.work,
             memory_mb: call.memory_mb,
             group: call.group.unwrap_or(0),
-            earlier,
+            earlier: earlier.clone(),
         };
         let request = match self.requests.insert(client, id, now, deadline, call) {
             Ok(request) => request,
@@ -494,7 +512,8 @@
             }
         };
         self.clients.opened(client, id, request);
-        let own = self.requests.get_mut(request);
+        let mut own = self.requests.get_mut(request);
+        own.iter_mut().for_each(|own| own.earlier.clone_from(&earlier));
         if let Some((spooling, own)) = self.spooling.as_mut().filter(|_| spooled).zip(own) {
             own.spooled = true;
             let who = Waiter { client, call: id, counts: None };
@@ -510,12 +529,12 @@
     }
 
     /// A keyed request is not taken, since its intent can't be kept now.
-    fn no_store(&mut self, client: Key, id: u32, of: (usize, usize), why: &str) {
+    fn no_store(&mut self, client: Key, id: u32, of: (usize, usize), why: Untaken) {
         self.counters.refused += 1;
         self.counters.no_room += 1;
-        self.tell_untaken(Untaken::NoRoom, Some(of));
+        self.tell_untaken(why, Some(of));
         let wait = (eideryard_ledger::state::ADVICE / 1000).to_string();
-        let mut fields = vec![("why", why)];
+        let mut fields = vec![("why", why.name())];
         fields.extend(Some(("w", wait.as_str())).filter(|_| self.may_advise));
         self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &fields));
     }
@@ -727,7 +746,7 @@
         let engine = tried.engine;
         (tried.conn, tried.waits) = (None, false);
         self.due.take_back(tried.deadline.take());
-        if let Some(keeping) = &mut self.keeping {
+        if let Some(keeping) = self.keeping.as_mut().filter(|_| std::mem::take(&mut tried.kept)) {
             let never_ran = matches!(outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
             keeping.ended(self.clock.now(), request.class, request.key.as_deref(), never_ran);
         }
@@ -828,18 +847,26 @@
         self.counters.sent += 1;
         let (class, name) = (request.class, request.key.as_deref());
         let sending = match &mut self.keeping {
-            Some(keeping) => keeping.sends(now, class, name, engine),
+            Some(keeping) => keeping.sends(now, class, name, engine, give_up_at, &request.earlier),
             None => Sending::Now,
         };
-        let waits = matches!(sending, Sending::Waits(_));
-        request.attempts.push(Attempt { engine, conn: None, sent_at: now, deadline: None, waits });
+        let waits = matches!(sending, Sending::Waits { .. });
+        let kept = waits || matches!(sending, Sending::Not);
+        request.attempts.push(Attempt { engine, conn: None, sent_at: now, deadline: None, waits, kept });
         match sending {
             Sending::Now => self.dispatch(now, key, attempt, engine, give_up_at),
             Sending::Not => self.over(key, attempt, Outcome::Unsent, false, None, None),
-            Sending::Waits(ticket) => {
+            Sending::Untold(ran) => {
+                request.earlier.push(ran);
+                self.events.push_back(Event::RanBefore { request: key.number(), earlier: vec![ran] });
+                self.over(key, attempt, Outcome::Unsent, false, None, None);
+            }
+            Sending::Waits { ticket, claim, ran } => {
+                request.earlier.push(ran);
                 let deadline = self.due.set(give_up_at, Due::Attempt(key, attempt));
                 request.attempts[attempt].deadline = Some(deadline);
-                let waiting = Waiting { ticket, since: now, request: key, attempt, engine, give_up_at };
+                let waiting =
+                    Waiting { ticket, claim, since: now, request: key, attempt, engine, give_up_at };
                 self.keeping.iter_mut().for_each(|keeping| keeping.waits(waiting));
             }
         }
@@ -883,31 +910,47 @@
         if keeping.wants_lessons(now) {
             keeping.learns(now, &self.module.lessons());
         }
-        let (go, late) = (keeping.durable(), keeping.work(now));
-        if go.is_empty() && late.is_empty() {
-            return;
-        }
+        let (Ready { go, late, earlier }, words) = (keeping.work(now), keeping.words());
+        words.into_iter().for_each(|word| self.tap.host(now, Host::Fleet(word)));
+        let nothing = go.is_empty() && late.is_empty() && earlier.is_empty();
         for Waiting { request, attempt, engine, give_up_at, .. } in go {
             let tried = self.requests.get_mut(request).and_then(|own| own.attempts.get_mut(attempt));
             // One that was given up meanwhile waits no more.
-            if tried.is_some_and(|tried| std::mem::take(&mut tried.waits)) {
-                self.dispatch(now, request, attempt, engine, give_up_at);
+            if !tried.is_some_and(|tried| std::mem::take(&mut tried.waits)) {
+                continue;
+            }
+            let own = self.requests.get(request).zip(self.keeping.as_ref());
+            match own.is_none_or(|(own, keeping)| keeping.in_time(now, own.class, &own.earlier)) {
+                true => self.dispatch(now, request, attempt, engine, give_up_at),
+                // The module decides anew, by the time that it is now.
+                false => self.over(request, attempt, Outcome::Unsent, false, None, None),
             }
         }
+        for (Waiting { request, attempt, .. }, ran) in earlier {
+            let Some(own) = self.requests.get_mut(request) else { continue };
+            own.earlier.extend(ran.iter().copied());
+            // The module knows it before it hears that the attempt was not sent.
+            self.events.push_back(Event::RanBefore { request: request.number(), earlier: ran });
+            self.give_up(request, attempt, Outcome::Unsent);
+        }
         let wait = (eideryard_ledger::state::ADVICE / 1000).to_string();
-        for Waiting { request, attempt, .. } in late {
+        for (Waiting { request, attempt, .. }, why) in late {
             let own = self.requests.get(request);
             let alone = own.is_some_and(|own| own.attempts.len() == 1 && own.attempts[0].waits);
             self.give_up(request, attempt, Outcome::Unsent);
             if alone {
-                let advice = [("why", "store stalled"), ("w", wait.as_str())];
+                let advice = [("why", why.name()), ("w", wait.as_str())];
                 let advice = if self.may_advise { &advice[..] } else { &advice[..1] };
+                self.tap.host(now, Host::Because { request: request.number(), why });
                 self.turn_down(request, "TryLater", advice);
                 self.events.push_back(Event::ClientLeft { request: request.number() });
             }
         }
-        self.settle();
-        self.flush();
+        if !nothing {
+            self.settle();
+            self.flush();
+        }
+        self.keeping.iter_mut().for_each(|keeping| keeping.flush());
     }
 
     /// Refused or failed.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,7 +13,9 @@
 mod lessons;
 mod link;
 mod requests;
+mod sharing;
 mod spooling;
+mod status;
 mod table;
 mod tap;
 
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeSet, VecDeque};
 
-use eideryard::interface::{Effect, EngineId, Kind, Micros, Settings};
+use eideryard::interface::{Earlier, Effect, EngineId, Kind, Micros, Settings};
 
 use crate::deadlines::{DeadlineKey, Deadlines};
 use crate::table::{Key, Table};
@@ -151,6 +151,8 @@
     pub deadline: Option<DeadlineKey>,
     /// It waits until its intent is durable: no byte of it has gone out.
     pub waits: bool,
+    /// Its intent is in the ledger, which is told of its end.
+    pub kept: bool,
 }
 
 pub struct Request {
@@ -172,6 +174,8 @@
     /// When the client's patience ends.
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
+    /// What of it may have run elsewhere, as the module was told.
+    pub earlier: Vec<Earlier>,
     /// The module's own timer of it.
     pub timer: Option<DeadlineKey>,
 }
@@ -232,6 +236,7 @@
             answered: false,
             deadline,
             attempts: Vec::new(),
+            earlier: Vec::new(),
             timer: None,
         }))
     }
--- /dev/null
+++ b/crates/gateway/src/sharing.rs
@@ -0,0 +1,409 @@
+//! Joins the fleet's copies to the links among gateways and to the store: carries messages, makes copies
+//! durable before they are acknowledged, and tells what became of claims. Off without `fleet` in the
+//! operator's file. Decides nothing: `eideryard_replica` does.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+
+use eideryard::interface::{Class, Earlier, Effect, Micros, Settings};
+use eideryard_ledger::state::SLACK;
+use eideryard_ledger::{Intent, Place};
+use eideryard_operator::FleetPlan;
+use eideryard_peers::{Heard, Hello, Hub, Peer as End, State};
+use eideryard_record::FleetWord;
+use eideryard_replica::copies::Limits;
+use eideryard_replica::{entry, Core, Message, Output, Peer, Plan, Told, Verdict};
+use eideryard_store::worker::Worker;
+use eideryard_store::Batch;
+use serde_json::{json, Value};
+
+use crate::keeping::Shared;
+
+/// The store's key under which a keeper remembers that it votes, and the identity that it voted under.
+const VOTES: &[u8] = b"v";
+/// Bytes of catch-up that a keeper sends a second, to all that ask together.
+const CATCH_UP: u64 = 2 << 20;
+/// The status file is written anew so often.
+const STATUS_EVERY: Micros = 250_000;
+/// Heard messages that are taken in one look: clients and engines wait no longer than for these.
+const LOOK: usize = 512;
+/// A gateway's identity is told to peers as its settings' classes are; what else differs does no harm.
+const NO_ZERO: Micros = 1;
+
+/// What a gateway is, beside its store.
+pub struct About<'a> {
+    pub name: &'a str,
+    pub settings: &'a Settings,
+    pub longest_wait: Micros,
+    /// Copies that a keeper has room for.
+    pub entries: usize,
+    pub now: Micros,
+    pub seed: u64,
+}
+
+pub struct Sharing {
+    core: Core,
+    hub: Hub<Message>,
+    /// What follows once a write of the store is durable, by its ticket.
+    then: VecDeque<(u64, Vec<Output>)>,
+    verdicts: Vec<(u64, Verdict)>,
+    numbers: u64,
+    keepers: Vec<String>,
+    askers: BTreeMap<u64, String>,
+    states: BTreeMap<String, (State, Micros)>,
+    turned: BTreeMap<String, String>,
+    /// What the record is to be told.
+    words: Vec<FleetWord>,
+    majority: bool,
+    fleet: String,
+    name: String,
+    status_at: Micros,
+    pub send_without: bool,
+    pub sent_without: u64,
+}
+
+fn of_end(end: End) -> Peer {
+    match end {
+        End::Keeper(keeper) => Peer::Keeper(keeper),
+        End::Asker(link) => Peer::Asker(link),
+    }
+}
+
+fn to_end(peer: Peer) -> End {
+    match peer {
+        Peer::Keeper(keeper) => End::Keeper(keeper),
+        Peer::Asker(link) => End::Asker(link),
+    }
+}
+
+/// Of the classes that intents are kept for: their places, effects, scopes and windows.
+fn print_of(classes: &[Class]) -> u64 {
+    let said = classes.iter().enumerate().filter(|(_, class)| class.effect != Effect::Safe);
+    let said: Vec<String> = said
+        .map(|(at, class)| format!("{at} {:?} {:?} {}", class.effect, class.scope, class.window))
+        .collect();
+    let hash = blake3::hash(said.join("\n").as_bytes());
+    hash.as_bytes()[..8].iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
+/// As the module is told: nothing is known of one that may have run at several places.
+pub fn earlier(told: &Told) -> Vec<Earlier> {
+    let of = |(place, since): &(Option<Place>, Micros)| match place {
+        Some(place) => Earlier { zone: place.zone, cell: place.cell, since: (*since).max(NO_ZERO) },
+        None => Earlier { zone: 0, cell: 0, since: 0 },
+    };
+    told.iter().map(of).collect()
+}
+
+fn told(earlier: &[Earlier]) -> Told {
+    let place = |own: &Earlier| (own.since > 0).then_some(Place { zone: own.zone, cell: own.cell });
+    earlier.iter().map(|own| (place(own), own.since)).collect()
+}
+
+fn place_of(intent: &Intent) -> Option<Place> {
+    (intent.since > 0).then_some(intent.place)
+}
+
+impl Sharing {
+    pub fn start(
+        plan: &FleetPlan,
+        about: About,
+        shared: Shared,
+        wake: Box<dyn Fn() + Send>,
+    ) -> io::Result<Self> {
+        let About { name, settings, longest_wait, entries, now, seed } = about;
+        let Shared { origin, whole, voted, copies } = shared;
+        let keepers: Vec<String> = plan.keepers.iter().map(|(name, _)| name.clone()).collect();
+        let own = keepers.iter().position(|keeper| keeper == name);
+        if own.is_some() && plan.listen.is_none() {
+            let what = format!("fleet: '{name}' is a keeper and has no 'listen' line");
+            return Err(io::Error::new(io::ErrorKind::InvalidInput, what));
+        }
+        let kept = settings.classes.iter().filter(|class| class.effect != Effect::Safe);
+        let window = kept.map(|class| class.window).max().unwrap_or(0);
+        let core = Plan {
+            keepers: keepers.len(),
+            own,
+            longest: longest_wait + window + SLACK,
+            limits: Limits { entries },
+            bytes_per_s: CATCH_UP,
+        };
+        let whole = whole && voted.as_deref() == Some(&origin.identity.to_be_bytes()[..]);
+        let held = copies.len();
+        let core = Core::start(core, origin, whole, copies.into_iter(), now);
+        let hello = Hello {
+            version: eideryard_peers::hello::VERSION,
+            fleet: plan.name.clone(),
+            name: name.to_string(),
+            keepers: keepers.clone(),
+            classes: print_of(&settings.classes),
+            identity: origin.identity,
+            start: origin.start,
+        };
+        let others = plan.keepers.iter().enumerate().filter(|(_, (keeper, _))| keeper != name);
+        let others: Vec<(usize, String, SocketAddr)> =
+            others.map(|(at, (name, address))| (at, name.clone(), *address)).collect();
+        let links = eideryard_peers::Plan { hello, listen: plan.listen, keepers: others, seed };
+        let hub = Hub::start(links, wake).map_err(|e| {
+            let what = format!("fleet: {e}; see 'listen' in the operator's file");
+            io::Error::new(e.kind(), what)
+        })?;
+        if let Some(address) = hub.listens {
+            tracing::info!("fleet {}: peers reach this gateway at {address}", plan.name);
+        }
+        match (own, core.standing.votes()) {
+            (None, _) => tracing::info!("fleet {}: no keeper; it asks {}", plan.name, keepers.join(" ")),
+            (Some(_), true) => tracing::info!("fleet {}: a keeper with {held} copies; it votes", plan.name),
+            (Some(_), false) => tracing::info!(
+                "fleet {}: a keeper that may lack what it had ({held} copies are hints); it catches up \
+                 before it votes",
+                plan.name
+            ),
+        }
+        let words = Vec::from_iter(own.map(|_| FleetWord::Votes { votes: core.standing.votes() }));
+        Ok(Sharing {
+            core,
+            hub,
+            then: VecDeque::new(),
+            verdicts: Vec::new(),
+            numbers: 0,
+            keepers,
+            askers: BTreeMap::new(),
+            states: BTreeMap::new(),
+            turned: BTreeMap::new(),
+            words,
+            majority: false,
+            fleet: plan.name.clone(),
+            name: name.to_string(),
+            status_at: 0,
+            send_without: plan.send_without,
+            sent_without: 0,
+        })
+    }
+
+    /// What the store's key of a keeper's vote is, for the start.
+    pub fn votes_key() -> &'static [u8] {
+        VOTES
+    }
+
+    pub fn majority_stands(&self) -> bool {
+        self.core.majority_stands()
+    }
+
+    /// Claims a key before it is sent; gives the claim's number.
+    pub fn claim(
+        &mut self,
+        now: Micros,
+        key: &[u8],
+        intent: &Intent,
+        keep: Micros,
+        known: &[Earlier],
+        worker: &mut Worker,
+    ) -> u64 {
+        self.numbers += 1;
+        let since = if intent.since > 0 { intent.since } else { now };
+        let (number, place) = (self.numbers, place_of(intent));
+        let outputs = self.core.claim(now, number, &key[1..], place, since, keep, told(known));
+        self.perform(now, outputs, worker);
+        number
+    }
+
+    /// The ledger has the end of all attempts at a key.
+    pub fn ended(
+        &mut self,
+        now: Micros,
+        key: &[u8],
+        intent: Option<&Intent>,
+        keep: Micros,
+        worker: &mut Worker,
+    ) {
+        let (place, ran) = (intent.and_then(place_of), intent.is_some());
+        let outputs = self.core.ended(now, &key[1..], place, ran, keep);
+        self.perform(now, outputs, worker);
+    }
+
+    fn perform(&mut self, now: Micros, outputs: Vec<Output>, worker: &mut Worker) {
+        let mut outputs = VecDeque::from(outputs);
+        while let Some(output) = outputs.pop_front() {
+            match output {
+                // What a full queue loses is sent again or given up by the core.
+                Output::Send(peer, message) => _ = self.hub.tell(to_end(peer), message),
+                Output::Store { key, copy, then } => {
+                    let (mut batch, key) = (Batch::default(), entry::stored_key(&key));
+                    match copy {
+                        Some(copy) => batch.put(key, entry::to_bytes(&copy), 0),
+                        None => batch.remove(key),
+                    }
+                    // What can't be made durable is never acknowledged.
+                    let ticket = worker.write(batch).filter(|_| !then.is_empty());
+                    ticket.into_iter().for_each(|ticket| self.then.push_back((ticket, then.clone())));
+                }
+                Output::OwnVote { number, seen } => outputs.extend(self.core.own_vote(now, number, &seen)),
+                Output::Verdict(number, verdict) => self.verdicts.push((number, verdict)),
+                Output::Votes => {
+                    tracing::info!("fleet {}: caught up; this keeper votes", self.fleet);
+                    self.words.push(FleetWord::Votes { votes: true });
+                    let mut batch = Batch::default();
+                    batch.put(VOTES.to_vec(), self.core.origin().identity.to_be_bytes().to_vec(), 0);
+                    let told = self
+                        .askers
+                        .keys()
+                        .map(|link| Output::Send(Peer::Asker(*link), Message::Stands { votes: true }));
+                    let told: Vec<Output> = told.collect();
+                    worker
+                        .write(batch)
+                        .into_iter()
+                        .for_each(|ticket| self.then.push_back((ticket, told.clone())));
+                }
+            }
+        }
+    }
+
+    fn name_of(&self, end: End) -> Option<String> {
+        match end {
+            End::Keeper(keeper) => self.keepers.get(keeper).cloned(),
+            End::Asker(link) => self.askers.get(&link).cloned(),
+        }
+    }
+
+    fn hears(&mut self, now: Micros, heard: Heard<Message>, worker: &mut Worker) {
+        let outputs = match heard {
+            Heard::Told { peer, message } => self.core.hears(now, of_end(peer), message),
+            Heard::Up { peer, name } => {
+                self.turned.remove(&name);
+                match peer {
+                    End::Asker(link) => _ = self.askers.insert(link, name),
+                    End::Keeper(_) => self.does(name, State::Up, 0),
+                }
+                self.core.link(now, of_end(peer), true)
+            }
+            Heard::State { peer, state, trip } => {
+                if let (End::Keeper(_), Some(name)) = (peer, self.name_of(peer)) {
+                    self.does(name, state, trip);
+                }
+                match (peer, state) {
+                    (End::Asker(link), State::Gone) => {
+                        self.askers.remove(&link);
+                        self.core.link(now, of_end(peer), false)
+                    }
+                    (End::Asker(_), _) => Vec::new(),
+                    (_, state) => self.core.hears_state(now, of_end(peer), state < State::Silent),
+                }
+            }
+            Heard::Turned { name, why } => {
+                if self.turned.get(&name) != Some(&why) {
+                    tracing::warn!("fleet {}: no link with '{name}': {why}", self.fleet);
+                    self.words.push(FleetWord::Turned { name: name.clone(), why: why.clone() });
+                    self.turned.insert(name, why);
+                }
+                Vec::new()
+            }
+        };
+        self.perform(now, outputs, worker);
+    }
+
+    fn does(&mut self, name: String, state: State, trip: Micros) {
+        let before = self.states.insert(name.clone(), (state, trip));
+        if before.is_none_or(|(before, _)| before != state) {
+            tracing::info!("fleet {}: {name} is {}", self.fleet, state.name());
+            self.words.push(FleetWord::Peer { name, state: state.name().into() });
+        }
+    }
+
+    /// What has come, what is durable, and what time brings; gives what became of claims.
+    pub fn work(&mut self, now: Micros, worker: &mut Worker) -> Vec<(u64, Verdict)> {
+        for _ in 0..LOOK {
+            let Some(heard) = self.hub.take() else { break };
+            self.hears(now, heard, worker);
+        }
+        let durable = worker.durable();
+        while self.then.front().is_some_and(|(ticket, _)| *ticket <= durable) {
+            let outputs = self.then.pop_front().map(|(_, outputs)| outputs);
+            self.perform(now, outputs.unwrap_or_default(), worker);
+        }
+        if now >= self.core.due() {
+            let outputs = self.core.work(now);
+            self.perform(now, outputs, worker);
+        }
+        let stands = self.core.majority_stands();
+        if std::mem::replace(&mut self.majority, stands) != stands {
+            self.words.push(FleetWord::Majority { stands });
+            tracing::info!(
+                "fleet {}: {} majority of keepers can be asked",
+                self.fleet,
+                if stands { "a" } else { "NO" }
+            );
+        }
+        self.hub.flush();
+        std::mem::take(&mut self.verdicts)
+    }
+
+    /// What was handed over since goes out.
+    pub fn flush(&mut self) {
+        self.hub.flush();
+    }
+
+    pub fn due(&self) -> Micros {
+        self.core.due().min(self.status_at)
+    }
+
+    pub fn words(&mut self) -> Vec<FleetWord> {
+        std::mem::take(&mut self.words)
+    }
+
+    /// All that the record knows of the fleet, for the beginning of a segment.
+    pub fn state(&self) -> Vec<FleetWord> {
+        let peer = |(name, (state, _)): (&String, &(State, Micros))| FleetWord::Peer {
+            name: name.clone(),
+            state: state.name().into(),
+        };
+        let mut words: Vec<FleetWord> = self.states.iter().map(peer).collect();
+        if self.keepers.contains(&self.name) {
+            words.push(FleetWord::Votes { votes: self.core.standing.votes() });
+        }
+        words.push(FleetWord::Majority { stands: self.majority });
+        words
+    }
+
+    pub fn counted(&self) -> eideryard_replica::core::Counted {
+        self.core.counted
+    }
+
+    pub fn sizes(&self) -> [(&'static str, usize); 4] {
+        [
+            ("copies", self.core.copies().len()),
+            ("claims", self.core.claims().open()),
+            ("own_copies", self.core.claims().own()),
+            ("acknowledgements", self.then.len()),
+        ]
+    }
+
+    /// The status file's text, where it is time for one.
+    pub fn status(&mut self, now: Micros) -> Option<Value> {
+        if now < self.status_at {
+            return None;
+        }
+        self.status_at = now + STATUS_EVERY;
+        let peers: BTreeMap<&String, Value> = self
+            .states
+            .iter()
+            .map(|(name, (state, trip))| (name, json!({"state": state.name(), "trip_us": trip})))
+            .collect();
+        let prints = self.core.copies().prints(now);
+        let print = prints.iter().fold(0u64, |sum, print| sum.rotate_left(7) ^ print);
+        let (core, origin) = (&self.core, self.core.origin());
+        let counted = core.counted;
+        Some(json!({
+            "name": self.name, "fleet": self.fleet, "at_ms": now / 1000,
+            "identity": format!("{:016x}", origin.identity), "start": origin.start,
+            "keeper": self.keepers.contains(&self.name), "votes": core.standing.votes(),
+            "majority": self.majority, "peers": peers, "turned": self.turned,
+            "askers": self.askers.len(), "copies": core.copies().len(), "print": format!("{print:016x}"),
+            "lagging": core.claims().lagging(), "claims": counted.claims, "granted": counted.granted,
+            "earlier": counted.earlier, "without_majority": counted.without_majority,
+            "answered": counted.answered, "turned_away": counted.turned_away, "mended": counted.mended,
+            "caught_up_bytes": counted.caught_up_bytes, "resent": counted.resent,
+        }))
+    }
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -12,4 +12,4 @@
 pub mod state;
 
 pub use entry::{Intent, Place};
-pub use state::{Doubt, Ledger, Limits, Refusal, Wish};
+pub use state::{Doubt, Ledger, Limits, Refusal, Send, Wish};
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -53,17 +53,22 @@
     }
 }
 
-struct Entry {
-    intent: Intent,
-    /// The ticket of the write that made it durable; 0 since before this start.
-    ticket: u64,
+/// What a send needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Send {
+    /// Nothing: its class leaves no trace.
+    Free,
+    /// It waits until this is durable.
+    Waits(Wish),
+    /// Another request of this key may have run since the module was told: it has to be told first.
+    Untold(Earlier),
 }
 
 /// What is known of keys, by class.
 pub struct Ledger {
     limits: Limits,
     classes: Vec<Class>,
-    entries: HashMap<Vec<u8>, Entry>,
+    entries: HashMap<Vec<u8>, Intent>,
     /// All keys, by when they may be dropped.
     expiry: BTreeSet<(Micros, Vec<u8>)>,
     doubt: Doubt,
@@ -107,7 +112,7 @@
         }
         for (key, intent) in found {
             ledger.expiry.insert((intent.until, key.clone()));
-            ledger.entries.insert(key, Entry { intent, ticket: 0 });
+            ledger.entries.insert(key, intent);
         }
         ledger
     }
@@ -120,6 +125,11 @@
         self.entries.is_empty()
     }
 
+    /// Whether requests of this class are known by what they may have done.
+    pub fn keeps(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(is_kept)
+    }
+
     pub fn doubt(&self) -> Doubt {
         self.doubt
     }
@@ -140,7 +150,7 @@
         }
         let nowhere = Earlier { zone: 0, cell: 0, since: 0 };
         if let Some(entry) = self.entries.get(&stored_key(class, key)) {
-            let Intent { since, place, .. } = entry.intent;
+            let Intent { since, place, .. } = *entry;
             return Ok(vec![Earlier { zone: place.zone, cell: place.cell, since }]);
         }
         if self.entries.len() >= self.limits.entries {
@@ -153,38 +163,48 @@
         Ok(if marked && may_be_forgotten && !harmless { vec![nowhere] } else { Vec::new() })
     }
 
-    /// A request is to be sent: what the store has to know, and whether the send waits until it does. A key
-    /// that is known to run in this scope since then needs no second flush. `durable` is the last ticket that
-    /// is. Nothing: no store needs to know of it.
+    /// A request is to be sent: what the store has to know before it is. `known`: what the module was told of
+    /// its key, the request's own attempts among it. Each send waits, also one of a key that is durable
+    /// already: it may take effect later than the first, so it is remembered for longer.
     pub fn sends(
         &mut self,
         now: Micros,
         class: usize,
         key: Option<&str>,
         place: Place,
-        durable: u64,
-    ) -> Option<(Wish, bool)> {
-        let own = self.classes.get(class).filter(|class| is_kept(class))?;
-        let key = stored_key(class, key?);
+        known: &[Earlier],
+    ) -> Send {
+        let Some(own) = self.classes.get(class).filter(|class| is_kept(class)) else { return Send::Free };
+        let Some(key) = key else { return Send::Free };
+        let key = stored_key(class, key);
         let (scope, until) = (own.scope, now + own.window + SLACK);
         let fresh = Intent { since: now, place, out: 0, ran: false, until: 0 };
-        let entry = self.entries.entry(key.clone()).or_insert(Entry { intent: fresh, ticket: u64::MAX });
-        let (before, intent) = (entry.intent, &mut entry.intent);
-        let same = match scope {
+        let within = |at: Place, zone: u32, cell: u32| match scope {
             Scope::All => true,
-            Scope::Zone => before.place.zone == place.zone,
-            Scope::Cell => before.place.cell == place.cell,
+            Scope::Zone => zone == at.zone,
+            Scope::Cell => cell == at.cell,
         };
-        if !same {
-            // At several places: no engine drops the repeats of both.
-            intent.since = 0;
+        let same = |zone: u32, cell: u32| within(place, zone, cell);
+        if let Some(ran) = self.entries.get(&key) {
+            let told = |own: &&Earlier| own.since <= ran.since && within(ran.place, own.zone, own.cell);
+            if !known.iter().any(|own| told(&own)) {
+                let Intent { since, place: Place { zone, cell }, .. } = *ran;
+                return Send::Untold(Earlier { zone, cell, since });
+            }
         }
+        let intent = self.entries.entry(key.clone()).or_insert(fresh);
+        let before = *intent;
+        let elsewhere = known.iter().any(|ran| ran.since == 0 || !same(ran.zone, ran.cell));
+        // At several places: no engine drops the repeats of both.
+        intent.since = match elsewhere || !same(before.place.zone, before.place.cell) {
+            true => 0,
+            false => known.iter().map(|ran| ran.since).fold(before.since, u64::min),
+        };
         intent.out += 1;
         intent.until = before.until.max(until);
-        let waits = entry.ticket > durable || intent.since != before.since;
         let intent = *intent;
         self.dated(before.until, intent.until, &key);
-        Some((Wish { key, intent: Some(intent) }, waits))
+        Send::Waits(Wish { key, intent: Some(intent) })
     }
 
     fn dated(&mut self, before: Micros, until: Micros, key: &[u8]) {
@@ -194,11 +214,8 @@
         }
     }
 
-    /// The write of a send was handed over under a ticket.
-    pub fn handed(&mut self, now: Micros, key: &[u8], ticket: u64) {
-        if let Some(entry) = self.entries.get_mut(key) {
-            entry.ticket = ticket;
-        }
+    /// The write of a send was handed over.
+    pub fn handed(&mut self, now: Micros) {
         self.waits_since.get_or_insert(now);
     }
 
@@ -216,8 +233,8 @@
     pub fn ended(&mut self, now: Micros, class: usize, key: Option<&str>, never_ran: bool) -> Option<Wish> {
         let own = self.classes.get(class).filter(|class| is_kept(class))?;
         let (key, window) = (stored_key(class, key?), own.window);
-        let entry = self.entries.get_mut(&key)?;
-        let (before, intent) = (entry.intent, &mut entry.intent);
+        let intent = self.entries.get_mut(&key)?;
+        let before = *intent;
         intent.out = intent.out.saturating_sub(1);
         intent.ran |= !never_ran;
         if intent.out == 0 && !intent.ran {
@@ -238,8 +255,8 @@
             let Some((until, key)) = self.expiry.pop_first() else { break };
             match self.entries.get_mut(&key) {
                 // An attempt that is out is looked at again when it may be over.
-                Some(entry) if entry.intent.out > 0 => {
-                    entry.intent.until = until + SLACK;
+                Some(intent) if intent.out > 0 => {
+                    intent.until = until + SLACK;
                     self.expiry.insert((until + SLACK, key));
                 }
                 _ => {
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -2,6 +2,7 @@
 //! [`TABLE`], from which the reference page is made. Without a file nothing changes.
 
 use eideryard_lines::{table, Fault, Kind, Setting, Spec, Value};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 const MB: u64 = 1 << 20;
@@ -9,6 +10,29 @@
 /// Characters of a secret at least.
 const LEAST_KEY: usize = 16;
 
+const FLEET: &[Spec] = &[
+    Spec::new(
+        "listen",
+        &[Kind::Address],
+        "nowhere; keepers need one",
+        "Where other gateways of the fleet reach this one. No sign-in: a network of the fleet's own.",
+    ),
+    Spec::new(
+        "keeper",
+        &[Kind::Name, Kind::Address],
+        "none; a fleet needs 3, 5 or 7",
+        "A gateway that holds copies and votes, by its name in the platform's configuration.",
+    )
+    .many(),
+    Spec::new(
+        "without-majority",
+        &[Kind::Choice(&["refuse", "send"])],
+        "refuse",
+        "Keyed and unsafe requests while no majority of keepers can hold their intents: refused with advice, \
+         or sent at the risk of a second effect.",
+    ),
+];
+
 pub const TABLE: &[Spec] = &[
     Spec::new(
         "record-dir",
@@ -94,6 +118,13 @@
         "64MB",
         "Bytes of the store's files at the most; a third of them may be live.",
     ),
+    Spec::new(
+        "fleet",
+        &[Kind::Name],
+        "alone",
+        "The fleet that this gateway shares its intents with, in a block. It needs store-dir.",
+    )
+    .block(FLEET),
     Spec::new(
         "log-level",
         &[Kind::Choice(&["error", "warn", "info", "debug", "trace"])],
@@ -131,6 +162,17 @@
     pub budget: u64,
 }
 
+/// The fleet that a gateway is of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FleetPlan {
+    pub name: String,
+    pub listen: Option<SocketAddr>,
+    /// Name and address, in the order of their names.
+    pub keepers: Vec<(String, SocketAddr)>,
+    /// Without a majority keyed requests are sent all the same.
+    pub send_without: bool,
+}
+
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Log {
     pub level: Option<String>,
@@ -168,9 +210,44 @@
     pub record: Option<Record>,
     pub spool: Option<SpoolPlan>,
     pub store: Option<StorePlan>,
+    pub fleet: Option<FleetPlan>,
     pub log: Log,
 }
 
+fn fleet(own: &Setting, has_store: bool) -> Result<FleetPlan, Fault> {
+    let wrong =
+        |place: &eideryard_lines::Place, what: &str, hint: &str| Fault::new(place.clone(), what, hint);
+    if !has_store {
+        let what = "a fleet without a store: intents could not be made durable";
+        return Err(wrong(&own.place, what, "add store-dir PATH"));
+    }
+    let address = |value: &Value| match value {
+        Value::Address(address) => Some(*address),
+        _ => None,
+    };
+    let listen = table::find(&own.block, "listen").and_then(|setting| address(setting.values.first()?));
+    let mut keepers: Vec<(String, SocketAddr)> = Vec::new();
+    for keeper in own.block.iter().filter(|setting| setting.name == "keeper") {
+        let (name, address) = (keeper.values[0].text(), address(&keeper.values[1]));
+        let Some(address) = address else {
+            return Err(wrong(&keeper.place, "a keeper's address can't be used", "write ADDRESS:PORT"));
+        };
+        if keepers.iter().any(|(known, _)| known == name) {
+            let what = format!("keeper '{name}' stands there twice");
+            return Err(wrong(&keeper.place, &what, "each keeper has one line"));
+        }
+        keepers.push((name.to_string(), address));
+    }
+    if ![3, 5, 7].contains(&keepers.len()) {
+        let what = format!("a fleet with {} keepers", keepers.len());
+        return Err(wrong(&own.place, &what, "name 3, 5 or 7: keeper NAME ADDRESS"));
+    }
+    keepers.sort();
+    let send = table::find(&own.block, "without-majority").is_some_and(|own| own.values[0].text() == "send");
+    let name = own.values[0].text().to_string();
+    Ok(FleetPlan { name, listen, keepers, send_without: send })
+}
+
 impl Operator {
     /// From the file at a path and what it includes.
     pub fn from_file(path: &str) -> Result<Self, String> {
@@ -246,10 +323,12 @@
             let hint = "add store-dir PATH, which turns it on";
             return Err(Fault::new(setting.place.clone(), "'store-budget' without a store", hint));
         }
+        let fleet = setting("fleet").map(|own| fleet(own, store.is_some())).transpose()?;
         let targets = settings.iter().filter(|setting| setting.name == "log-target");
         let target = |s: &Setting| (s.values[0].text().to_string(), s.values[1].text().to_string());
         Ok(Operator {
             spool,
+            fleet,
             store: store.map(|directory| StorePlan { directory, budget: number("store-budget", 64 * MB) }),
             record: directory.map(|directory| Record {
                 directory,
--- a/crates/record/src/codec.rs
+++ b/crates/record/src/codec.rs
@@ -2,7 +2,9 @@
 //! the distance of their generation from the last one named; both start anew in each frame, so that a frame
 //! can be read alone.
 
-use crate::entry::{AnswerKind, Entry, EntryRef, Host, Listed, Names, NotTaken, Offer, OpenRequest, Why};
+use crate::entry::{
+    AnswerKind, Entry, EntryRef, FleetWord, Host, Listed, Names, NotTaken, Offer, OpenRequest, Why,
+};
 use crate::tally::{Lane, Tally, Totals, MOST_LANES};
 use eideryard::interface as i;
 use eideryard::interface::{Action, Event, Micros, Outcome, Phase};
@@ -40,6 +42,7 @@
     /// `ARRIVED` of one that may have run before.
     pub const ARRIVED_AGAIN: u8 = 11;
     pub const REMEMBERED: u8 = 12;
+    pub const RAN_BEFORE: u8 = 13;
     pub const TERMS: u8 = 20;
     pub const SEND: u8 = 21;
     pub const PROBE: u8 = 22;
@@ -69,6 +72,11 @@
     pub const ENDING: u8 = 57;
     pub const ATTACHED: u8 = 58;
     pub const ALIVE: u8 = 59;
+    pub const BECAUSE: u8 = 60;
+    pub const PEER: u8 = 61;
+    pub const TURNED: u8 = 62;
+    pub const VOTES: u8 = 63;
+    pub const MAJORITY: u8 = 64;
 }
 
 // ---- Numbers ----
@@ -134,6 +142,38 @@
     }
 }
 
+fn put_earlier(out: &mut Vec<u8>, earlier: &[i::Earlier]) {
+    put_number(out, earlier.len() as u64);
+    for earlier in earlier {
+        put_number(out, earlier.zone.into());
+        put_number(out, earlier.cell.into());
+        put_number(out, earlier.since);
+    }
+}
+
+fn put_fleet(out: &mut Vec<u8>, word: &FleetWord) -> u8 {
+    match word {
+        FleetWord::Peer { name, state } => {
+            put_text(out, name);
+            put_text(out, state);
+            kind::PEER
+        }
+        FleetWord::Turned { name, why } => {
+            put_text(out, name);
+            put_text(out, why);
+            kind::TURNED
+        }
+        FleetWord::Votes { votes } => {
+            out.push(*votes as u8);
+            kind::VOTES
+        }
+        FleetWord::Majority { stands } => {
+            out.push(*stands as u8);
+            kind::MAJORITY
+        }
+    }
+}
+
 fn put_entry(out: &mut Vec<u8>, entry: &i::Entry) {
     out.extend_from_slice(&entry.engine.to_le_bytes());
     put_number(out, entry.zone as u64);
@@ -254,6 +294,11 @@
                 put_real(out, lessons.level);
                 kind::REMEMBERED
             }
+            Event::RanBefore { request, earlier } => {
+                self.put_request(out, *request);
+                put_earlier(out, earlier);
+                kind::RAN_BEFORE
+            }
             Event::Arrived(r) => {
                 self.put_request(out, r.id);
                 put_number(out, r.class as u64);
@@ -265,12 +310,7 @@
                 if r.earlier.is_empty() {
                     return kind::ARRIVED;
                 }
-                put_number(out, r.earlier.len() as u64);
-                for earlier in &r.earlier {
-                    put_number(out, earlier.zone.into());
-                    put_number(out, earlier.cell.into());
-                    put_number(out, earlier.since);
-                }
+                put_earlier(out, &r.earlier);
                 kind::ARRIVED_AGAIN
             }
             Event::StreamBegan { request } => {
@@ -466,11 +506,7 @@
                 kind::ATTACHED
             }
             Host::NotTaken { how, class, tenant } => {
-                out.push(match how {
-                    NotTaken::Invalid => 0,
-                    NotTaken::NoRoom => 1,
-                    NotTaken::Gone => 2,
-                });
+                out.push(*how as u8);
                 put_optional(out, *class);
                 put_optional(out, *tenant);
                 kind::NOT_TAKEN
@@ -494,6 +530,12 @@
                 out.push(*done as u8);
                 kind::RELOADED
             }
+            Host::Because { request, why } => {
+                self.put_request(out, *request);
+                out.push(*why as u8);
+                kind::BECAUSE
+            }
+            Host::Fleet(word) => put_fleet(out, word),
             Host::Stopping => kind::STOPPING,
             Host::Alive => kind::ALIVE,
             Host::Ended { counters } => {
@@ -712,6 +754,20 @@
         Ok(Tally { entries, totals, classes, tenants })
     }
 
+    fn earlier(&mut self) -> Read<Vec<i::Earlier>> {
+        let mut earlier = Vec::new();
+        for _ in 0..self.length(MOST_EARLIER)? {
+            let (zone, cell, since) = (self.number()? as u32, self.number()? as u32, self.number()?);
+            earlier.push(i::Earlier { zone, cell, since });
+        }
+        Ok(earlier)
+    }
+
+    fn want(&mut self) -> Read<NotTaken> {
+        let byte = self.byte()?;
+        NotTaken::ALL.get(byte as usize).copied().ok_or(Unreadable::Value)
+    }
+
     fn lanes(&mut self) -> Read<Vec<Lane>> {
         let lane = |d: &mut Self| {
             let mut values = [0; 7];
@@ -769,12 +825,7 @@
                 let [work, memory_mb] = self.reals()?;
                 let group = self.number()?;
                 let key = Some(self.text()?).filter(|key| !key.is_empty()).map(str::to_string);
-                let count = if kind == kind::ARRIVED { 0 } else { self.length(MOST_EARLIER)? };
-                let mut earlier = Vec::new();
-                for _ in 0..count {
-                    let (zone, cell, since) = (self.number()? as u32, self.number()? as u32, self.number()?);
-                    earlier.push(i::Earlier { zone, cell, since });
-                }
+                let earlier = if kind == kind::ARRIVED { Vec::new() } else { self.earlier()? };
                 Event::Arrived(i::Request {
                     id,
                     class,
@@ -787,6 +838,7 @@
                     earlier,
                 })
             }
+            kind::RAN_BEFORE => Event::RanBefore { request: self.request()?, earlier: self.earlier()? },
             kind::STREAM_BEGAN => Event::StreamBegan { request: self.request()? },
             kind::NOTED => {
                 let (request, attempt) = (self.request()?, self.place()?);
@@ -894,12 +946,7 @@
             kind::OFFERED => Host::Offered(self.offer()?),
             kind::ATTACHED => Host::Attached { class: self.place()?, tenant: self.place()? },
             kind::NOT_TAKEN => {
-                let how = match self.byte()? {
-                    0 => NotTaken::Invalid,
-                    1 => NotTaken::NoRoom,
-                    2 => NotTaken::Gone,
-                    _ => return Err(Unreadable::Value),
-                };
+                let how = self.want()?;
                 Host::NotTaken { how, class: self.optional()?, tenant: self.optional()? }
             }
             kind::ANSWERED => {
@@ -911,6 +958,16 @@
             kind::LINK => Host::Link { up: self.flag()? },
             kind::LIST_EVENT => Host::ListEvent { number: self.number()? },
             kind::RELOADED => Host::Reloaded { done: self.flag()? },
+            kind::BECAUSE => Host::Because { request: self.request()?, why: self.want()? },
+            kind::PEER | kind::TURNED => {
+                let (name, said) = (self.text()?.to_string(), self.text()?.to_string());
+                Host::Fleet(match kind {
+                    kind::PEER => FleetWord::Peer { name, state: said },
+                    _ => FleetWord::Turned { name, why: said },
+                })
+            }
+            kind::VOTES => Host::Fleet(FleetWord::Votes { votes: self.flag()? }),
+            kind::MAJORITY => Host::Fleet(FleetWord::Majority { stands: self.flag()? }),
             kind::STOPPING => Host::Stopping,
             kind::ALIVE => Host::Alive,
             kind::END => {
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -44,6 +44,48 @@
     NoRoom,
     /// Its connection had ended.
     Gone,
+    /// The ledger of intents is full; it was refused.
+    LedgerFull,
+    /// The store has not written for too long; it was refused.
+    StoreStalled,
+    /// No majority of keepers could hold its intent; it was refused.
+    NoMajority,
+}
+
+impl NotTaken {
+    pub const ALL: [NotTaken; 6] = [
+        NotTaken::Invalid,
+        NotTaken::NoRoom,
+        NotTaken::Gone,
+        NotTaken::LedgerFull,
+        NotTaken::StoreStalled,
+        NotTaken::NoMajority,
+    ];
+
+    /// As answers, records and pages name it.
+    pub fn name(self) -> &'static str {
+        match self {
+            NotTaken::Invalid => "invalid",
+            NotTaken::NoRoom => "no room",
+            NotTaken::Gone => "gone",
+            NotTaken::LedgerFull => "ledger full",
+            NotTaken::StoreStalled => "store stalled",
+            NotTaken::NoMajority => "no majority",
+        }
+    }
+}
+
+/// What the record says of the fleet that a gateway is of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum FleetWord {
+    /// How a peer does: `up`, `slow`, `silent` or `gone`.
+    Peer { name: String, state: String },
+    /// A peer was turned away, or turned this one away.
+    Turned { name: String, why: String },
+    /// Whether this gateway votes as a keeper.
+    Votes { votes: bool },
+    /// Whether a majority of keepers can be asked.
+    Majority { stands: bool },
 }
 
 /// Why the gateway ended a client's connection.
@@ -138,6 +180,12 @@
     ListEvent {
         number: u64,
     },
+    /// Why a request that was taken is refused, where it is for want of something that intents need.
+    Because {
+        request: RequestId,
+        why: NotTaken,
+    },
+    Fleet(FleetWord),
     Reloaded {
         done: bool,
     },
@@ -182,6 +230,7 @@
                 Event::Arrived(request) => Some(request.id),
                 Event::Ended(ended) => Some(ended.request),
                 Event::StreamBegan { request }
+                | Event::RanBefore { request, .. }
                 | Event::Noted { request, .. }
                 | Event::ClientLeft { request } => Some(*request),
                 Event::Timer { tag } => tag.checked_sub(end_tag(0)).filter(|request| request >> 32 != 0),
@@ -201,7 +250,7 @@
             Entry::Host(host) => match host {
                 Host::Offered(offer) => Some(offer.request),
                 Host::Open(open) => Some(open.offer.request),
-                Host::Answered { request, .. } => Some(*request),
+                Host::Answered { request, .. } | Host::Because { request, .. } => Some(*request),
                 _ => None,
             },
         }
--- a/crates/record/src/frame.rs
+++ b/crates/record/src/frame.rs
@@ -7,7 +7,7 @@
 /// The first bytes of a segment file, before its version and a checksum of both.
 pub const FILE_MARK: [u8; 8] = *b"EIDERREC";
 /// The version that is written, and the newest that is read.
-pub const VERSION: u32 = 2;
+pub const VERSION: u32 = 3;
 pub const FILE_HEAD: usize = 16;
 const FRAME_MARK: [u8; 4] = [0xe1, 0xde, 0x12, 0xc4];
 pub const FRAME_HEAD: usize = 36;
--- a/crates/record/src/tally.rs
+++ b/crates/record/src/tally.rs
@@ -32,6 +32,18 @@
     }
 }
 
+impl Totals {
+    /// Something that intents need was wanting.
+    fn wants(&mut self, why: NotTaken) {
+        match why {
+            NotTaken::LedgerFull => self.ledger_full += 1,
+            NotTaken::StoreStalled => self.store_stalled += 1,
+            NotTaken::NoMajority => self.no_majority += 1,
+            _ => {}
+        }
+    }
+}
+
 impl Tally {
     pub fn count(&mut self, entry: EntryRef) {
         self.entries += 1;
@@ -91,6 +103,11 @@
                         totals.lost += 1;
                         AnswerKind::Lost
                     }
+                    why => {
+                        totals.refused += 1;
+                        totals.wants(*why);
+                        AnswerKind::Refused
+                    }
                 };
                 let lanes = [
                     class.and_then(|at| lane(&mut self.classes, at)),
@@ -101,6 +118,7 @@
                     lane.ended[ended as usize] += 1;
                 }
             }
+            EntryRef::Host(Host::Because { why, .. }) => totals.wants(*why),
             EntryRef::Host(Host::ListEvent { .. }) => totals.list_events += 1,
             EntryRef::Host(Host::Connected { .. }) => totals.connections += 1,
             EntryRef::Host(Host::Ending { why, .. }) => {
--- a/crates/record/src/totals.rs
+++ b/crates/record/src/totals.rs
@@ -54,7 +54,10 @@
     silent,
     hoarding,
     deaf,
-    evicted
+    evicted,
+    ledger_full,
+    store_stalled,
+    no_majority
 );
 
 /// How a request that was taken ended.
--- /dev/null
+++ b/crates/replica/src/copies.rs
@@ -0,0 +1,171 @@
+//! A keeper's table of copies: joins, bounds, what is dropped when, prints by range, and pages of what
+//! another one lacks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use crate::entry::{self, Copy, Origin, Record};
+use crate::message::Entry;
+use crate::Micros;
+
+/// Ranges that a summary has a print for.
+pub const RANGES: usize = 64;
+/// Copies that their origins let go of within this are no longer compared: another keeper may have dropped
+/// them already.
+pub const FADES: Micros = 1_000_000;
+/// Records of one key: each incarnation that tried it. One more is refused.
+pub const MOST_RECORDS: usize = 32;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Limits {
+    /// Keys of the whole fleet that a keeper holds.
+    pub entries: usize,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Copies {
+    limits: Limits,
+    copies: BTreeMap<Vec<u8>, Copy>,
+    /// All keys, by when they may be dropped.
+    expiry: BTreeSet<(Micros, Vec<u8>)>,
+}
+
+/// What a join did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Joined {
+    Changed,
+    /// Nothing that others would see.
+    Same,
+    /// There is no room.
+    Full,
+}
+
+fn until(copy: &Copy) -> Micros {
+    copy.values().map(|record| record.until).max().unwrap_or(0)
+}
+
+/// The range of a key.
+pub fn range(key: &[u8]) -> usize {
+    usize::from(blake3::hash(key).as_bytes()[0]) % RANGES
+}
+
+impl Copies {
+    pub fn new(limits: Limits) -> Self {
+        Copies { limits, copies: BTreeMap::new(), expiry: BTreeSet::new() }
+    }
+
+    pub fn len(&self) -> usize {
+        self.copies.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.copies.is_empty()
+    }
+
+    pub fn get(&self, key: &[u8]) -> Option<&Copy> {
+        self.copies.get(key)
+    }
+
+    /// From the store, at a start. How long the keeper was away is not known: what is kept is kept for its
+    /// whole time once more, and what is dated in the future is pinned to no place.
+    pub fn restore(&mut self, key: Vec<u8>, mut copy: Copy, longest: Micros, now: Micros) {
+        for record in copy.values_mut() {
+            if record.since > now {
+                (record.since, record.place) = (now, None);
+            }
+            record.until = now + longest;
+        }
+        self.expiry.insert((until(&copy), key.clone()));
+        self.copies.insert(key, copy);
+    }
+
+    pub fn join(&mut self, key: &[u8], origin: Origin, record: Record) -> Joined {
+        let known = self.copies.get(key);
+        let full = known.map_or(self.copies.len() >= self.limits.entries, |copy| {
+            copy.len() >= MOST_RECORDS && !copy.contains_key(&origin)
+        });
+        if full {
+            return Joined::Full;
+        }
+        let copy = self.copies.entry(key.to_vec()).or_default();
+        let before = until(copy);
+        let changed = entry::join(copy, origin, record);
+        let after = until(copy);
+        if before != after {
+            self.expiry.remove(&(before, key.to_vec()));
+            self.expiry.insert((after, key.to_vec()));
+        }
+        if changed {
+            Joined::Changed
+        } else {
+            Joined::Same
+        }
+    }
+
+    /// Drops what is over; gives the keys.
+    pub fn expire(&mut self, now: Micros) -> Vec<Vec<u8>> {
+        let mut gone = Vec::new();
+        while self.expiry.first().is_some_and(|(until, _)| *until <= now) {
+            let Some((_, key)) = self.expiry.pop_first() else { break };
+            self.copies.remove(&key);
+            gone.push(key);
+        }
+        gone
+    }
+
+    pub fn due(&self) -> Option<Micros> {
+        self.expiry.first().map(|(until, _)| *until)
+    }
+
+    /// One print for each range, of what is not about to be dropped.
+    pub fn prints(&self, now: Micros) -> Vec<u64> {
+        let mut prints = vec![0u64; RANGES];
+        for (key, copy) in &self.copies {
+            prints[range(key)] ^= print_of(key, copy, now);
+        }
+        prints
+    }
+
+    /// The next entries, behind a key, of ranges whose prints differ from another one's; up to so many bytes,
+    /// and whether there are more.
+    pub fn page(
+        &self,
+        differ: &[bool],
+        behind: Option<&[u8]>,
+        bytes: usize,
+        now: Micros,
+    ) -> (Vec<Entry>, bool) {
+        let from = behind.map_or(Bound::Unbounded, Bound::Excluded);
+        let (mut entries, mut size) = (Vec::new(), 0);
+        for (key, copy) in self.copies.range::<[u8], _>((from, Bound::Unbounded)) {
+            if !differ.get(range(key)).copied().unwrap_or(true) {
+                continue;
+            }
+            if size >= bytes {
+                return (entries, true);
+            }
+            let records = copy.iter().map(|(origin, record)| (*origin, record.travels(now))).collect();
+            let entry = Entry { key: key.clone(), records };
+            size += cost(&entry);
+            entries.push(entry);
+        }
+        (entries, false)
+    }
+}
+
+/// What an entry takes on the wire, about.
+pub fn cost(entry: &Entry) -> usize {
+    entry.key.len() + 4 + entry.records.len() * 40
+}
+
+/// Of what all keepers should agree on of a key.
+pub fn print_of(key: &[u8], copy: &Copy, now: Micros) -> u64 {
+    let lasting = copy.iter().filter(|(_, record)| record.nominal_ms * 1000 > now + FADES);
+    let prints = lasting.fold(0u64, |sum, (origin, record)| sum ^ entry::print_of(origin, record));
+    if prints == 0 {
+        return 0;
+    }
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(key).update(&prints.to_be_bytes());
+    hasher.finalize().as_bytes()[..8].iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
--- a/crates/report/src/page.rs
+++ b/crates/report/src/page.rs
@@ -29,6 +29,7 @@
     };
     let overlaps = story::overlaps(view);
     let caveats = story::caveats(view);
+    let fleet = story::fleet(view);
     let markup = html! {
         (DOCTYPE)
         html lang="en" {
@@ -55,6 +56,12 @@
                             ul { @for line in &caveats { li { (line) "." } } }
                         }
                     }
+                    @if !fleet.is_empty() {
+                        section aria-labelledby="fleet" {
+                            h2 id="fleet" { "The gateways among themselves, at the end" }
+                            ul { @for line in &fleet { li { (line) "." } } }
+                        }
+                    }
                     section aria-labelledby="episodes" {
                         h2 id="episodes" { "Episodes" }
                         @if view.detector.episodes.is_empty() {
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -19,4 +19,4 @@
 pub use files::{Directory, Files};
 pub use frame::Batch;
 pub use recovery::{Found, Trust, Unusable};
-pub use store::{Plan, Store};
+pub use store::{look, Plan, Store};
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -57,6 +57,19 @@
     unsure: bool,
 }
 
+/// What a directory's segments hold, without changing anything.
+pub fn look(directory: &std::path::Path) -> Result<recovery::Recovered, Unusable> {
+    let mut files = crate::files::Directory::new(directory);
+    let mut segments = Vec::new();
+    for (name, _) in files.list()? {
+        if recovery::number(&name).is_some() {
+            let bytes = files.read(&name)?;
+            segments.push((name, bytes));
+        }
+    }
+    recovery::recover(&segments)
+}
+
 fn cost(key: &[u8], value: &[u8]) -> u64 {
     key.len() as u64 + value.len() as u64 + OVERHEAD
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -149,6 +149,10 @@
         match event {
             Event::Arrived(request) => self.take(request),
             Event::Ended(ended) => self.outcome(ended),
+            Event::RanBefore { request, earlier } => {
+                let held = self.requests.get_mut(&request).into_iter();
+                held.for_each(|held| held.req.earlier.extend(earlier.iter().copied()));
+            }
             Event::Noted { request, attempt, note } => self.noted(request, attempt, note),
             Event::StreamBegan { request } => _ = self.requests.get_mut(&request).map(|h| h.streaming = true),
             Event::Probed(probed) => self.probed(probed),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -269,6 +269,11 @@
     ListChanges(Vec<Entry>),
     ListFailed,
     Arrived(Request),
+    /// Of a request that was taken: others may have run it, as its keepers told before it was sent.
+    RanBefore {
+        request: RequestId,
+        earlier: Vec<Earlier>,
+    },
     StreamBegan {
         request: RequestId,
     },
