Drains heard by one bind all linked; learned figures as hints; latencies by class in the rig

A drain travels with its list's number and the engine's start: it closes an engine where the own list is older, never opens one. A gateway that begins without a checkpoint takes a peer's figures for hints, doubted by their age as its own would be.

--- a/crates/fleet-rig/src/check/service.rs
+++ b/crates/fleet-rig/src/check/service.rs
@@ -62,8 +62,25 @@
     verdict.figure("restart30_p99_ms", part(99));
 }
 
+/// How long first tries that were served took, by class.
+fn latencies(history: &History, verdict: &mut Verdict) {
+    let mut took: BTreeMap<&Name, Vec<Micros>> = BTreeMap::new();
+    for (at, tried) in history.tries.values().filter(|(_, tried)| tried.number == 0) {
+        let end = history.ends.get(&tried.id).and_then(|ends| ends.first());
+        let served = end.filter(|(_, how)| *how == How::Served);
+        served.into_iter().for_each(|(end, _)| took.entry(&tried.class).or_default().push(end - at));
+    }
+    for (class, mut took) in took {
+        took.sort_unstable();
+        let part = |share: usize| took.get(took.len() * share / 100).copied().unwrap_or(0);
+        verdict.figure(&format!("median_us_{class}"), part(50));
+        verdict.figure(&format!("p99_us_{class}"), part(99));
+    }
+}
+
 pub fn measure(facts: &Facts, history: &History, verdict: &mut Verdict) {
     restarted(history, verdict);
+    latencies(history, verdict);
     let mut firsts: BTreeMap<Name, Firsts> = BTreeMap::new();
     let mut gateways: HashMap<&Name, u64> = HashMap::new();
     let classes: HashMap<&Name, &Name> =
--- a/crates/fleet-rig/src/simulated.rs
+++ b/crates/fleet-rig/src/simulated.rs
@@ -493,6 +493,7 @@
                     self.perform(at, verdict.into_iter().collect());
                 }
                 Output::Verdict(number, verdict) => self.decided(at, number, verdict),
+                Output::Drained(_) | Output::Hints { .. } => {}
                 Output::Votes => {
                     self.tell(None, || format!("{at} votes"));
                     let own = &mut self.gateways[at];
--- a/crates/fleet-rig/src/stall.rs
+++ b/crates/fleet-rig/src/stall.rs
@@ -1,5 +1,6 @@
 //! Holds one thread of a process, as a call into a disk that hangs holds it: the others go on. By the
-//! system's own means for that, tracing; the traced thread is never looked into. All calls come from one thread.
+//! system's own means for that, tracing; the traced thread is never looked into. All calls come from one
+//! thread.
 
 use std::io;
 
--- a/crates/fleet-rig/tests/fleet.rs
+++ b/crates/fleet-rig/tests/fleet.rs
@@ -33,7 +33,8 @@
 /// What a gateway counted under a name, over all that ended by themselves.
 fn counted(directory: &Path, name: &str) -> u64 {
     let lines = logs(directory);
-    let told = lines.split(&format!("{name}: ")).skip(1);
+    let mark = format!("{name}: ");
+    let told = lines.split(&mark).skip(1);
     let numbers =
         told.filter_map(|rest| rest.split(|c: char| !c.is_ascii_digit()).next()?.parse::<u64>().ok());
     numbers.sum()
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
 use eideryard_msgpack_rpc::{write_error, write_part, write_result};
 use eideryard_operator::Operator;
 use eideryard_record::{AnswerKind, Host, Listed as Told, NotTaken as Untaken, Offer, OpenRequest};
+use eideryard_replica::drains::Drain;
 
 use crate::clients::{self, Clients};
 use crate::clock::Clock;
@@ -64,6 +65,8 @@
     /// Names of engines by their numbers, and what the list said last of each.
     engine_names: BTreeMap<EngineId, String>,
     last_listed: BTreeMap<EngineId, Told>,
+    /// The same for the module, where peers' lists count too.
+    last_entries: BTreeMap<EngineId, Entry>,
     from_clients: Vec<clients::Heard>,
     from_engines: Vec<engines::Heard>,
     /// After SIGTERM: when the last answer must be out; and whether clients come no more.
@@ -144,6 +147,7 @@
             longest_wait: config.host.longest_wait,
             engine_names: BTreeMap::new(),
             last_listed: BTreeMap::new(),
+            last_entries: BTreeMap::new(),
             from_clients: Vec::new(),
             from_engines: Vec::new(),
             stopping: None,
@@ -912,7 +916,13 @@
         }
         let (Ready { go, late, earlier }, words) = (keeping.work(now), keeping.words());
         words.into_iter().for_each(|word| self.tap.host(now, Host::Fleet(word)));
-        let nothing = go.is_empty() && late.is_empty() && earlier.is_empty();
+        let (drains, hints) = (keeping.drains(), keeping.hints());
+        let nothing =
+            go.is_empty() && drains.is_empty() && hints.is_none() && late.is_empty() && earlier.is_empty();
+        self.heed_drains(drains);
+        if let Some((lessons, age)) = hints {
+            self.events.push_back(Event::Remembered { lessons, age });
+        }
         for Waiting { request, attempt, engine, give_up_at, .. } in go {
             let tried = self.requests.get_mut(request).and_then(|own| own.attempts.get_mut(attempt));
             // One that was given up meanwhile waits no more.
@@ -979,7 +989,8 @@
 
     fn listed(&mut self, item: Item) {
         let Some(roster) = item.roster else { return };
-        let entries: Vec<Entry> = roster.hosts.iter().map(|listed| self.entry(listed)).collect();
+        let mut entries: Vec<Entry> = roster.hosts.iter().map(|listed| self.entry(listed)).collect();
+        self.share_drains(item.no, &mut entries);
         for (entry, listed) in entries.iter().zip(&roster.hosts) {
             let address = match entry.phase {
                 Phase::Gone => None,
@@ -988,6 +999,9 @@
                     .ok(),
             };
             self.tell_listed(entry, listed);
+            if self.keeping.is_some() {
+                self.last_entries.insert(entry.engine, *entry);
+            }
             if let Some(keeping) = &mut self.keeping {
                 keeping.listed(entry.engine, entry.zone, entry.cell);
             }
@@ -1009,11 +1023,47 @@
         // Engines come under new names all day: a name stays as long as its engine or a connection to it.
         self.engine_names.retain(|&engine, _| self.engines.knows(engine));
         self.last_listed.retain(|&engine, _| self.engines.knows(engine));
+        self.last_entries.retain(|&engine, _| self.engines.knows(engine));
         if let Some(keeping) = &mut self.keeping {
             keeping.forget_engines(|engine| self.engines.knows(engine));
         }
     }
 
+    /// Drains of the own list are told to peers; what a peer's newer list forbids binds here too.
+    fn share_drains(&mut self, number: u64, entries: &mut [Entry]) {
+        let now = self.clock.now();
+        let Some(keeping) = &mut self.keeping else { return };
+        let closed = entries.iter().filter(|entry| entry.phase != Phase::Ready);
+        let told = closed.map(|entry| Drain {
+            number,
+            engine: entry.engine,
+            booted_at: entry.booted_at,
+            gone: entry.phase == Phase::Gone,
+        });
+        keeping.drained(now, told.collect());
+        for entry in entries.iter_mut().filter(|entry| entry.phase == Phase::Ready) {
+            if keeping.binds(entry.engine, entry.booted_at, number).is_some() {
+                entry.phase = Phase::Draining;
+            }
+        }
+    }
+
+    /// What peers' lists say of engines that are usable by the own one: they take nothing new.
+    fn heed_drains(&mut self, drains: Vec<Drain>) {
+        let mut bound = Vec::new();
+        for drain in drains.into_iter().filter(|drain| drain.number > self.link.number()) {
+            let Some(told) = self.last_entries.get_mut(&drain.engine) else { continue };
+            if told.phase == Phase::Ready && drain.booted_at >= told.booted_at {
+                told.phase = Phase::Draining;
+                bound.push(*told);
+            }
+        }
+        if !bound.is_empty() {
+            self.keeping.iter_mut().for_each(|keeping| keeping.counted.drains_heard += bound.len() as u64);
+            self.events.push_back(Event::ListChanges(bound));
+        }
+    }
+
     fn tell_listed(&mut self, entry: &Entry, listed: &Listed) {
         if !self.tap.is_on() {
             return;
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -8,6 +8,7 @@
 use eideryard_ledger::{entry, state, Doubt, Intent, Ledger, Limits, Place, Refusal};
 use eideryard_operator::{FleetPlan, StorePlan};
 use eideryard_record::{FleetWord, NotTaken};
+use eideryard_replica::drains::Drain;
 use eideryard_replica::{Origin, Verdict};
 use eideryard_store::worker::Worker;
 use eideryard_store::{Batch, Directory, Files, Found, Plan, Store, Trust};
@@ -86,6 +87,8 @@
     pub refused_full: u64,
     pub refused_stalled: u64,
     pub refused_no_majority: u64,
+    /// Engines that were closed here by what a peer's list said.
+    pub drains_heard: u64,
 }
 
 pub struct Keeping {
@@ -104,6 +107,8 @@
     settings: u64,
     learned_at: Micros,
     found: Option<(Lessons, Micros)>,
+    /// Figures of an earlier life or of a peer were taken back.
+    taught: bool,
     pub counted: Counted,
 }
 
@@ -256,6 +261,7 @@
             places,
             settings: settings_print,
             learned_at: now,
+            taught: found.is_some(),
             found,
             counted,
         };
@@ -293,6 +299,9 @@
 
     pub fn learns(&mut self, now: Micros, learned: &Lessons) {
         self.learned_at = now;
+        // A hint has no time but its age.
+        let hint = lessons::to_bytes(learned, 0, self.settings);
+        self.sharing.iter_mut().for_each(|sharing| sharing.learned(now, hint.clone()));
         let mut batch = Batch::default();
         batch.put(lessons::KEY.to_vec(), lessons::to_bytes(learned, now, self.settings), 0);
         // Where the thread takes no more, the next one will do.
@@ -479,6 +488,34 @@
         waiting.into_iter().for_each(|waiting| waiting.claim = Claim::Done);
     }
 
+    /// What a peer had learned, where this gateway began without a checkpoint; once.
+    pub fn hints(&mut self) -> Option<(Lessons, Micros)> {
+        let (bytes, age) = self.sharing.as_mut()?.hints()?;
+        if std::mem::replace(&mut self.taught, true) {
+            return None;
+        }
+        let told = lessons::from_bytes(&bytes, age, self.settings);
+        told.inspect(|_| tracing::info!("fleet: learned figures of a peer are taken for hints")).ok()
+    }
+
+    /// What peers' lists say of engines that the own list doesn't, since the last call.
+    pub fn drains(&mut self) -> Vec<Drain> {
+        self.sharing.as_mut().map_or(Vec::new(), |sharing| sharing.drains())
+    }
+
+    /// The own list says so of engines.
+    pub fn drained(&mut self, now: Micros, drains: Vec<Drain>) {
+        if let (Some(sharing), Some(worker), false) = (&mut self.sharing, &mut self.worker, drains.is_empty())
+        {
+            sharing.drained(now, drains, worker);
+        }
+    }
+
+    /// A peer's newer list forbids what this gateway's own list allows.
+    pub fn binds(&self, engine: EngineId, booted_at: Micros, number: u64) -> Option<Drain> {
+        self.sharing.as_ref()?.binds(engine, booted_at, number)
+    }
+
     /// Messages that were handed over since go out.
     pub fn flush(&mut self) {
         self.sharing.iter_mut().for_each(|sharing| sharing.flush());
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -34,6 +34,11 @@
 }
 
 impl Link {
+    /// The list's last event that was heard.
+    pub fn number(&self) -> u64 {
+        self.last
+    }
+
     pub fn new(events: &Loop, address: SocketAddr, last: u64, dial_timeout: Micros, seed: u64) -> Self {
         Link {
             events: events.clone(),
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -13,6 +13,7 @@
 use eideryard_peers::{Heard, Hello, Hub, Peer as End, State};
 use eideryard_record::FleetWord;
 use eideryard_replica::copies::Limits;
+use eideryard_replica::drains::Drain;
 use eideryard_replica::{entry, Core, Message, Output, Peer, Plan, Told, Verdict};
 use eideryard_store::worker::Worker;
 use eideryard_store::Batch;
@@ -53,6 +54,9 @@
     askers: BTreeMap<u64, String>,
     states: BTreeMap<String, (State, Micros)>,
     turned: BTreeMap<String, String>,
+    /// What peers' lists say of engines, and what a peer had learned when this gateway began.
+    drains: Vec<Drain>,
+    hints: Option<(Vec<u8>, Micros)>,
     /// What the record is to be told.
     words: Vec<FleetWord>,
     majority: bool,
@@ -172,6 +176,8 @@
             askers: BTreeMap::new(),
             states: BTreeMap::new(),
             turned: BTreeMap::new(),
+            drains: Vec::new(),
+            hints: None,
             words,
             majority: false,
             fleet: plan.name.clone(),
@@ -241,6 +247,8 @@
                 }
                 Output::OwnVote { number, seen } => outputs.extend(self.core.own_vote(now, number, &seen)),
                 Output::Verdict(number, verdict) => self.verdicts.push((number, verdict)),
+                Output::Drained(drain) => self.drains.push(drain),
+                Output::Hints { lessons, age } => _ = self.hints.get_or_insert((lessons, age)),
                 Output::Votes => {
                     tracing::info!("fleet {}: caught up; this keeper votes", self.fleet);
                     self.words.push(FleetWord::Votes { votes: true });
@@ -339,6 +347,33 @@
         std::mem::take(&mut self.verdicts)
     }
 
+    /// What peers' lists say of engines, since the last call.
+    pub fn drains(&mut self) -> Vec<Drain> {
+        std::mem::take(&mut self.drains)
+    }
+
+    /// The own list says so.
+    pub fn drained(&mut self, now: Micros, drains: Vec<Drain>, worker: &mut Worker) {
+        let outputs = self.core.drained(drains);
+        self.perform(now, outputs, worker);
+        // What this gateway told itself it knows.
+        self.drains.clear();
+    }
+
+    pub fn binds(&self, engine: u32, booted_at: u64, number: u64) -> Option<Drain> {
+        self.core.binds(engine, booted_at, number)
+    }
+
+    pub fn learned(&mut self, now: Micros, lessons: Vec<u8>) {
+        self.core.learned(now, lessons);
+    }
+
+    /// What a peer had learned, once.
+    pub fn hints(&mut self) -> Option<(Vec<u8>, Micros)> {
+        let taken = self.hints.as_mut().filter(|(lessons, _)| !lessons.is_empty());
+        taken.map(|(lessons, age)| (std::mem::take(lessons), *age))
+    }
+
     /// What was handed over since goes out.
     pub fn flush(&mut self) {
         self.hub.flush();
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -1,12 +1,13 @@
 //! One gateway's part in the fleet's copies: messages, time and durable writes in, outputs out.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use eideryard_ledger::Place;
 
 use crate::catchup::{Budget, Standing, PATIENCE, SCRUB};
 use crate::claims::{Claims, Told, Verdict, BOUND};
 use crate::copies::{cost, Copies, Joined, Limits};
+use crate::drains::{Drain, Drains};
 use crate::entry::{self, Copy, Origin, Phase, Record, Seen};
 use crate::message::{Entry, Message, Why};
 use crate::Micros;
@@ -52,6 +53,13 @@
         seen: Vec<Seen>,
     },
     Verdict(u64, Verdict),
+    /// A list that another one has says so of an engine.
+    Drained(Drain),
+    /// What another one has learned, and how long ago.
+    Hints {
+        lessons: Vec<u8>,
+        age: Micros,
+    },
     /// From now on this keeper votes: the store is to remember it behind all that it was given, and all who
     /// made links here are to hear of it.
     Votes,
@@ -99,6 +107,11 @@
     claims: Claims,
     keepers: Vec<Known>,
     asked: BTreeMap<u64, Asked>,
+    /// All who made links here.
+    askers: BTreeSet<u64>,
+    drains: Drains,
+    /// What this gateway has learned, and when.
+    hints: Option<(Vec<u8>, Micros)>,
     budget: Budget,
     numbers: u64,
     looked_at: Micros,
@@ -134,6 +147,9 @@
             claims,
             keepers,
             asked,
+            askers: BTreeSet::new(),
+            drains: Drains::default(),
+            hints: None,
             budget,
             numbers: 0,
             looked_at: now,
@@ -284,18 +300,70 @@
                 let Some(known) = self.keepers.get_mut(keeper) else { return Vec::new() };
                 *known = Known { up, ..Known::default() };
                 if up {
-                    return self.resend(now, keeper, now);
+                    let mut outputs = self.resend(now, keeper, now);
+                    let drains: Vec<Drain> = self.drains.all().collect();
+                    if !drains.is_empty() {
+                        outputs.push(Output::Send(peer, Message::Drains { drains }));
+                    }
+                    return outputs;
                 }
             }
             Peer::Asker(link) if up => {
-                let votes = self.standing.votes();
-                return vec![Output::Send(Peer::Asker(link), Message::Stands { votes })];
+                self.askers.insert(link);
+                return self.greets(now, peer);
+            }
+            Peer::Asker(link) => {
+                self.asked.remove(&link);
+                self.askers.remove(&link);
             }
-            Peer::Asker(link) => _ = self.asked.remove(&link),
         }
         Vec::new()
     }
 
+    /// What one who made a link here is told at once: whether this keeper votes, drains, and what it learned.
+    fn greets(&self, now: Micros, peer: Peer) -> Vec<Output> {
+        let mut told = vec![Message::Stands { votes: self.standing.votes() }];
+        let drains: Vec<Drain> = self.drains.all().collect();
+        told.extend((!drains.is_empty()).then_some(Message::Drains { drains }));
+        let hints = self.hints.as_ref();
+        told.extend(
+            hints.map(|(lessons, at)| Message::Hints {
+                lessons: lessons.clone(),
+                age: now.saturating_sub(*at),
+            }),
+        );
+        told.into_iter().map(|message| Output::Send(peer, message)).collect()
+    }
+
+    /// This gateway has learned something that one who begins may take for a hint.
+    pub fn learned(&mut self, now: Micros, lessons: Vec<u8>) {
+        self.hints = Some((lessons, now));
+    }
+
+    /// The own list says so of engines.
+    pub fn drained(&mut self, drains: Vec<Drain>) -> Vec<Output> {
+        self.passes_on(drains, None)
+    }
+
+    /// News goes on to all that are linked, but for the one that told it.
+    fn passes_on(&mut self, drains: Vec<Drain>, from: Option<Peer>) -> Vec<Output> {
+        let news: Vec<Drain> = drains.into_iter().filter(|drain| self.drains.hears(*drain)).collect();
+        if news.is_empty() {
+            return Vec::new();
+        }
+        let keepers = self.reached().into_iter().map(Peer::Keeper);
+        let askers = self.askers.iter().copied().map(Peer::Asker);
+        let others = keepers.chain(askers).filter(|peer| Some(*peer) != from);
+        let told = |peer| Output::Send(peer, Message::Drains { drains: news.clone() });
+        let own = news.iter().copied().map(Output::Drained);
+        own.chain(others.map(told)).collect()
+    }
+
+    /// What binds this gateway beyond its own list.
+    pub fn binds(&self, engine: u32, booted_at: u64, number: u64) -> Option<Drain> {
+        self.drains.binds(engine, booted_at, number)
+    }
+
     /// A link stands but its other end is not heard, or is heard again.
     pub fn hears_state(&mut self, now: Micros, peer: Peer, heard: bool) -> Vec<Output> {
         let Peer::Keeper(keeper) = peer else { return Vec::new() };
@@ -360,6 +428,8 @@
                 (known.asked, known.not_before) = (None, now + ms * 1000);
                 Vec::new()
             }
+            (from, Message::Drains { drains }) => self.passes_on(drains, Some(from)),
+            (Peer::Keeper(_), Message::Hints { lessons, age }) => vec![Output::Hints { lessons, age }],
             (Peer::Keeper(keeper), Message::Part { number, entries, last, votes }) => {
                 self.part(now, keeper, number, entries, last, votes)
             }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,10 +1,11 @@
-//! Copies of intents among the gateways of a fleet: who may have sent which keyed or unsafe request, kept by
-//! a few of them, the keepers, so that a retry at another gateway is not run twice.
+//! Copies of intents among the gateways of a fleet: who may have sent which keyed or unsafe request, kept
+//! by a few of them, the keepers, so that a retry at another gateway is not run twice.
 //!
 //! Pure: messages, time and what became durable in; messages, writes and verdicts out. [`entry`] has what a
-//! copy holds and how two copies join, [`copies`] a keeper's table of them, [`claims`] what a gateway asks of
-//! the keepers before it sends, [`catchup`] when a keeper votes, [`compare`] which copies differ, and [`core`]
-//! joins them to one gateway's part. The same core runs in the program, in the rig's simulated fleet and in the model check.
+//! copy holds and how two copies join, [`copies`] a keeper's table of them, [`claims`] what a gateway asks
+//! of the keepers before it sends, [`catchup`] when a keeper votes, [`compare`] which copies differ, and
+//! [`drains`] what was heard of engines; [`core`] joins them to one gateway's part. The same core runs in
+//! the program, in the rig's simulated fleet and in the model check.
 //!
 //! No clock is compared with another one's: messages carry ages and durations, each receiver counts them by
 //! its own clock. Bounds: [`copies::Limits`], one claim for each request that waits, [`claims::BOUND`].
@@ -14,6 +15,7 @@
 pub mod compare;
 pub mod copies;
 pub mod core;
+pub mod drains;
 pub mod entry;
 pub mod message;
 
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::drains::Drain;
 use crate::entry::{Origin, Seen, Travelling};
 
 /// Why a keeper doesn't answer a claim.
@@ -58,6 +59,15 @@
         number: u64,
         ms: u64,
     },
+    /// What lists said of engines: news for whoever hears it.
+    Drains {
+        drains: Vec<Drain>,
+    },
+    /// What the teller has learned, as a checkpoint, and how old that is.
+    Hints {
+        lessons: Vec<u8>,
+        age: u64,
+    },
     /// Whether this keeper votes: said when a link comes up and whenever it changes.
     Stands {
         votes: bool,
