A link's last words are read before its end; a slow disk takes no room from safe classes

Two causes found by the process tests. A peer that was turned away closed behind its words, and Link::read dropped frames that came in the same look as the end: only one of four logs said why. The rig compares status files of the same second.

--- a/crates/fleet-rig/src/check/service.rs
+++ b/crates/fleet-rig/src/check/service.rs
@@ -65,14 +65,18 @@
 /// How long first tries that were served took, by class.
 fn latencies(history: &History, verdict: &mut Verdict) {
     let mut took: BTreeMap<&Name, Vec<Micros>> = BTreeMap::new();
+    let mut asked: BTreeMap<&Name, u64> = BTreeMap::new();
     for (at, tried) in history.tries.values().filter(|(_, tried)| tried.number == 0) {
         let end = history.ends.get(&tried.id).and_then(|ends| ends.first());
         let served = end.filter(|(_, how)| *how == How::Served);
+        *asked.entry(&tried.class).or_default() += 1;
         served.into_iter().for_each(|(end, _)| took.entry(&tried.class).or_default().push(end - at));
     }
     for (class, mut took) in took {
         took.sort_unstable();
         let part = |share: usize| took.get(took.len() * share / 100).copied().unwrap_or(0);
+        let of = asked.get(class).copied().unwrap_or(0).max(1);
+        verdict.figure(&format!("served_permille_{class}"), took.len() as u64 * 1000 / of);
         verdict.figure(&format!("median_us_{class}"), part(50));
         verdict.figure(&format!("p99_us_{class}"), part(99));
     }
--- a/crates/fleet-rig/src/world.rs
+++ b/crates/fleet-rig/src/world.rs
@@ -249,7 +249,10 @@
                 continue;
             }
             let first = keepers.first().map(|told| told["print"].clone());
-            if first.is_some() && keepers.iter().all(|told| Some(&told["print"]) == first.as_ref()) {
+            let second = |told: &Value| told["at_ms"].as_u64().map(|at| at / 1000);
+            let same =
+                |told: &Value| Some(&told["print"]) == first.as_ref() && second(told) == second(&keepers[0]);
+            if first.is_some() && keepers.iter().all(same) {
                 return Ok(Some(began.elapsed().as_millis() as u64));
             }
             tokio::time::sleep(LOOKS_EVERY).await;
--- a/crates/fleet-rig/tests/fleet.rs
+++ b/crates/fleet-rig/tests/fleet.rs
@@ -135,7 +135,8 @@
     let ran = played(&Plan::of_text(&plan), directory.path());
     assert!(ran.verdict.kept(), "{:?}\n{}", ran.verdict.counts, stories(&ran));
     assert!(counted(directory.path(), "refused_stalled") > 3, "{}", logs(directory.path()));
-    // Of some 200 reports none, of some 100 bookings those of one gateway in two seconds.
-    let (asked, served) = (figure(&ran, "requests"), figure(&ran, "served"));
-    assert!(served + 45 > asked && figure(&ran, "effects") > 40, "{:?}", ran.verdict.figures);
+    // Bookings of one gateway are refused for two seconds of five; of reports one in fifty may be too large for
+    // its client's wait, as without a store.
+    let served = ["report", "booking"].map(|class| figure(&ran, &format!("served_permille_{class}")));
+    assert!(served[0] >= 980 && (400..980).contains(&served[1]), "{:?}", ran.verdict.figures);
 }
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -33,6 +33,10 @@
 /// time too.
 const MARGIN: Micros = 100_000;
 
+/// What waits counts as out and takes room from others: once a send has waited so long, only a few may.
+const SLOW: Micros = 100_000;
+const FEW: usize = 4;
+
 /// Where the keepers' word on a send stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Claim {
@@ -329,6 +333,10 @@
         // What this store may have forgotten the keepers know.
         let marked = marked && self.sharing.is_none();
         let told = self.ledger.arrives(now, class, key, marked, failing);
+        if self.is_kept(class, key) && self.is_slow(now) {
+            self.counted.refused_stalled += 1;
+            return Err(NotTaken::StoreStalled);
+        }
         let apart = |sharing: &Sharing| !sharing.send_without && !sharing.majority_stands();
         match &told {
             Ok(_) if self.is_kept(class, key) && self.sharing.as_deref().is_some_and(apart) => {
@@ -346,6 +354,14 @@
         })
     }
 
+    /// The disk is slow, and what waits for it is enough.
+    fn is_slow(&self, now: Micros) -> bool {
+        let durable = self.worker.as_ref().map_or(0, Worker::durable);
+        let mut waiting = self.waiting.range(durable + 1..);
+        let oldest = waiting.next().is_some_and(|(_, own)| own.since + SLOW <= now);
+        oldest && waiting.count() >= FEW
+    }
+
     fn is_kept(&self, class: usize, key: Option<&str>) -> bool {
         key.is_some() && self.ledger.keeps(class)
     }
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -425,7 +425,8 @@
             .iter()
             .map(|(name, (state, trip))| (name, json!({"state": state.name(), "trip_us": trip})))
             .collect();
-        let prints = self.core.copies().prints(now);
+        // As of a whole second: two keepers' files of one second can be held against each other.
+        let prints = self.core.copies().prints(now - now % 1_000_000);
         let print = prints.iter().fold(0u64, |sum, print| sum.rotate_left(7) ^ print);
         let (core, origin) = (&self.core, self.core.origin());
         let counted = core.counted;
--- a/crates/peers/src/hub.rs
+++ b/crates/peers/src/hub.rs
@@ -389,19 +389,8 @@
 
     fn read(&mut self, token: usize) {
         let Some(held) = self.links.get_mut(&token) else { return };
-        let frames = match held.link.read() {
-            Ok(Came::Frames(frames)) => {
-                held.more = false;
-                frames
-            }
-            Ok(Came::More(frames)) => frames,
-            Err(e) => {
-                if e.kind() == io::ErrorKind::Other {
-                    log::warn!("fleet: {e}; the link is dropped");
-                }
-                return self.drop_link(token, "it ended");
-            }
-        };
+        let Came { frames, more, ended } = held.link.read();
+        held.more = more;
         let now = self.now();
         for carried in frames {
             if let Some(held) = self.links.get_mut(&token) {
@@ -409,7 +398,15 @@
                 self.came(token, carried, now);
             }
         }
-        self.look_at(token, now);
+        match ended {
+            Some(e) => {
+                if e.kind() == io::ErrorKind::Other {
+                    log::warn!("fleet: {e}; the link is dropped");
+                }
+                self.drop_link(token, "it ended");
+            }
+            None => self.look_at(token, now),
+        }
     }
 
     fn came(&mut self, token: usize, carried: Carried<M>, now: Micros) {
--- a/crates/peers/src/link.rs
+++ b/crates/peers/src/link.rs
@@ -27,10 +27,13 @@
     pub ends: bool,
 }
 
-pub enum Came<M> {
-    Frames(Vec<Carried<M>>),
+/// What a look at a link brought.
+pub struct Came<M> {
+    pub frames: Vec<Carried<M>>,
     /// There may be more without a further event of the socket.
-    More(Vec<Carried<M>>),
+    pub more: bool,
+    /// The connection ended behind these frames, or what came can't be read.
+    pub ended: Option<io::Error>,
 }
 
 impl Link {
@@ -73,36 +76,49 @@
         self.unsent.is_empty()
     }
 
-    /// Reads what has come; an end of the connection is an error.
-    pub fn read<M: DeserializeOwned>(&mut self) -> io::Result<Came<M>> {
-        let (mut buffer, mut total, mut more) = ([0; 16 << 10], 0, false);
+    /// Reads what has come.
+    pub fn read<M: DeserializeOwned>(&mut self) -> Came<M> {
+        let (mut buffer, mut total, mut more, mut ended) = ([0; 16 << 10], 0, false, None);
         loop {
             if total >= LOOK || self.unread.len() > 2 * MOST {
                 more = true;
                 break;
             }
             match self.stream.read(&mut buffer) {
-                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+                Ok(0) => {
+                    ended = Some(io::ErrorKind::UnexpectedEof.into());
+                    break;
+                }
                 Ok(count) => {
                     self.unread.extend_from_slice(&buffer[..count]);
                     total += count;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) => return Err(e),
+                Err(e) => {
+                    ended = Some(e);
+                    break;
+                }
             }
         }
         let (mut frames, mut at) = (Vec::new(), 0);
-        while let Some((carried, length)) =
-            frame::read(&self.unread[at..]).map_err(|e| io::Error::other(e.to_string()))?
-        {
-            frames.push(carried);
-            at += length;
+        loop {
+            match frame::read(&self.unread[at..]) {
+                Ok(Some((carried, length))) => {
+                    frames.push(carried);
+                    at += length;
+                }
+                Ok(None) => break,
+                Err(spoilt) => {
+                    ended = Some(io::Error::other(spoilt.to_string()));
+                    break;
+                }
+            }
         }
         self.unread.drain(..at);
         if self.unread.is_empty() {
             self.unread.shrink_to(LOOK);
         }
-        Ok(if more { Came::More(frames) } else { Came::Frames(frames) })
+        Came { frames, more, ended }
     }
 }
