--- a/crates/fleet-rig/tests/fleet.rs
+++ b/crates/fleet-rig/tests/fleet.rs
@@ -140,3 +140,38 @@
     let served = ["report", "booking"].map(|class| figure(&ran, &format!("served_permille_{class}")));
     assert!(served[0] >= 980 && (400..980).contains(&served[1]), "{:?}", ran.verdict.figures);
 }
+
+/// A majority of keepers is out of reach of all others for a while in the middle of a burst: keyed work is refused
+/// with advice, safe work goes on, and after it all is as before. One of the cuts is one way only.
+#[test]
+fn a_lost_majority_costs_keyed_work_while_it_lasts_and_nothing_else() {
+    let directory = tempfile::tempdir().unwrap();
+    let all: String = ["g1", "g2", "g3", "g4"].iter().map(|name| gateway(name, &KEEPERS)).collect();
+    let cuts = "at 1s link-cut g2 gateways for 2s\nat 1s link-cut g4 g3 way there for 2s\n\
+                at 1s link-cut g1 g3 way back for 2s\nat 4500ms pause-gateway g3 for 400ms\n";
+    let text = format!("{PARTS}{all}{cuts}").replace("time 5s", "time 9s");
+    let ran = played(&Plan::of_text(&text), directory.path());
+    assert!(ran.verdict.kept(), "{:?}\n{}", ran.verdict.counts, stories(&ran));
+    let logs = logs(directory.path());
+    assert!(logs.contains("NO majority of keepers can be asked"), "{logs}");
+    assert!(logs.matches("a majority of keepers can be asked").count() >= 5, "it came back: {logs}");
+    let served = ["report", "booking"].map(|class| figure(&ran, &format!("served_permille_{class}")));
+    assert!(served[0] >= 980 && (300..990).contains(&served[1]), "{:?}", ran.verdict.figures);
+    assert!(counted(directory.path(), "refused_no_majority") > 0 && figure(&ran, "differ") == 0, "{logs}");
+}
+
+/// Where the operator chose `send`, keyed work goes on without a majority, and each such send is counted.
+#[test]
+fn without_a_majority_send_sends_and_counts_it() {
+    let directory = tempfile::tempdir().unwrap();
+    // Two of three keepers never start.
+    let own =
+        gateway("g1", &["g1", "g8", "g9"]).replace("\"}\"", "\"without-majority send\"\n    operator \"}\"");
+    let own = own.replace("{peer g8}", "127.0.0.1:9").replace("{peer g9}", "127.0.0.1:10");
+    let text = format!("{PARTS}{own}").replace("time 5s", "time 3s");
+    let ran = played(&Plan::of_text(&text), directory.path());
+    assert!(ran.verdict.kept(), "{:?}\n{}", ran.verdict.counts, stories(&ran));
+    let logs = logs(directory.path());
+    assert!(counted(directory.path(), "sent_without") > 10, "{logs}");
+    assert!(figure(&ran, "served_permille_booking") > 800, "{:?}", ran.verdict.figures);
+}
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -86,23 +86,47 @@
     }
 }
 
+/// A write and what it is sorted by first: the key's beginning as a number, which most comparisons need
+/// nothing beyond.
+struct Keyed {
+    begins: u128,
+    key: Box<[u8]>,
+    value: Option<Value>,
+}
+
+/// The first 16 bytes of a key as a number that sorts as they do.
+fn begins(key: &[u8]) -> u128 {
+    let mut first = [0; 16];
+    let length = key.len().min(16);
+    first[..length].copy_from_slice(&key[..length]);
+    u128::from_be_bytes(first)
+}
+
 /// Writes in their order, of which the last for each key holds: sorted once at the end, which takes a third
 /// of the time that as many inserts take.
 #[derive(Default)]
-struct Writes(Vec<(Box<[u8]>, Option<Value>)>);
+struct Writes(Vec<Keyed>);
 
 impl Writes {
     fn take(&mut self, batch: Batch) {
         self.0.extend(batch.writes.into_iter().map(|write| {
             let value = write.value.map(|bytes| Value { bytes: bytes.into(), until_ms: write.until_ms });
-            (write.key.into(), value)
+            Keyed { begins: begins(&write.key), key: write.key.into(), value }
         }));
     }
 
     fn fold(self) -> Keys {
-        // Of equal keys the map keeps the last.
-        let all: BTreeMap<Box<[u8]>, Option<Value>> = self.0.into_iter().collect();
-        all.into_iter().filter_map(|(key, value)| Some((key, value?))).collect()
+        let mut all = self.0;
+        // Stable: of equal keys the last write stays the last.
+        all.sort_by(|a, b| a.begins.cmp(&b.begins).then_with(|| a.key.cmp(&b.key)));
+        let mut all = all.into_iter().peekable();
+        let last = std::iter::from_fn(|| loop {
+            let write = all.next()?;
+            if all.peek().is_none_or(|next| next.begins != write.begins || next.key != write.key) {
+                return Some((write.key, write.value));
+            }
+        });
+        last.filter_map(|(key, value)| Some((key, value?))).collect()
     }
 }
 
