--- /dev/null
+++ b/crates/gateway/src/gateway/listing.rs
@@ -0,0 +1,134 @@
+//! The list of engines: entries for the module, and what peers' lists forbid.
+
+use super::*;
+
+impl Gateway {
+    pub(super) fn listed(&mut self, item: Item) {
+        let Some(roster) = item.roster else { return };
+        let mut entries: Vec<Entry> = roster.hosts.iter().map(|listed| self.entry(listed)).collect();
+        self.share_drains(item.no, &mut entries);
+        for (entry, listed) in entries.iter().zip(&roster.hosts) {
+            let address = match entry.phase {
+                Phase::Gone => None,
+                _ => engines::address(&listed.dial)
+                    .inspect_err(|e| tracing::warn!("engine {}: {e}", listed.host))
+                    .ok(),
+            };
+            self.tell_listed(entry, listed);
+            if self.keeping.is_some() {
+                self.last_entries.insert(entry.engine, *entry);
+            }
+            if let Some(keeping) = &mut self.keeping {
+                keeping.listed(entry.engine, entry.zone, entry.cell);
+            }
+            let (due, heard) = (&mut self.due, &mut self.from_engines);
+            self.engines.listed(entry.engine, address, entry.booted_at, due, heard);
+        }
+        if roster.whole {
+            for engine in self.engines.ids() {
+                if entries.iter().all(|entry| entry.engine != engine) {
+                    self.engines.unlisted(engine, &mut self.due, &mut self.from_engines);
+                }
+            }
+        }
+        let event = if roster.whole { Event::FullList(entries) } else { Event::ListChanges(entries) };
+        // What the list ended comes after the list itself.
+        self.events.push_back(event);
+        self.hear_engines();
+        self.clients.well |= self.stopping.is_none() && !self.engine_names.is_empty();
+        // Engines come under new names all day: a name stays as long as its engine or a connection to it.
+        self.engine_names.retain(|&engine, _| self.engines.knows(engine));
+        self.last_listed.retain(|&engine, _| self.engines.knows(engine));
+        self.last_entries.retain(|&engine, _| self.engines.knows(engine));
+        if let Some(keeping) = &mut self.keeping {
+            keeping.forget_engines(|engine| self.engines.knows(engine));
+        }
+    }
+
+    /// Drains of the own list are told to peers; what a peer's newer list forbids binds here too.
+    pub(super) fn share_drains(&mut self, number: u64, entries: &mut [Entry]) {
+        let now = self.clock.now();
+        let Some(keeping) = &mut self.keeping else { return };
+        let closed = entries.iter().filter(|entry| entry.phase != Phase::Ready);
+        let told = closed.map(|entry| Drain {
+            number,
+            engine: entry.engine,
+            booted_at: entry.booted_at,
+            gone: entry.phase == Phase::Gone,
+        });
+        keeping.drained(now, told.collect());
+        for entry in entries.iter_mut().filter(|entry| entry.phase == Phase::Ready) {
+            if keeping.binds(entry.engine, entry.booted_at, number).is_some() {
+                entry.phase = Phase::Draining;
+            }
+        }
+    }
+
+    /// What peers' lists say of engines that are usable by the own one: they take nothing new.
+    pub(super) fn heed_drains(&mut self, drains: Vec<Drain>) {
+        let mut bound = Vec::new();
+        for drain in drains.into_iter().filter(|drain| drain.number > self.link.number()) {
+            let Some(told) = self.last_entries.get_mut(&drain.engine) else { continue };
+            if told.phase == Phase::Ready && drain.booted_at >= told.booted_at {
+                told.phase = Phase::Draining;
+                bound.push(*told);
+            }
+        }
+        if !bound.is_empty() {
+            self.keeping.iter_mut().for_each(|keeping| keeping.counted.drains_heard += bound.len() as u64);
+            self.events.push_back(Event::ListChanges(bound));
+        }
+    }
+
+    pub(super) fn tell_listed(&mut self, entry: &Entry, listed: &Listed) {
+        if !self.tap.is_on() {
+            return;
+        }
+        let told = Told {
+            engine: entry.engine,
+            name: listed.host.clone(),
+            address: listed.dial.clone(),
+            zone: entry.zone,
+            kind: entry.kind,
+            phase: entry.phase,
+            booted_at: entry.booted_at,
+        };
+        self.tap.host(self.clock.now(), Host::Engine(told.clone()));
+        self.last_listed.insert(entry.engine, told);
+    }
+
+    pub(super) fn entry(&mut self, listed: &Listed) -> Entry {
+        let engine = self.number(&listed.host);
+        let position = |names: &[String], name: &str, what| {
+            let known = place(names, name);
+            if known.is_none() {
+                tracing::warn!("engine {}: {what} '{name}' is not in the settings", listed.host);
+            }
+            known.unwrap_or(names.len()) as u32
+        };
+        Entry {
+            engine,
+            zone: position(&self.names.zones, &listed.site, "zone"),
+            kind: position(&self.names.kinds, &listed.class, "kind"),
+            cell: listed.block,
+            phase: match listed.health {
+                State::Up => Phase::Ready,
+                State::Draining => Phase::Draining,
+                State::Removed => Phase::Gone,
+            },
+            booted_at: listed.born_ms.saturating_mul(1000),
+        }
+    }
+
+    /// An engine's number: the same at every gateway and after every restart, since it comes of the name
+    /// alone.
+    pub(super) fn number(&mut self, name: &str) -> EngineId {
+        let hash = name.bytes().fold(0x811c_9dc5, |hash: u32, b| (hash ^ b as u32).wrapping_mul(0x0100_0193));
+        let mut number = hash;
+        while self.engine_names.get(&number).is_some_and(|other| other != name) {
+            number = number.wrapping_add(1);
+        }
+        self.engine_names.entry(number).or_insert_with(|| name.to_string());
+        number
+    }
+}
