Probes of engines with one owner: task probe, fences at every gateway, eideryard fleet owners

One gateway probes an engine once a second under its token; keepers pass its report on through their fences, all gateways hear it. Tokens are kept in the store. A term has one owner.

--- a/crates/command/src/arguments.rs
+++ b/crates/command/src/arguments.rs
@@ -92,6 +92,11 @@
         #[arg(required = true, value_name = "DIR")]
         directories: Vec<PathBuf>,
     },
+    /// Which gateway does which work for all, since which term, and what fences turned away
+    Owners {
+        #[arg(required = true, value_name = "DIR")]
+        directories: Vec<PathBuf>,
+    },
     /// Which copies differ between keepers, and what each lacks; changes nothing
     Copies {
         #[arg(required = true, value_name = "DIR")]
--- a/crates/command/src/fleet.rs
+++ b/crates/command/src/fleet.rs
@@ -75,6 +75,45 @@
     }
 }
 
+/// Who owns what since which term, and what fences turned away.
+pub fn owners(directories: &[PathBuf]) -> Result<(), String> {
+    let mut told = Vec::new();
+    for directory in directories {
+        told.push(read(directory)?);
+    }
+    let name = |own: &Value| own["name"].as_str().unwrap_or("?").to_string();
+    println!(
+        "{:<12} {:>6} {:>6} {:>6} {:>8} {:>7} {:>10}",
+        "gateway", "owns", "won", "lost", "applied", "fenced", "own fenced"
+    );
+    for own in &told {
+        let count = |name: &str| own[name].as_u64().unwrap_or(0);
+        println!(
+            "{:<12} {:>6} {:>6} {:>6} {:>8} {:>7} {:>10}",
+            name(own),
+            own["owned"].as_array().map_or(0, Vec::len),
+            count("won"),
+            count("lost"),
+            count("applied"),
+            count("fenced"),
+            count("own_fenced")
+        );
+    }
+    // Of each task the greatest term that any of them knows, and who held it.
+    let mut terms: std::collections::BTreeMap<u64, (u64, u64)> = Default::default();
+    for term in told.iter().filter_map(|own| own["terms"].as_array()).flatten() {
+        let number = |at: usize| term[at].as_u64().unwrap_or(0);
+        let known = terms.entry(number(0)).or_default();
+        *known = (number(1), number(2)).max(*known);
+    }
+    for (task, (term, owner)) in terms {
+        let holds = told.iter().find(|own| own["owner"].as_str() == Some(&format!("{owner:016x}")));
+        let of = holds.map_or_else(|| format!("another ({owner:016x})"), name);
+        println!("probe {task:08x}: term {term}, {of}");
+    }
+    Ok(())
+}
+
 /// Which copies differ between keepers, and why.
 pub fn copies(directories: &[PathBuf]) -> Result<(), String> {
     let mut keepers: Vec<(String, Held)> = Vec::new();
--- a/crates/command/src/main.rs
+++ b/crates/command/src/main.rs
@@ -32,6 +32,7 @@
         },
         Command::Fleet { what } => match what {
             FleetCommand::Status { directories } => fleet::status(&directories),
+            FleetCommand::Owners { directories } => fleet::owners(&directories),
             FleetCommand::Copies { directories } => fleet::copies(&directories),
         },
         Command::Console { directories, at } => {
--- a/crates/fleet-rig/src/check/mod.rs
+++ b/crates/fleet-rig/src/check/mod.rs
@@ -9,6 +9,7 @@
 mod drains;
 mod effects;
 mod order;
+pub mod owners;
 mod records;
 mod service;
 pub mod story;
@@ -42,6 +43,8 @@
     Records,
     /// What keepers hold of a key is the same once nothing new comes.
     Copies,
+    /// Of each task one owner's work counts at a time.
+    Owners,
     /// A gateway ended though nobody told it to.
     Crash,
 }
@@ -57,6 +60,7 @@
             Rule::Conservation => "conservation",
             Rule::Records => "records",
             Rule::Copies => "copies agree",
+            Rule::Owners => "one owner",
             Rule::Crash => "no crash",
         }
     }
--- a/crates/fleet-rig/src/plan.rs
+++ b/crates/fleet-rig/src/plan.rs
@@ -140,13 +140,14 @@
     }
     for name in gateways {
         let mut lines = Vec::new();
-        if on && matches!(case, Case::Store | Case::Copies) {
+        if on && matches!(case, Case::Store | Case::Copies | Case::Owner) {
             lines.push("store-dir {directory}/store".to_string());
         }
-        if on && case == Case::Copies {
+        if on && matches!(case, Case::Copies | Case::Owner) {
             lines.extend(["fleet rig {".into(), "listen 127.0.0.1:0".into()]);
             let keepers = gateways.iter().take(keepers(gateways.len()));
             lines.extend(keepers.map(|keeper| format!("keeper {keeper} {{peer {keeper}}}")));
+            lines.extend((case == Case::Owner).then(|| "task probe".into()));
             lines.push("}".into());
         }
         let lines: String = lines.iter().map(|line| format!("    operator \"{line}\"\n")).collect();
--- a/crates/fleet-rig/src/run.rs
+++ b/crates/fleet-rig/src/run.rs
@@ -93,6 +93,8 @@
     let mut verdict = check::check(&facts, &events, &records, &played.crashed);
     counted(&played.endings, &mut verdict);
     compare(directory, &gateways, played.agreed, &mut verdict)?;
+    let work = |name: &String| check::owners::of_records(&directories::of(directory, name).join(RECORD));
+    check::owners::check(&gateways.iter().flat_map(work).collect::<Vec<_>>(), &mut verdict);
     verdict.figure("faults", plan.faults.len() as u64);
     let history = History::new(&events);
     let stories = verdict.breaks.iter().take(MOST_STORIES);
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -168,6 +168,10 @@
     pub majority: Option<bool>,
     /// Peers that were turned away, and why.
     pub turned: BTreeMap<String, String>,
+    /// Tasks that it owns, by the engine that they are for, with their terms; and work that its fence turned
+    /// away.
+    pub owns: BTreeMap<EngineId, u64>,
+    pub fenced: u64,
     pub stopping: bool,
     /// The counters that it ended with.
     pub own: Option<Vec<(String, u64)>>,
@@ -201,6 +205,8 @@
             votes: None,
             majority: None,
             turned: BTreeMap::new(),
+            owns: BTreeMap::new(),
+            fenced: 0,
             stopping: false,
             own: None,
             first_at: at,
@@ -601,6 +607,11 @@
             FleetWord::Turned { .. } => {}
             FleetWord::Votes { votes } => self.votes = Some(*votes),
             FleetWord::Majority { stands } => self.majority = Some(*stands),
+            FleetWord::Owns { task, term, owns: true } if self.owns.len() < MOST_PEERS => {
+                self.owns.insert(*task, *term);
+            }
+            FleetWord::Owns { task, .. } => _ = self.owns.remove(task),
+            FleetWord::Work { counts, .. } => self.fenced += u64::from(!counts),
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -181,7 +181,7 @@
             return Some(Duration::ZERO);
         }
         let spool = self.spooling.as_ref().and_then(|spooling| spooling.due(self.clock.now()));
-        let keeping = self.keeping.as_ref().and_then(|keeping| keeping.due());
+        let keeping = self.keeping.as_ref().and_then(|keeping| keeping.due(self.clock.now()));
         let next = self.due.next().into_iter().chain(self.tap.due()).chain(spool).chain(keeping).min()?;
         Some(Duration::from_micros(next.saturating_sub(self.clock.now())))
     }
@@ -483,6 +483,10 @@
                     self.events.push_back(Event::Noted { request: request.number(), attempt, note })
                 }
                 engines::Heard::Probed { engine, outcome, report } => {
+                    let now = self.clock.now();
+                    if let Some((keeping, report)) = self.keeping.as_mut().zip(report.as_ref()) {
+                        keeping.reported(now, engine, report);
+                    }
                     self.events.push_back(Event::Probed(Probed { engine, outcome, report }))
                 }
             }
@@ -598,6 +602,7 @@
         self.stopping = Some(last);
         self.tap.host(now, Host::Stopping);
         self.clients.well = false;
+        self.keeping.iter_mut().for_each(|keeping| keeping.hands_over(now));
         self.due.set(now + LAST_CLIENTS, Due::LastClients);
         self.due.set(last, Due::LastAnswers);
         // An answer that isn't out by then has a client that doesn't read.
--- a/crates/gateway/src/gateway/acting.rs
+++ b/crates/gateway/src/gateway/acting.rs
@@ -15,6 +15,10 @@
                 self.send(now, Key::from_number(request), engine, give_up_at)
             }
             Action::Probe { engine } => {
+                if let Some(report) = self.keeping.as_mut().and_then(|keeping| keeping.report(now, engine)) {
+                    let (outcome, report) = (Outcome::Answered, Some(report));
+                    return self.events.push_back(Event::Probed(Probed { engine, outcome, report }));
+                }
                 if let Err(outcome) = self.engines.probe(now, engine, &mut self.due, &mut self.counters) {
                     self.events.push_back(Event::Probed(Probed { engine, outcome, report: None }));
                 }
@@ -140,9 +144,23 @@
         let (Ready { go, late, earlier }, words) = (keeping.work(now), keeping.words());
         words.into_iter().for_each(|word| self.tap.host(now, Host::Fleet(word)));
         let (drains, hints) = (keeping.drains(), keeping.hints());
-        let nothing =
-            go.is_empty() && drains.is_empty() && hints.is_none() && late.is_empty() && earlier.is_empty();
+        let (probes, reports) = keeping.probes(now);
+        let nothing = probes.is_empty()
+            && reports.is_empty()
+            && go.is_empty()
+            && drains.is_empty()
+            && hints.is_none()
+            && late.is_empty()
+            && earlier.is_empty();
         self.heed_drains(drains);
+        for engine in probes {
+            // One that can't be reached is no news from here: each gateway finds that out for itself.
+            let _ = self.engines.probe(now, engine, &mut self.due, &mut self.counters);
+        }
+        for (engine, report) in reports {
+            let (outcome, report) = (Outcome::Answered, Some(report));
+            self.events.push_back(Event::Probed(Probed { engine, outcome, report }));
+        }
         if let Some((lessons, age)) = hints {
             self.events.push_back(Event::Remembered { lessons, age });
         }
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -42,6 +42,7 @@
         self.last_entries.retain(|&engine, _| self.engines.knows(engine));
         if let Some(keeping) = &mut self.keeping {
             keeping.forget_engines(|engine| self.engines.knows(engine));
+            keeping.engines(self.clock.now());
         }
     }
 
--- a/crates/gateway/src/keeping.rs
+++ b/crates/gateway/src/keeping.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io;
 
-use eideryard::interface::{Class, Earlier, EngineId, Lessons, Micros, Settings};
+use eideryard::interface::{Class, Earlier, EngineId, Lessons, LoadReport, Micros, Settings};
 use eideryard_ledger::{entry, state, Doubt, Intent, Ledger, Limits, Place, Refusal};
 use eideryard_operator::{FleetPlan, StorePlan};
 use eideryard_record::{FleetWord, NotTaken};
@@ -158,6 +158,7 @@
     pub whole: bool,
     pub voted: Option<Vec<u8>>,
     pub copies: Vec<(Vec<u8>, eideryard_replica::Copy)>,
+    pub tokens: Vec<(eideryard_ownership::Task, eideryard_ownership::Token)>,
 }
 
 impl Shared {
@@ -172,6 +173,10 @@
             whole: matches!(found.trust, Trust::Whole),
             voted: store.get(Sharing::votes_key()).map(|value| value.bytes.to_vec()),
             copies: copies.collect(),
+            tokens: store
+                .prefix(crate::owning::PREFIX)
+                .filter_map(|(key, value)| crate::owning::stored(key, &value.bytes))
+                .collect(),
         }
     }
 }
@@ -532,6 +537,40 @@
         self.sharing.as_ref()?.binds(engine, booted_at, number)
     }
 
+    /// Engines that this gateway is to probe for all, and reports of others' probes.
+    pub fn probes(&mut self, now: Micros) -> (Vec<EngineId>, Vec<(EngineId, LoadReport)>) {
+        let Some(sharing) = &mut self.sharing else { return Default::default() };
+        sharing.ask_owning(|own| (own.probes(now), own.fresh()))
+    }
+
+    /// A report that stands in for a probe of this gateway's own.
+    pub fn report(&mut self, now: Micros, engine: EngineId) -> Option<LoadReport> {
+        self.sharing.as_mut()?.ask_owning(|own| own.report(now, engine))
+    }
+
+    /// An engine has answered a probe.
+    pub fn reported(&mut self, now: Micros, engine: EngineId, report: &LoadReport) {
+        if let (Some(sharing), Some(worker)) = (&mut self.sharing, &mut self.worker) {
+            sharing.owning(|own| own.reported(now, engine, report, worker));
+        }
+    }
+
+    /// The engines that there are.
+    pub fn engines(&mut self, now: Micros) {
+        let engines: Vec<EngineId> = self.places.keys().copied().collect();
+        if let Some(sharing) = &mut self.sharing {
+            sharing.ask_owning(|own| own.engines(now, engines.into_iter()));
+        }
+    }
+
+    /// This gateway is told to end: others need not wait for what it owns.
+    pub fn hands_over(&mut self, now: Micros) {
+        if let (Some(sharing), Some(worker)) = (&mut self.sharing, &mut self.worker) {
+            sharing.owning(|own| own.ends(now, worker));
+            sharing.flush();
+        }
+    }
+
     /// Messages that were handed over since go out.
     pub fn flush(&mut self) {
         self.sharing.iter_mut().for_each(|sharing| sharing.flush());
@@ -550,13 +589,15 @@
     pub fn told(&self) -> String {
         let shared = self.sharing.as_ref();
         let shared = shared.map(|own| format!("; {:?}; sent_without: {}", own.counted(), own.sent_without));
-        format!("; {:?}{}", self.counted, shared.unwrap_or_default())
+        let owned = self.sharing.as_ref().and_then(|own| own.owned());
+        let owned = owned.map(|(owned, spared)| format!("; {owned:?}; probes_spared: {spared}"));
+        format!("; {:?}{}{}", self.counted, shared.unwrap_or_default(), owned.unwrap_or_default())
     }
 
     /// When [`Keeping::work`] has something to do.
-    pub fn due(&self) -> Option<Micros> {
+    pub fn due(&self, now: Micros) -> Option<Micros> {
         let stalls = self.waiting.values().next().map(|waiting| waiting.since + state::STALL);
-        let shared = self.sharing.as_ref().map(|sharing| sharing.due());
+        let shared = self.sharing.as_ref().map(|sharing| sharing.due(now));
         self.ledger.due().into_iter().chain(stalls).chain(shared).min()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod keeping;
 mod lessons;
 mod link;
+mod owning;
 mod requests;
 mod sharing;
 mod spooling;
--- /dev/null
+++ b/crates/gateway/src/owning.rs
@@ -0,0 +1,282 @@
+//! Joins the tasks that have one owner to the links and the store. One task is there: probes of an engine,
+//! whose report goes to all. Off without `task` in the operator's file. Decides nothing:
+//! `eideryard_ownership` does.
+
+use std::collections::BTreeMap;
+
+use eideryard::interface::{EngineId, LoadReport, Micros};
+use eideryard_ownership::{Core, Message, Output, Plan, Task, Token};
+use eideryard_record::FleetWord;
+use eideryard_replica::Origin;
+use eideryard_store::worker::Worker;
+use eideryard_store::Batch;
+use serde::{Deserialize, Serialize};
+
+/// The store's keys of tokens: a prefix, then the task.
+pub const PREFIX: &[u8] = b"t";
+/// Probes of engines, by the engine's number.
+const PROBE: u8 = 1;
+/// An owner probes its engines so often.
+const EVERY: Micros = 1_000_000;
+/// A report that is no older answers a probe that this gateway would have sent.
+const FRESH: Micros = 300_000;
+
+/// An engine's report as its owner sends it: a number that only grows under one token, since each keeper
+/// passes it on and one copy counts, and the age.
+#[derive(Serialize, Deserialize)]
+struct Work {
+    number: u64,
+    age: Micros,
+    report: [Option<f64>; 5],
+}
+
+/// What a gateway is to do.
+pub enum Todo {
+    /// To a keeper, one who made a link here, or all of these but one.
+    Keeper(usize, Message),
+    Asker(u64, Message),
+    Askers(Option<u64>, Message),
+    /// Once a ticket of the store is durable.
+    Then(u64, Task, Token, Vec<Output>),
+}
+
+pub struct Owning {
+    core: Core,
+    numbers: u64,
+    /// The last work of each task that counted here.
+    last: BTreeMap<Task, (Token, u64)>,
+    reports: BTreeMap<EngineId, (LoadReport, Micros)>,
+    /// Reports that the module is to hear of.
+    fresh: Vec<(EngineId, LoadReport)>,
+    probed_at: BTreeMap<EngineId, Micros>,
+    words: Vec<FleetWord>,
+    /// Probes that a fresh report stood in for.
+    pub spared: u64,
+}
+
+/// Engines whose probing is owned here, with the term; of each engine the greatest token that is known.
+#[derive(Default)]
+pub struct Terms {
+    pub owned: Vec<(u32, u64)>,
+    pub known: Vec<(u32, u64, u64)>,
+}
+
+fn store_key(task: Task) -> Vec<u8> {
+    let mut key = PREFIX.to_vec();
+    key.push(task.kind);
+    key.extend_from_slice(&task.number.to_be_bytes());
+    key
+}
+
+/// A task's token as the store holds it.
+pub fn stored(key: &[u8], value: &[u8]) -> Option<(Task, Token)> {
+    let key = key.strip_prefix(PREFIX)?;
+    let (kind, number) = key.split_first()?;
+    let task = Task { kind: *kind, number: u32::from_be_bytes(number.try_into().ok()?) };
+    postcard::from_bytes(value).ok().map(|token| (task, token))
+}
+
+fn task(engine: EngineId) -> Task {
+    Task { kind: PROBE, number: engine }
+}
+
+impl Owning {
+    pub fn start(
+        keepers: usize,
+        own: Option<usize>,
+        origin: Origin,
+        tokens: Vec<(Task, Token)>,
+        now: Micros,
+    ) -> Self {
+        // Another one for each life, so that no two lives share a token.
+        let owner = origin.identity ^ origin.start.rotate_left(40);
+        let core = Core::start(Plan { keepers, own, owner }, tokens.into_iter(), now);
+        Owning {
+            core,
+            numbers: 0,
+            last: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            fresh: Vec::new(),
+            probed_at: BTreeMap::new(),
+            words: Vec::new(),
+            spared: 0,
+        }
+    }
+
+    fn perform(&mut self, now: Micros, outputs: Vec<Output>, worker: &mut Worker) -> Vec<Todo> {
+        let mut todo = Vec::new();
+        for output in outputs {
+            match output {
+                Output::Keeper(keeper, message) => todo.push(Todo::Keeper(keeper, message)),
+                Output::Asker(link, message) => todo.push(Todo::Asker(link, message)),
+                Output::Askers { but, message } => todo.push(Todo::Askers(but, message)),
+                Output::Store { task, token, then } => {
+                    let mut batch = Batch::default();
+                    batch.put(store_key(task), postcard::to_stdvec(&token).unwrap_or_default(), 0);
+                    // A promise that can't be made durable is never given.
+                    let ticket = worker.write(batch).into_iter();
+                    todo.extend(ticket.map(|ticket| Todo::Then(ticket, task, token, then.clone())));
+                }
+                Output::OwnVote { task, token } => {
+                    let outputs = self.core.own_vote(now, task, token);
+                    todo.extend(self.perform(now, outputs, worker));
+                }
+                Output::Apply { task, token, work } => self.applies(now, task, token, &work),
+                Output::Fenced { task, token, .. } => self.tells(task, token, false),
+                Output::Won { task, token } => self.owns(task, token, true),
+                Output::Lost { task, token } => self.owns(task, token, false),
+            }
+        }
+        todo
+    }
+
+    fn owns(&mut self, task: Task, token: Token, owns: bool) {
+        tracing::debug!("task {} {}: term {} {owns}", task.kind, task.number, token.term);
+        self.words.push(FleetWord::Owns { task: task.number, term: token.term, owns });
+    }
+
+    fn tells(&mut self, task: Task, Token { term, owner }: Token, counts: bool) {
+        self.words.push(FleetWord::Work { task: task.number, term, owner, counts });
+    }
+
+    fn applies(&mut self, now: Micros, task: Task, token: Token, work: &[u8]) {
+        let Ok(Work { number, age, report }) = postcard::from_bytes(work) else { return };
+        let last = self.last.entry(task).or_default();
+        if *last >= (token, number) && !cfg!(feature = "unfenced") {
+            return;
+        }
+        *last = (token, number);
+        self.tells(task, token, true);
+        let [in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy] = report;
+        let report = LoadReport { in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy };
+        let at = now.saturating_sub(age);
+        self.reports.insert(task.number, (report, at));
+        if now < at + FRESH {
+            self.fresh.push((task.number, report));
+        }
+    }
+
+    pub fn hears_asker(
+        &mut self,
+        now: Micros,
+        from: u64,
+        message: Message,
+        votes: bool,
+        worker: &mut Worker,
+    ) -> Vec<Todo> {
+        let outputs = self.core.hears_asker(now, from, message, votes);
+        self.perform(now, outputs, worker)
+    }
+
+    pub fn hears_keeper(
+        &mut self,
+        now: Micros,
+        keeper: usize,
+        message: Message,
+        worker: &mut Worker,
+    ) -> Vec<Todo> {
+        let outputs = self.core.hears_keeper(now, keeper, message);
+        self.perform(now, outputs, worker)
+    }
+
+    /// A ticket is durable: what waited for it follows.
+    pub fn durable(
+        &mut self,
+        now: Micros,
+        (task, token): (Task, Token),
+        outputs: Vec<Output>,
+        worker: &mut Worker,
+    ) -> Vec<Todo> {
+        self.core.durable(task, token);
+        self.perform(now, outputs, worker)
+    }
+
+    pub fn work(&mut self, now: Micros, votes: bool, worker: &mut Worker) -> Vec<Todo> {
+        // The host's clock is fixed to Unix time at its start.
+        let outputs = self.core.work(now, now / 1000, votes);
+        self.perform(now, outputs, worker)
+    }
+
+    /// The engines that there are: each is a task that this gateway may own.
+    pub fn engines(&mut self, now: Micros, engines: impl Iterator<Item = EngineId>) {
+        let known: std::collections::BTreeSet<EngineId> = engines.collect();
+        known.iter().for_each(|engine| self.core.wants(now, task(*engine)));
+        self.core.forgets(|task| !known.contains(&task.number));
+        self.reports.retain(|engine, _| known.contains(engine));
+        self.probed_at.retain(|engine, _| known.contains(engine));
+        self.last.retain(|task, _| known.contains(&task.number));
+    }
+
+    /// Engines that this gateway is to probe for all.
+    pub fn probes(&mut self, now: Micros) -> Vec<EngineId> {
+        let owned: Vec<EngineId> = self.core.owned(now).map(|(task, _)| task.number).collect();
+        let due = |engine: &EngineId| self.probed_at.get(engine).is_none_or(|at| at + EVERY <= now);
+        let due: Vec<EngineId> = owned.into_iter().filter(due).collect();
+        due.iter().for_each(|engine| _ = self.probed_at.insert(*engine, now));
+        due
+    }
+
+    /// An engine has answered a probe of this gateway's: all hear of it, if it owns the probing of it.
+    pub fn reported(
+        &mut self,
+        now: Micros,
+        engine: EngineId,
+        report: &LoadReport,
+        worker: &mut Worker,
+    ) -> Vec<Todo> {
+        self.numbers += 1;
+        let LoadReport { in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy } = *report;
+        let report = [in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy];
+        let work = Work { number: self.numbers, age: 0, report };
+        let work = postcard::to_stdvec(&work).unwrap_or_default();
+        let outputs = self.core.act(now, task(engine), work);
+        let todo = self.perform(now, outputs, worker);
+        // The module has heard of it already.
+        self.fresh.retain(|(own, _)| *own != engine);
+        todo
+    }
+
+    /// A report that stands in for a probe.
+    pub fn report(&mut self, now: Micros, engine: EngineId) -> Option<LoadReport> {
+        let (report, at) = self.reports.get(&engine)?;
+        let fresh = (now < at + FRESH).then_some(*report);
+        self.spared += u64::from(fresh.is_some());
+        fresh
+    }
+
+    pub fn fresh(&mut self) -> Vec<(EngineId, LoadReport)> {
+        std::mem::take(&mut self.fresh)
+    }
+
+    pub fn words(&mut self) -> Vec<FleetWord> {
+        std::mem::take(&mut self.words)
+    }
+
+    pub fn tokens(&self) -> Option<Message> {
+        self.core.tokens()
+    }
+
+    pub fn ends(&mut self, now: Micros, worker: &mut Worker) -> Vec<Todo> {
+        let outputs = self.core.ends();
+        self.perform(now, outputs, worker)
+    }
+
+    pub fn due(&self, now: Micros) -> Micros {
+        let probes = self
+            .core
+            .owned(now)
+            .map(|(task, _)| self.probed_at.get(&task.number).map_or(now, |at| at + EVERY));
+        probes.chain([self.core.due()]).min().unwrap_or(now)
+    }
+
+    pub fn counted(&self) -> eideryard_ownership::core::Counted {
+        self.core.counted
+    }
+
+    /// Tasks that this gateway owns, and the greatest term of each that it knows.
+    pub fn status(&self, now: Micros) -> Terms {
+        let owned = self.core.owned(now).map(|(task, token)| (task.number, token.term)).collect();
+        let known = self.core.fences().all().map(|(task, token)| (task.number, token.term, token.owner));
+        Terms { owned, known: known.collect() }
+    }
+}
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -10,6 +10,7 @@
 use eideryard_ledger::state::SLACK;
 use eideryard_ledger::{Intent, Place};
 use eideryard_operator::FleetPlan;
+use eideryard_ownership::{self as owners, Task, Token};
 use eideryard_peers::{Heard, Hello, Hub, Peer as End, State};
 use eideryard_record::FleetWord;
 use eideryard_replica::copies::Limits;
@@ -17,9 +18,11 @@
 use eideryard_replica::{entry, Core, Message, Output, Peer, Plan, Told, Verdict};
 use eideryard_store::worker::Worker;
 use eideryard_store::Batch;
+use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 
 use crate::keeping::Shared;
+use crate::owning::{Owning, Todo};
 
 /// The store's key under which a keeper remembers that it votes, and the identity that it voted under.
 const VOTES: &[u8] = b"v";
@@ -43,9 +46,19 @@
     pub seed: u64,
 }
 
+/// What links carry.
+#[derive(Serialize, Deserialize)]
+pub enum Said {
+    Copies(Message),
+    Owners(owners::Message),
+}
+
 pub struct Sharing {
     core: Core,
-    hub: Hub<Message>,
+    hub: Hub<Said>,
+    owning: Option<Owning>,
+    /// What owners' work waits for, by the store's tickets.
+    promised: VecDeque<(u64, Task, Token, Vec<owners::Output>)>,
     /// What follows once a write of the store is durable, by its ticket.
     then: VecDeque<(u64, Vec<Output>)>,
     verdicts: Vec<(u64, Verdict)>,
@@ -117,7 +130,7 @@
         wake: Box<dyn Fn() + Send>,
     ) -> io::Result<Self> {
         let About { name, settings, longest_wait, entries, now, seed } = about;
-        let Shared { origin, whole, voted, copies } = shared;
+        let Shared { origin, whole, voted, copies, tokens } = shared;
         let keepers: Vec<String> = plan.keepers.iter().map(|(name, _)| name.clone()).collect();
         let own = keepers.iter().position(|keeper| keeper == name);
         if own.is_some() && plan.listen.is_none() {
@@ -165,10 +178,13 @@
                 plan.name
             ),
         }
+        let owning = plan.probes.then(|| Owning::start(keepers.len(), own, origin, tokens, now));
         let words = Vec::from_iter(own.map(|_| FleetWord::Votes { votes: core.standing.votes() }));
         Ok(Sharing {
             core,
             hub,
+            owning,
+            promised: VecDeque::new(),
             then: VecDeque::new(),
             verdicts: Vec::new(),
             numbers: 0,
@@ -234,7 +250,16 @@
         while let Some(output) = outputs.pop_front() {
             match output {
                 // What a full queue loses is sent again or given up by the core.
-                Output::Send(peer, message) => _ = self.hub.tell(to_end(peer), message),
+                Output::Send(peer, message) => {
+                    // Who catches up hears of all promises before it has all copies, and votes.
+                    if matches!(message, Message::Part { last: true, .. } | Message::Stands { .. }) {
+                        let tokens = self.owning.as_ref().and_then(|owning| owning.tokens());
+                        tokens
+                            .into_iter()
+                            .for_each(|told| _ = self.hub.tell(to_end(peer), Said::Owners(told)));
+                    }
+                    self.hub.tell(to_end(peer), Said::Copies(message));
+                }
                 Output::Store { key, copy, then } => {
                     let (mut batch, key) = (Batch::default(), entry::stored_key(&key));
                     match copy {
@@ -275,9 +300,48 @@
         }
     }
 
-    fn hears(&mut self, now: Micros, heard: Heard<Message>, worker: &mut Worker) {
+    /// Carries out what owners' part asks for.
+    fn owners(&mut self, todo: Vec<Todo>) {
+        for next in todo {
+            match next {
+                Todo::Keeper(keeper, message) => {
+                    self.hub.tell(End::Keeper(keeper), Said::Owners(message));
+                }
+                Todo::Asker(link, message) => _ = self.hub.tell(End::Asker(link), Said::Owners(message)),
+                Todo::Askers(but, message) => {
+                    for link in self.askers.keys().filter(|link| Some(**link) != but) {
+                        self.hub.tell(End::Asker(*link), Said::Owners(message.clone()));
+                    }
+                }
+                Todo::Then(ticket, task, token, then) => self.promised.push_back((ticket, task, token, then)),
+            }
+        }
+    }
+
+    /// Does something of owners' part, where it is on.
+    pub fn owning(&mut self, act: impl FnOnce(&mut Owning) -> Vec<Todo>) {
+        let todo = self.owning.as_mut().map(act);
+        self.owners(todo.unwrap_or_default());
+    }
+
+    /// Asks owners' part something, where it is on.
+    pub fn ask_owning<T: Default>(&mut self, ask: impl FnOnce(&mut Owning) -> T) -> T {
+        self.owning.as_mut().map(ask).unwrap_or_default()
+    }
+
+    fn hears(&mut self, now: Micros, heard: Heard<Said>, worker: &mut Worker) {
         let outputs = match heard {
-            Heard::Told { peer, message } => self.core.hears(now, of_end(peer), message),
+            Heard::Told { peer, message: Said::Owners(message) } => {
+                let votes = self.core.standing.votes();
+                self.owning(|own| match peer {
+                    End::Asker(link) => own.hears_asker(now, link, message, votes, worker),
+                    End::Keeper(keeper) => own.hears_keeper(now, keeper, message, worker),
+                });
+                Vec::new()
+            }
+            Heard::Told { peer, message: Said::Copies(message) } => {
+                self.core.hears(now, of_end(peer), message)
+            }
             Heard::Up { peer, name } => {
                 self.turned.remove(&name);
                 match peer {
@@ -330,6 +394,12 @@
             let outputs = self.then.pop_front().map(|(_, outputs)| outputs);
             self.perform(now, outputs.unwrap_or_default(), worker);
         }
+        while self.promised.front().is_some_and(|(ticket, ..)| *ticket <= durable) {
+            let Some((_, task, token, outputs)) = self.promised.pop_front() else { break };
+            self.owning(|own| own.durable(now, (task, token), outputs, worker));
+        }
+        let votes = self.core.standing.votes();
+        self.owning(|own| own.work(now, votes, worker));
         if now >= self.core.due() {
             let outputs = self.core.work(now);
             self.perform(now, outputs, worker);
@@ -379,12 +449,20 @@
         self.hub.flush();
     }
 
-    pub fn due(&self) -> Micros {
-        self.core.due().min(self.status_at)
+    pub fn due(&self, now: Micros) -> Micros {
+        let owners = self.owning.as_ref().map_or(Micros::MAX, |own| own.due(now));
+        self.core.due().min(self.status_at).min(owners)
     }
 
     pub fn words(&mut self) -> Vec<FleetWord> {
-        std::mem::take(&mut self.words)
+        let mut words = std::mem::take(&mut self.words);
+        words.extend(self.ask_owning(Owning::words));
+        words
+    }
+
+    /// What the owners' part counted.
+    pub fn owned(&self) -> Option<(owners::core::Counted, u64)> {
+        self.owning.as_ref().map(|own| (own.counted(), own.spared))
     }
 
     /// All that the record knows of the fleet, for the beginning of a segment.
@@ -430,7 +508,13 @@
         let print = prints.iter().fold(0u64, |sum, print| sum.rotate_left(7) ^ print);
         let (core, origin) = (&self.core, self.core.origin());
         let counted = core.counted;
+        let owning = self.owning.as_ref();
+        let terms = owning.map(|own| own.status(now)).unwrap_or_default();
+        let owners = owning.map(|own| own.counted()).unwrap_or_default();
         Some(json!({
+            "owner": format!("{:016x}", origin.identity ^ origin.start.rotate_left(40)),
+            "owned": terms.owned, "terms": terms.known, "won": owners.won, "lost": owners.lost,
+            "applied": owners.applied, "fenced": owners.fenced, "own_fenced": owners.turned_away,
             "name": self.name, "fleet": self.fleet, "at_ms": now / 1000,
             "identity": format!("{:016x}", origin.identity), "start": origin.start,
             "keeper": self.keepers.contains(&self.name), "votes": core.standing.votes(),
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -24,6 +24,14 @@
         "A gateway that holds copies and votes, by its name in the platform's configuration.",
     )
     .many(),
+    Spec::new(
+        "task",
+        &[Kind::Choice(&["probe"])],
+        "none: each for itself",
+        "Work that one gateway does for all: `probe` asks each engine for its load once a second; all \
+         hear it.",
+    )
+    .many(),
     Spec::new(
         "without-majority",
         &[Kind::Choice(&["refuse", "send"])],
@@ -171,6 +179,8 @@
     pub keepers: Vec<(String, SocketAddr)>,
     /// Without a majority keyed requests are sent all the same.
     pub send_without: bool,
+    /// One gateway probes each engine for all.
+    pub probes: bool,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -245,7 +255,8 @@
     keepers.sort();
     let send = table::find(&own.block, "without-majority").is_some_and(|own| own.values[0].text() == "send");
     let name = own.values[0].text().to_string();
-    Ok(FleetPlan { name, listen, keepers, send_without: send })
+    let probes = own.block.iter().any(|own| own.name == "task" && own.values[0].text() == "probe");
+    Ok(FleetPlan { name, listen, keepers, send_without: send, probes })
 }
 
 impl Operator {
--- a/crates/ownership/src/candidate.rs
+++ b/crates/ownership/src/candidate.rs
@@ -1,4 +1,5 @@
-//! One gateway's way to a task: waits its turn, asks, owns, renews, and finds on waking that its lease is over.
+//! One gateway's way to a task: waits its turn, asks, owns, renews, and finds on waking that its lease is
+//! over.
 
 use std::collections::BTreeSet;
 
--- a/crates/ownership/src/fence.rs
+++ b/crates/ownership/src/fence.rs
@@ -56,8 +56,8 @@
         *known = token.max(*known);
     }
 
-    /// Work counts only once a restart would turn lesser work away: a token that was promised a moment ago and
-    /// is not durable yet is waited for.
+    /// Work counts only once a restart would turn lesser work away: a token that was promised a moment ago
+    /// and is not durable yet is waited for.
     pub fn admit(&mut self, task: Task, token: Token) -> Admission {
         let greatest = self.greatest(task);
         if token < greatest && !cfg!(feature = "unfenced") {
--- a/crates/ownership/src/voter.rs
+++ b/crates/ownership/src/voter.rs
@@ -32,7 +32,9 @@
         let left = until.saturating_sub(now);
         // Its own last owner gets a new term at once: nobody else is harmed by it.
         let held_by_other = left > 0 && token.owner != greatest.owner;
-        if token < greatest || (token > greatest && held_by_other) {
+        // A term has one owner: of two that ask for the same one the second needs a greater.
+        let other = token.term <= greatest.term && token != greatest;
+        if other || (token > greatest && held_by_other) {
             return Vote::Denied { greatest, left };
         }
         self.leases.insert(task, now + LEASE);
--- a/crates/record/src/codec.rs
+++ b/crates/record/src/codec.rs
@@ -77,6 +77,8 @@
     pub const TURNED: u8 = 62;
     pub const VOTES: u8 = 63;
     pub const MAJORITY: u8 = 64;
+    pub const OWNS: u8 = 65;
+    pub const WORK: u8 = 66;
 }
 
 // ---- Numbers ----
@@ -171,6 +173,19 @@
             out.push(*stands as u8);
             kind::MAJORITY
         }
+        FleetWord::Owns { task, term, owns } => {
+            put_number(out, u64::from(*task));
+            put_number(out, *term);
+            out.push(*owns as u8);
+            kind::OWNS
+        }
+        FleetWord::Work { task, term, owner, counts } => {
+            put_number(out, u64::from(*task));
+            put_number(out, *term);
+            put_number(out, *owner);
+            out.push(*counts as u8);
+            kind::WORK
+        }
     }
 }
 
@@ -968,6 +983,15 @@
             }
             kind::VOTES => Host::Fleet(FleetWord::Votes { votes: self.flag()? }),
             kind::MAJORITY => Host::Fleet(FleetWord::Majority { stands: self.flag()? }),
+            kind::OWNS => {
+                let (task, term, owns) = (self.number()? as u32, self.number()?, self.flag()?);
+                Host::Fleet(FleetWord::Owns { task, term, owns })
+            }
+            kind::WORK => {
+                let (task, term) = (self.number()? as u32, self.number()?);
+                let (owner, counts) = (self.number()?, self.flag()?);
+                Host::Fleet(FleetWord::Work { task, term, owner, counts })
+            }
             kind::STOPPING => Host::Stopping,
             kind::ALIVE => Host::Alive,
             kind::END => {
--- a/crates/record/src/entry.rs
+++ b/crates/record/src/entry.rs
@@ -86,6 +86,10 @@
     Votes { votes: bool },
     /// Whether a majority of keepers can be asked.
     Majority { stands: bool },
+    /// This gateway owns a task from now on, or no more.
+    Owns { task: u32, term: u64, owns: bool },
+    /// An owner's work came here: it counts, or a fence turned it away.
+    Work { task: u32, term: u64, owner: u64, counts: bool },
 }
 
 /// Why the gateway ended a client's connection.
--- a/crates/record/tests/common/mod.rs
+++ b/crates/record/tests/common/mod.rs
@@ -108,7 +108,16 @@
                 .collect(),
         })),
         7 => Entry::In(Event::StreamBegan { request: id }),
-        34 => match rng.u8(0..4) {
+        34 => match rng.u8(0..6) {
+            4 => {
+                Entry::Host(Host::Fleet(FleetWord::Owns { task: rng.u32(..), term: rng.u64(..), owns: true }))
+            }
+            5 => Entry::Host(Host::Fleet(FleetWord::Work {
+                task: rng.u32(..),
+                term: rng.u64(..),
+                owner: rng.u64(..),
+                counts: rng.bool(),
+            })),
             0 => Entry::Host(Host::Fleet(FleetWord::Peer { name: "g1".into(), state: "slow".into() })),
             1 => Entry::Host(Host::Fleet(FleetWord::Turned { name: "g2".into(), why: "another".into() })),
             2 => Entry::Host(Host::Fleet(FleetWord::Votes { votes: rng.bool() })),
--- a/crates/report/src/story.rs
+++ b/crates/report/src/story.rs
@@ -188,6 +188,14 @@
             states.iter().map(|(state, names)| format!("{state}: {}", names.join(" "))).collect();
         parts.extend(start.turned.iter().map(|(name, why)| format!("{name} turned away ({why})")));
         parts.extend(start.votes.map(|votes| if votes { "votes" } else { "catches up" }.to_string()));
+        if !start.owns.is_empty() {
+            let owned = start
+                .owns
+                .iter()
+                .map(|(engine, term)| format!("{} (term {term})", view.fleet.engine(*engine)));
+            parts.push(format!("probes for all {}", owned.collect::<Vec<_>>().join(" ")));
+        }
+        parts.extend((start.fenced > 0).then(|| format!("turned away {} of late owners", start.fenced)));
         parts.extend((start.majority == Some(false)).then(|| "NO MAJORITY".to_string()));
         lines.push(format!("{}: {}", start.name, parts.join("; ")));
     }
