A refused send that waited is told to the module in the right order; owners simulated

Cause, from the record of g1 in the test of a lost majority: 'Ended(Unsent)' came before 'ClientLeft', so the module sent attempt 1 of a request that the host had given back, was cancelled ('Cancel { attempt: 1 }') and never heard of its end; the charge stayed and g1 refused 102 of 142, reports too. acting.rs: ClientLeft goes first.

--- a/crates/fleet-rig/src/bin/simulate.rs
+++ b/crates/fleet-rig/src/bin/simulate.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
+use eideryard_fleet_rig::owned;
 use eideryard_fleet_rig::simulated::{play, Figures, Fleet, Size, Without};
 
 #[derive(Parser)]
@@ -22,6 +23,9 @@
     faults: usize,
     #[arg(long, default_value_t = 1000)]
     seeds: u64,
+    /// Plays tasks and their owners instead: so many tasks, of which a third of the gateways goes half way.
+    #[arg(long)]
+    tasks: Option<u32>,
     /// Tells what led to the first second effect of this seed, and plays no other.
     #[arg(long)]
     story: Option<u64>,
@@ -30,6 +34,37 @@
     without: String,
 }
 
+/// Seeds over all cores; gives what each part gave.
+fn parts<T: Send + 'static>(
+    seeds: u64,
+    play: impl Fn(std::ops::Range<u64>) -> T + Copy + Send + 'static,
+) -> Vec<T> {
+    let threads = std::thread::available_parallelism().map_or(1, |count| count.get() as u64);
+    let each = seeds.div_ceil(threads);
+    let parts: Vec<_> = (0..threads)
+        .map(|at| (at * each).min(seeds)..((at + 1) * each).min(seeds))
+        .map(|seeds| std::thread::spawn(move || play(seeds)))
+        .collect();
+    parts.into_iter().filter_map(|part| part.join().ok()).collect()
+}
+
+fn owners(own: &Arguments, tasks: u32) -> ExitCode {
+    let (gateways, keepers, faults) = (own.gateways, own.keepers, own.faults);
+    let size = owned::Size { gateways, keepers, tasks, faults, goes: 3 };
+    let (mut sum, mut broken) = (owned::Figures::default(), Vec::new());
+    for (figures, seeds) in parts(own.seeds, move |seeds| owned::play(size, seeds)) {
+        sum.add(&figures);
+        broken.extend(seeds);
+    }
+    println!("{sum:?}");
+    let word = if broken.is_empty() { "kept" } else { "broken" };
+    println!(
+        "verdict={word} seeds={} gateways={gateways} stale_applied={} two_owners={} fenced={} {broken:?}",
+        own.seeds, sum.stale_applied, sum.two_owners, sum.fenced
+    );
+    ExitCode::from(u8::from(!broken.is_empty()))
+}
+
 fn main() -> ExitCode {
     let own = Arguments::parse();
     let size =
@@ -39,19 +74,15 @@
         "catch-up" => Without::CatchUp,
         _ => Without::Nothing,
     };
+    if let Some(tasks) = own.tasks {
+        return owners(&own, tasks);
+    }
     if let Some(seed) = own.story {
         Fleet::story_of(size, seed, without).iter().for_each(|line| println!("{line}"));
         return ExitCode::SUCCESS;
     }
-    let threads = std::thread::available_parallelism().map_or(1, |count| count.get() as u64);
-    let each = own.seeds.div_ceil(threads);
-    let parts: Vec<_> = (0..threads)
-        .map(|at| (at * each).min(own.seeds)..((at + 1) * each).min(own.seeds))
-        .map(|seeds| std::thread::spawn(move || play(size, seeds, without)))
-        .collect();
     let (mut sum, mut broken) = (Figures::default(), Vec::new());
-    for part in parts {
-        let Ok((figures, seeds)) = part.join() else { return ExitCode::from(2) };
+    for (figures, seeds) in parts(own.seeds, move |seeds| play(size, seeds, without)) {
         sum.add(&figures);
         broken.extend(seeds);
     }
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`processes`] in [`directories`] of their own, every connection through a [`relay`] of [`links`].
 //! [`check`] judges the history of all sides and [`minimize`] drops the faults that a break does not need;
 //! both are pure, as [`plan`] is. [`run`] joins them. [`simulated`] is a fleet of hundreds in virtual time,
-//! with the program's own cores.
+//! with the program's own cores, [`owned`] the same for tasks and their owners.
 //!
 //! Bounds: 12 gateways by default are the most that are started, the history is bounded in
 //! `eideryard_standin::history`, and what a link holds in [`relay`].
@@ -15,6 +15,7 @@
 pub mod directories;
 pub mod links;
 pub mod minimize;
+pub mod owned;
 pub mod plan;
 pub mod processes;
 pub mod relay;
--- /dev/null
+++ b/crates/fleet-rig/src/owned.rs
@@ -0,0 +1,385 @@
+//! Tasks and their owners in a simulated fleet of hundreds, with the cores that ship: virtual time, links
+//! that delay and break, processes that stand still or end. Everything comes of a seed; figures are of
+//! simulated servers and called so.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+
+use eideryard_ownership::{Core, Message, Output, Plan, Task, Token};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+type Micros = u64;
+
+const MS: Micros = 1_000;
+const S: Micros = 1_000_000;
+const LOOK: Micros = 4 * MS;
+/// An owner works once a second.
+const WORKS: Micros = S;
+const LASTS: Micros = 24 * S;
+/// A part of the gateways goes for good then.
+const GOES: Micros = 12 * S;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    pub gateways: usize,
+    pub keepers: usize,
+    pub tasks: u32,
+    /// Pauses of 0.5 to 8 s, and kills of keepers that start again.
+    pub faults: usize,
+    /// One of so many gateways goes half way; 0: none.
+    pub goes: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    pub worked: u64,
+    pub applied: u64,
+    pub fenced: u64,
+    /// Work that counted at a fence after that of a greater token.
+    pub stale_applied: u64,
+    /// Terms that had two owners at one fence.
+    pub two_owners: u64,
+    pub messages: u64,
+    /// Until all tasks had an owner, from the beginning and from when some went, in milliseconds.
+    pub owned_after_ms: u64,
+    pub again_after_ms: u64,
+    /// Tasks that changed hands since, beyond those whose owner went, in percent of all.
+    pub moved_percent: u64,
+    /// Tasks of the gateway that owns most.
+    pub most_owned: u64,
+}
+
+enum Event {
+    Deliver { from: usize, to: usize, to_keeper: bool, starts: (u64, u64), message: Message },
+    Look(usize),
+    Flush { keeper: usize, start: u64 },
+    Pause { gateway: usize, lasts: Micros },
+    Kill { keeper: usize, down: Micros },
+    Start(usize),
+    Goes,
+}
+
+struct Gateway {
+    core: Core,
+    up: bool,
+    start: u64,
+    paused_until: Micros,
+    disk: BTreeMap<Task, Token>,
+    unflushed: Vec<(Task, Token, Vec<Output>)>,
+    flushing: bool,
+    worked_at: HashMap<Task, Micros>,
+    /// What counted here, whatever it remembers itself.
+    counted: HashMap<Task, Token>,
+}
+
+pub struct Fleet {
+    size: Size,
+    rng: StdRng,
+    now: Micros,
+    events: BinaryHeap<Reverse<(Micros, u64)>>,
+    waiting: HashMap<u64, Event>,
+    numbers: u64,
+    gateways: Vec<Gateway>,
+    arrives: HashMap<(usize, usize, bool), Micros>,
+    owned: BTreeMap<Task, usize>,
+    before: BTreeMap<Task, usize>,
+    figures: Figures,
+}
+
+fn tasks(size: &Size) -> impl Iterator<Item = Task> {
+    (0..size.tasks).map(|number| Task { kind: 1, number })
+}
+
+impl Fleet {
+    pub fn new(size: Size, seed: u64) -> Self {
+        let (events, waiting) = Default::default();
+        let mut fleet = Fleet {
+            size,
+            rng: StdRng::seed_from_u64(seed),
+            now: S,
+            events,
+            waiting,
+            numbers: 0,
+            gateways: Vec::new(),
+            arrives: HashMap::new(),
+            owned: BTreeMap::new(),
+            before: BTreeMap::new(),
+            figures: Figures::default(),
+        };
+        for at in 0..size.gateways {
+            let gateway = Gateway {
+                core: fleet.core(at, 1, &BTreeMap::new()),
+                up: true,
+                start: 1,
+                paused_until: 0,
+                disk: BTreeMap::new(),
+                unflushed: Vec::new(),
+                flushing: false,
+                worked_at: HashMap::new(),
+                counted: HashMap::new(),
+            };
+            fleet.gateways.push(gateway);
+            let first = fleet.rng.random_range(0..LOOK);
+            fleet.at(first, Event::Look(at));
+        }
+        for _ in 0..size.faults {
+            let after = fleet.rng.random_range(2 * S..LASTS - 6 * S);
+            let event = match fleet.rng.random_bool(0.7) {
+                true => Event::Pause {
+                    gateway: fleet.rng.random_range(0..size.gateways),
+                    lasts: fleet.rng.random_range(500 * MS..8 * S),
+                },
+                false => Event::Kill {
+                    keeper: fleet.rng.random_range(0..size.keepers),
+                    down: fleet.rng.random_range(100 * MS..2 * S),
+                },
+            };
+            fleet.at(after, event);
+        }
+        fleet.at(GOES, Event::Goes);
+        fleet
+    }
+
+    fn core(&self, at: usize, start: u64, disk: &BTreeMap<Task, Token>) -> Core {
+        let own = (at < self.size.keepers).then_some(at);
+        let plan = Plan { keepers: self.size.keepers, own, owner: at as u64 + 1 + start * 1_000_000 };
+        let mut core = Core::start(plan, disk.clone().into_iter(), self.now);
+        tasks(&self.size).for_each(|task| core.wants(self.now, task));
+        core
+    }
+
+    fn at(&mut self, after: Micros, event: Event) {
+        self.numbers += 1;
+        self.events.push(Reverse((self.now + after, self.numbers)));
+        self.waiting.insert(self.numbers, event);
+    }
+
+    pub fn run(mut self) -> Figures {
+        let until = self.now + LASTS;
+        while let Some(Reverse((at, number))) = self.events.pop() {
+            if at > until {
+                break;
+            }
+            self.now = at;
+            let event = self.waiting.remove(&number);
+            event.into_iter().for_each(|event| self.happens(event));
+        }
+        let moved = self.before.iter().filter(|(task, owner)| {
+            self.gateways[**owner].up && self.owned.get(task).is_some_and(|now| now != *owner)
+        });
+        self.figures.moved_percent = moved.count() as u64 * 100 / u64::from(self.size.tasks);
+        let mut each: HashMap<usize, u64> = HashMap::new();
+        self.owned.values().for_each(|owner| *each.entry(*owner).or_default() += 1);
+        self.figures.most_owned = each.values().copied().max().unwrap_or(0);
+        self.figures
+    }
+
+    fn happens(&mut self, event: Event) {
+        match event {
+            Event::Deliver { from, to, to_keeper, starts, message } => {
+                let wait = self.gateways[to].paused_until.saturating_sub(self.now);
+                if wait > 0 {
+                    return self.at(wait, Event::Deliver { from, to, to_keeper, starts, message });
+                }
+                let (a, b) = (&self.gateways[from], &self.gateways[to]);
+                if !a.up || !b.up || (a.start, b.start) != starts {
+                    return;
+                }
+                let core = &mut self.gateways[to].core;
+                let outputs = match to_keeper {
+                    true => core.hears_asker(self.now, from as u64, message, true),
+                    false => core.hears_keeper(self.now, from, message),
+                };
+                self.perform(to, outputs);
+            }
+            Event::Look(at) => {
+                let wait = self.gateways[at].paused_until.saturating_sub(self.now);
+                if wait > 0 {
+                    return self.at(wait, Event::Look(at));
+                }
+                if self.gateways[at].up {
+                    self.look(at);
+                }
+                self.at(LOOK, Event::Look(at));
+            }
+            Event::Flush { keeper, start } => self.flush(keeper, start),
+            Event::Pause { gateway, lasts } => {
+                let until = self.now + lasts;
+                let own = &mut self.gateways[gateway];
+                own.paused_until = own.paused_until.max(until);
+            }
+            Event::Kill { keeper, down } => {
+                if self.gateways[keeper].up {
+                    self.gateways[keeper].up = false;
+                    self.at(down, Event::Start(keeper));
+                }
+            }
+            Event::Start(keeper) => {
+                let (start, disk) = (self.gateways[keeper].start + 1, self.gateways[keeper].disk.clone());
+                let core = self.core(keeper, start, &disk);
+                let own = &mut self.gateways[keeper];
+                (own.core, own.start, own.up, own.paused_until) = (core, start, true, 0);
+                (own.unflushed, own.flushing) = (Vec::new(), false);
+            }
+            Event::Goes => {
+                self.before = self.owned.clone();
+                let gone = self.size.goes;
+                // Keepers stay: a majority stands.
+                for at in (self.size.keepers..self.size.gateways).filter(|at| gone > 0 && at % gone == 0) {
+                    self.gateways[at].up = false;
+                }
+                let gateways = &self.gateways;
+                self.owned.retain(|_, owner| gateways[*owner].up);
+            }
+        }
+    }
+
+    fn look(&mut self, at: usize) {
+        let outputs = self.gateways[at].core.work(self.now, self.now / MS, true);
+        self.perform(at, outputs);
+        let owned: Vec<Task> = self.gateways[at].core.owned(self.now).map(|(task, _)| task).collect();
+        for task in owned {
+            let own = &mut self.gateways[at];
+            if own.worked_at.get(&task).is_some_and(|last| self.now < last + WORKS) {
+                continue;
+            }
+            own.worked_at.insert(task, self.now);
+            self.figures.worked += 1;
+            let outputs = own.core.act(self.now, task, vec![1]);
+            self.perform(at, outputs);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, to_keeper: bool, message: Message) {
+        if from == to || to >= self.gateways.len() {
+            return;
+        }
+        self.figures.messages += 1;
+        let delay = match self.rng.random_bool(0.02) {
+            true => self.rng.random_range(10 * MS..400 * MS),
+            false => self.rng.random_range(200..2 * MS),
+        };
+        let last = self.arrives.entry((from, to, to_keeper)).or_default();
+        *last = (self.now + delay).max(*last);
+        let delay = *last - self.now;
+        let starts = (self.gateways[from].start, self.gateways[to].start);
+        self.at(delay, Event::Deliver { from, to, to_keeper, starts, message });
+    }
+
+    fn perform(&mut self, at: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Keeper(keeper, message) => self.send(at, keeper, true, message),
+                Output::Asker(asker, message) => self.send(at, asker as usize, false, message),
+                Output::Askers { but, message } => {
+                    for asker in (0..self.gateways.len()).filter(|asker| Some(*asker as u64) != but) {
+                        self.send(at, asker, false, message.clone());
+                    }
+                }
+                Output::Store { task, token, then } => {
+                    let own = &mut self.gateways[at];
+                    own.unflushed.push((task, token, then));
+                    if !std::mem::replace(&mut own.flushing, true) {
+                        let start = own.start;
+                        let takes = self.rng.random_range(300..4 * MS);
+                        self.at(takes, Event::Flush { keeper: at, start });
+                    }
+                }
+                Output::OwnVote { task, token } => {
+                    let outputs = self.gateways[at].core.own_vote(self.now, task, token);
+                    self.perform(at, outputs);
+                }
+                Output::Apply { task, token, .. } => {
+                    self.figures.applied += 1;
+                    let counted = self.gateways[at].counted.entry(task).or_default();
+                    self.figures.stale_applied += u64::from(token < *counted);
+                    let two = token.term == counted.term && token.owner != counted.owner;
+                    self.figures.two_owners += u64::from(two);
+                    *counted = token.max(*counted);
+                }
+                Output::Fenced { .. } => self.figures.fenced += 1,
+                Output::Won { task, .. } => {
+                    self.owned.insert(task, at);
+                    let all = self.owned.len() == self.size.tasks as usize;
+                    let took = if self.now > S + GOES { self.now - S - GOES } else { self.now - S };
+                    let figure = match self.now > S + GOES {
+                        true => &mut self.figures.again_after_ms,
+                        false => &mut self.figures.owned_after_ms,
+                    };
+                    if all && *figure == 0 {
+                        *figure = took / MS;
+                    }
+                }
+                Output::Lost { task, .. } => {
+                    if self.owned.get(&task) == Some(&at) {
+                        self.owned.remove(&task);
+                    }
+                }
+            }
+        }
+    }
+
+    fn flush(&mut self, keeper: usize, start: u64) {
+        let own = &mut self.gateways[keeper];
+        if own.start != start || !own.up {
+            return;
+        }
+        if own.paused_until > self.now {
+            let wait = own.paused_until - self.now;
+            return self.at(wait, Event::Flush { keeper, start });
+        }
+        own.flushing = false;
+        for (task, token, then) in std::mem::take(&mut own.unflushed) {
+            let known = self.gateways[keeper].disk.entry(task).or_default();
+            *known = token.max(*known);
+            self.gateways[keeper].core.durable(task, token);
+            self.perform(keeper, then);
+        }
+    }
+}
+
+/// Plays seeds one after the other: sums of what counts, the worst of what lasts.
+pub fn play(size: Size, seeds: std::ops::Range<u64>) -> (Figures, Vec<u64>) {
+    let (mut sum, mut broken) = (Figures::default(), Vec::new());
+    for seed in seeds {
+        let own = Fleet::new(size, seed).run();
+        if own.stale_applied + own.two_owners > 0 {
+            broken.push(seed);
+        }
+        sum.add(&own);
+    }
+    (sum, broken)
+}
+
+impl Figures {
+    pub fn add(&mut self, other: &Figures) {
+        self.worked += other.worked;
+        self.applied += other.applied;
+        self.fenced += other.fenced;
+        self.stale_applied += other.stale_applied;
+        self.two_owners += other.two_owners;
+        self.messages += other.messages;
+        self.owned_after_ms = self.owned_after_ms.max(other.owned_after_ms);
+        self.again_after_ms = self.again_after_ms.max(other.again_after_ms);
+        self.moved_percent = self.moved_percent.max(other.moved_percent);
+        self.most_owned = self.most_owned.max(other.most_owned);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn no_stale_work_counts_and_tasks_find_owners_again() {
+        let size = Size { gateways: 9, keepers: 3, tasks: 4, faults: 12, goes: 0 };
+        let (sum, broken) = play(size, 0..60);
+        assert!(broken.is_empty() && sum.applied > 1000, "{broken:?} {sum:?}");
+        assert!(sum.fenced > 0, "the fence was never met: {sum:?}");
+        let large = Size { gateways: 60, keepers: 5, tasks: 20, faults: 0, goes: 3 };
+        let (sum, broken) = play(large, 0..2);
+        assert!(broken.is_empty() && sum.again_after_ms > 0, "{sum:?}");
+        assert_eq!(sum.moved_percent, 0, "only tasks of those that went move");
+    }
+}
--- a/crates/gateway/src/gateway/acting.rs
+++ b/crates/gateway/src/gateway/acting.rs
@@ -188,13 +188,17 @@
         for (Waiting { request, attempt, .. }, why) in late {
             let own = self.requests.get(request);
             let alone = own.is_some_and(|own| own.attempts.len() == 1 && own.attempts[0].waits);
+            // The module hears that nobody waits before it hears of the attempt's end: else it would send a
+            // further one, of a request that is no more here, and never hear of that one's end.
+            if alone {
+                self.events.push_back(Event::ClientLeft { request: request.number() });
+            }
             self.give_up(request, attempt, Outcome::Unsent);
             if alone {
                 let advice = [("why", why.name()), ("w", wait.as_str())];
                 let advice = if self.may_advise { &advice[..] } else { &advice[..1] };
                 self.tap.host(now, Host::Because { request: request.number(), why });
                 self.turn_down(request, "TryLater", advice);
-                self.events.push_back(Event::ClientLeft { request: request.number() });
             }
         }
         if !nothing {
--- a/crates/operator/tests/files.rs
+++ b/crates/operator/tests/files.rs
@@ -41,3 +41,32 @@
     let table = eideryard_lines::reference(eideryard_operator::TABLE);
     assert!(page.contains(&table), "docs/operator-file.md: make it anew with 'eideryard reference'");
 }
+
+/// What is wrong with a fleet is said with its place and the remedy; nothing of it is on by itself.
+#[test]
+fn a_fleet_needs_a_store_and_an_odd_number_of_keepers_each_once() {
+    let block = |lines: &str| format!("store-dir /x\nfleet north {{\n{lines}}}\n");
+    let three = "keeper c 127.0.0.1:3\nkeeper a 127.0.0.1:1\nkeeper b 127.0.0.1:2\n";
+    let read = |text: &str| Operator::read("op.conf", text);
+    let fleet = read(&block(three)).unwrap().fleet.unwrap();
+    let names: Vec<&str> = fleet.keepers.iter().map(|(name, _)| name.as_str()).collect();
+    assert_eq!(
+        (names, fleet.send_without, fleet.probes, fleet.listen),
+        (vec!["a", "b", "c"], false, false, None)
+    );
+    let more = block(&format!("{three}listen 127.0.0.1:7\nwithout-majority send\ntask probe\n"));
+    let fleet = read(&more).unwrap().fleet.unwrap();
+    assert!(fleet.send_without && fleet.probes && fleet.listen.is_some());
+    for (text, words) in [
+        (format!("fleet north {{\n{three}}}\n"), "a fleet without a store"),
+        (block("keeper a 127.0.0.1:1\nkeeper b 127.0.0.1:2\n"), "a fleet with 2 keepers"),
+        (block(&format!("{three}keeper a 127.0.0.1:9\n")), "'a' stands there twice"),
+        (block("keeper a nowhere\n"), "op.conf:3"),
+        (block(&format!("{three}without-majority maybe\n")), "refuse"),
+        (block(&format!("{three}task everything\n")), "probe"),
+    ] {
+        let said = read(&text).unwrap_err().to_string();
+        assert!(said.contains(words) && said.contains("op.conf:"), "{said}");
+    }
+    assert_eq!(read("store-dir /x\n").unwrap().fleet, None);
+}
--- a/crates/ownership/src/candidate.rs
+++ b/crates/ownership/src/candidate.rs
@@ -49,6 +49,8 @@
     Won(Token),
     /// Its lease is over before it was renewed.
     Lost(Token),
+    /// It got no majority: who voted for it is free to vote for others at once.
+    Withdrew(Token),
 }
 
 impl Candidate {
@@ -75,6 +77,17 @@
         }
     }
 
+    /// When [`Candidate::work`] has something to do. To the point, since of hundreds some turns lie close
+    /// together, and two that ask at once may split the votes.
+    pub fn due(&self) -> Micros {
+        match &self.stage {
+            Stage::Waits { until } => *until,
+            Stage::Asks { asked, .. } => asked + PATIENCE,
+            Stage::Owns { until, renewed, .. } => (renewed + RENEW).min(*until),
+            Stage::Gone => Micros::MAX,
+        }
+    }
+
     /// What time brings. `unix_ms` keeps terms growing where every keeper lost its store; nothing that is
     /// promised rests on it.
     pub fn work(&mut self, now: Micros, unix_ms: u64) -> Step {
@@ -86,9 +99,10 @@
                 self.stage = Stage::Asks { token, asked: now, votes, denied };
                 Step::Ask(token)
             }
-            Stage::Asks { asked, .. } if now >= *asked + PATIENCE => {
+            Stage::Asks { token, asked, .. } if now >= *asked + PATIENCE => {
+                let token = *token;
                 self.waits(now, PATIENCE);
-                Step::Nothing
+                Step::Withdrew(token)
             }
             Stage::Owns { token, until, .. } if now >= *until => {
                 // It stood still, or no majority renewed it: it asks anew before it acts again.
@@ -136,10 +150,12 @@
         match &mut self.stage {
             Stage::Asks { token, denied, .. } if *token == of => {
                 denied.insert(keeper);
-                if denied.len() >= self.majority {
-                    self.waits(now, left);
+                let token = *token;
+                if denied.len() < self.majority {
+                    return Step::Nothing;
                 }
-                Step::Nothing
+                self.waits(now, left);
+                Step::Withdrew(token)
             }
             Stage::Owns { token, .. } if *token == of && greatest > of => {
                 let token = *token;
--- a/crates/ownership/src/core.rs
+++ b/crates/ownership/src/core.rs
@@ -12,8 +12,10 @@
 
 /// Tasks that a gateway knows of; one more is not taken up.
 pub const MOST_TASKS: usize = 4096;
-/// What time brings is looked at so often.
-const LOOK: Micros = 100_000;
+/// What time brings is looked at no more often.
+const LOOK: Micros = 2_000;
+/// One that may lack promises looks again after this.
+const PAUSE: Micros = 100_000;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Plan {
@@ -311,6 +313,11 @@
                 self.counted.lost += 1;
                 vec![Output::Lost { task, token }]
             }
+            Step::Withdrew(token) => {
+                self.voter.release(&self.fences, task, token);
+                let release = Message::Release { task, token };
+                self.others().map(|keeper| Output::Keeper(keeper, release.clone())).collect()
+            }
             Step::Ask(token) => {
                 let ask = Message::Ask { task, token };
                 let mut outputs: Vec<Output> =
@@ -331,10 +338,14 @@
 
     /// What time brings. `votes`: as in [`Core::hears_asker`]; one that may lack promises asks nobody.
     pub fn work(&mut self, now: Micros, unix_ms: u64, votes: bool) -> Vec<Output> {
-        if now < self.looked_at + LOOK || (self.plan.own.is_some() && !votes) {
+        if now < self.due() {
             return Vec::new();
         }
         self.looked_at = now;
+        if self.plan.own.is_some() && !votes {
+            self.looked_at += PAUSE;
+            return Vec::new();
+        }
         let mut steps = Vec::new();
         for (task, own) in &mut self.candidates {
             steps.push((*task, own.work(now, unix_ms)));
@@ -342,8 +353,10 @@
         steps.into_iter().flat_map(|(task, step)| self.stepped(now, task, step)).collect()
     }
 
+    /// When [`Core::work`] has something to do: as soon as a candidate has, but not all the time.
     pub fn due(&self) -> Micros {
-        self.looked_at + LOOK
+        let next = self.candidates.values().map(Candidate::due).min().unwrap_or(Micros::MAX);
+        next.max(self.looked_at + LOOK)
     }
 
     /// This gateway was told to end: its tasks are free at once.
