--- a/crates/ownership/tests/model.rs
+++ b/crates/ownership/tests/model.rs
@@ -171,7 +171,9 @@
         });
         let owners = (0..OWNERS).map(|at| {
             let plan = Plan { keepers: VOTERS, own: None, owner: at as u64 + 1 };
-            let mut core = Core::start(plan, std::iter::empty(), BEGIN);
+            // The second has heard of the first one's term: it asks for the next.
+            let heard = (TASK, Token { term: at as u64, owner: 0 });
+            let mut core = Core::start(plan, [heard].into_iter().take(at), BEGIN);
             core.wants(BEGIN, TASK);
             Owner { core, now: BEGIN + 2_000_000, acts: 0 }
         });
