--- a/crates/fleet-rig/tests/fleet.rs
+++ b/crates/fleet-rig/tests/fleet.rs
@@ -175,3 +175,20 @@
     assert!(counted(directory.path(), "sent_without") > 10, "{logs}");
     assert!(figure(&ran, "served_permille_booking") > 800, "{:?}", ran.verdict.figures);
 }
+
+/// A drain that one gateway can't hear of reaches it through its peers; one that begins without its directory takes a
+/// peer's learned figures for hints.
+#[test]
+fn drains_and_learned_figures_come_through_peers() {
+    let directory = tempfile::tempdir().unwrap();
+    let all: String = KEEPERS.iter().map(|name| gateway(name, &KEEPERS)).collect();
+    let faults = "at 500ms link-cut g2 bulletin for 4s\nat 1500ms drain e-1\nat 3s list e-1\n\
+                  at 6500ms kill-gateway g3\nat 6700ms wipe-directory g3\nat 7s start-gateway g3\n";
+    let text = format!("{PARTS}{all}{faults}").replace("time 5s", "time 9s");
+    let ran = played(&Plan::of_text(&text), directory.path());
+    assert!(ran.verdict.kept(), "{:?}\n{}", ran.verdict.counts, stories(&ran));
+    let logs = logs(directory.path());
+    assert!(counted(directory.path(), "drains_heard") > 0, "{logs}");
+    assert!(logs.contains("learned figures of a peer are taken for hints"), "{logs}");
+    assert!(figure(&ran, "served_permille_report") >= 970, "{:?}", ran.verdict.figures);
+}
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -30,6 +30,8 @@
 const CATCH_UP: u64 = 2 << 20;
 /// The status file is written anew so often.
 const STATUS_EVERY: Micros = 250_000;
+/// Peers that were turned away and are remembered, with the reason.
+const MOST_TURNED: usize = 400;
 /// Heard messages that are taken in one look: clients and engines wait no longer than for these.
 const LOOK: usize = 512;
 /// A gateway's identity is told to peers as its settings' classes are; what else differs does no harm.
@@ -364,7 +366,8 @@
                 }
             }
             Heard::Turned { name, why } => {
-                if self.turned.get(&name) != Some(&why) {
+                let known = self.turned.contains_key(&name) || self.turned.len() < MOST_TURNED;
+                if known && self.turned.get(&name) != Some(&why) {
                     tracing::warn!("fleet {}: no link with '{name}': {why}", self.fleet);
                     self.words.push(FleetWord::Turned { name: name.clone(), why: why.clone() });
                     self.turned.insert(name, why);
