--- a/crates/fleet-rig/src/bin/simulate.rs
+++ b/crates/fleet-rig/src/bin/simulate.rs
@@ -45,7 +45,11 @@
         .map(|at| (at * each).min(seeds)..((at + 1) * each).min(seeds))
         .map(|seeds| std::thread::spawn(move || play(seeds)))
         .collect();
-    parts.into_iter().filter_map(|part| part.join().ok()).collect()
+    // One that panicked says nothing of its seeds: neither does the whole.
+    parts
+        .into_iter()
+        .map(|part| part.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic)))
+        .collect()
 }
 
 fn owners(own: &Arguments, tasks: u32) -> ExitCode {
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`processes`] in [`directories`] of their own, every connection through a [`relay`] of [`links`].
 //! [`check`] judges the history of all sides and [`minimize`] drops the faults that a break does not need;
 //! both are pure, as [`plan`] is. [`run`] joins them. [`simulated`] is a fleet of hundreds in virtual time,
-//! with the program's own cores, [`owned`] the same for tasks and their owners.
+//! with the program's own cores, [`owned`] the same for tasks and their owners,
+//! both on one [`timeline`].
 //!
 //! Bounds: 12 gateways by default are the most that are started, the history is bounded in
 //! `eideryard_standin::history`, and what a link holds in [`relay`].
@@ -22,4 +23,5 @@
 pub mod run;
 pub mod simulated;
 pub mod stall;
+pub mod timeline;
 pub mod world;
--- a/crates/fleet-rig/src/owned.rs
+++ b/crates/fleet-rig/src/owned.rs
@@ -2,14 +2,13 @@
 //! that delay and break, processes that stand still or end. Everything comes of a seed; figures are of
 //! simulated servers and called so.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 use eideryard_ownership::{Core, Message, Output, Plan, Task, Token};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-type Micros = u64;
+use crate::timeline::{self, Micros, Timeline};
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
@@ -76,12 +75,8 @@
 pub struct Fleet {
     size: Size,
     rng: StdRng,
-    now: Micros,
-    events: BinaryHeap<Reverse<(Micros, u64)>>,
-    waiting: HashMap<u64, Event>,
-    numbers: u64,
+    time: Timeline<Event, (usize, usize, bool)>,
     gateways: Vec<Gateway>,
-    arrives: HashMap<(usize, usize, bool), Micros>,
     owned: BTreeMap<Task, usize>,
     before: BTreeMap<Task, usize>,
     figures: Figures,
@@ -93,16 +88,11 @@
 
 impl Fleet {
     pub fn new(size: Size, seed: u64) -> Self {
-        let (events, waiting) = Default::default();
         let mut fleet = Fleet {
             size,
             rng: StdRng::seed_from_u64(seed),
-            now: S,
-            events,
-            waiting,
-            numbers: 0,
+            time: Timeline::new(S),
             gateways: Vec::new(),
-            arrives: HashMap::new(),
             owned: BTreeMap::new(),
             before: BTreeMap::new(),
             figures: Figures::default(),
@@ -144,26 +134,19 @@
     fn core(&self, at: usize, start: u64, disk: &BTreeMap<Task, Token>) -> Core {
         let own = (at < self.size.keepers).then_some(at);
         let plan = Plan { keepers: self.size.keepers, own, owner: at as u64 + 1 + start * 1_000_000 };
-        let mut core = Core::start(plan, disk.clone().into_iter(), self.now);
-        tasks(&self.size).for_each(|task| core.wants(self.now, task));
+        let mut core = Core::start(plan, disk.clone().into_iter(), self.time.now);
+        tasks(&self.size).for_each(|task| core.wants(self.time.now, task));
         core
     }
 
     fn at(&mut self, after: Micros, event: Event) {
-        self.numbers += 1;
-        self.events.push(Reverse((self.now + after, self.numbers)));
-        self.waiting.insert(self.numbers, event);
+        self.time.at(after, event);
     }
 
     pub fn run(mut self) -> Figures {
-        let until = self.now + LASTS;
-        while let Some(Reverse((at, number))) = self.events.pop() {
-            if at > until {
-                break;
-            }
-            self.now = at;
-            let event = self.waiting.remove(&number);
-            event.into_iter().for_each(|event| self.happens(event));
+        let until = self.time.now + LASTS;
+        while let Some(event) = self.time.next(until) {
+            self.happens(event);
         }
         let moved = self.before.iter().filter(|(task, owner)| {
             self.gateways[**owner].up && self.owned.get(task).is_some_and(|now| now != *owner)
@@ -178,7 +161,7 @@
     fn happens(&mut self, event: Event) {
         match event {
             Event::Deliver { from, to, to_keeper, starts, message } => {
-                let wait = self.gateways[to].paused_until.saturating_sub(self.now);
+                let wait = self.gateways[to].paused_until.saturating_sub(self.time.now);
                 if wait > 0 {
                     return self.at(wait, Event::Deliver { from, to, to_keeper, starts, message });
                 }
@@ -188,13 +171,13 @@
                 }
                 let core = &mut self.gateways[to].core;
                 let outputs = match to_keeper {
-                    true => core.hears_asker(self.now, from as u64, message, true),
-                    false => core.hears_keeper(self.now, from, message),
+                    true => core.hears_asker(self.time.now, from as u64, message, true),
+                    false => core.hears_keeper(self.time.now, from, message),
                 };
                 self.perform(to, outputs);
             }
             Event::Look(at) => {
-                let wait = self.gateways[at].paused_until.saturating_sub(self.now);
+                let wait = self.gateways[at].paused_until.saturating_sub(self.time.now);
                 if wait > 0 {
                     return self.at(wait, Event::Look(at));
                 }
@@ -205,7 +188,7 @@
             }
             Event::Flush { keeper, start } => self.flush(keeper, start),
             Event::Pause { gateway, lasts } => {
-                let until = self.now + lasts;
+                let until = self.time.now + lasts;
                 let own = &mut self.gateways[gateway];
                 own.paused_until = own.paused_until.max(until);
             }
@@ -236,17 +219,17 @@
     }
 
     fn look(&mut self, at: usize) {
-        let outputs = self.gateways[at].core.work(self.now, self.now / MS, true);
+        let outputs = self.gateways[at].core.work(self.time.now, self.time.now / MS, true);
         self.perform(at, outputs);
-        let owned: Vec<Task> = self.gateways[at].core.owned(self.now).map(|(task, _)| task).collect();
+        let owned: Vec<Task> = self.gateways[at].core.owned(self.time.now).map(|(task, _)| task).collect();
         for task in owned {
             let own = &mut self.gateways[at];
-            if own.worked_at.get(&task).is_some_and(|last| self.now < last + WORKS) {
+            if own.worked_at.get(&task).is_some_and(|last| self.time.now < last + WORKS) {
                 continue;
             }
-            own.worked_at.insert(task, self.now);
+            own.worked_at.insert(task, self.time.now);
             self.figures.worked += 1;
-            let outputs = own.core.act(self.now, task, vec![1]);
+            let outputs = own.core.act(self.time.now, task, vec![1]);
             self.perform(at, outputs);
         }
     }
@@ -260,11 +243,9 @@
             true => self.rng.random_range(10 * MS..400 * MS),
             false => self.rng.random_range(200..2 * MS),
         };
-        let last = self.arrives.entry((from, to, to_keeper)).or_default();
-        *last = (self.now + delay).max(*last);
-        let delay = *last - self.now;
         let starts = (self.gateways[from].start, self.gateways[to].start);
-        self.at(delay, Event::Deliver { from, to, to_keeper, starts, message });
+        let event = Event::Deliver { from, to, to_keeper, starts, message };
+        self.time.send((from, to, to_keeper), delay, event);
     }
 
     fn perform(&mut self, at: usize, outputs: Vec<Output>) {
@@ -287,7 +268,7 @@
                     }
                 }
                 Output::OwnVote { task, token } => {
-                    let outputs = self.gateways[at].core.own_vote(self.now, task, token);
+                    let outputs = self.gateways[at].core.own_vote(self.time.now, task, token);
                     self.perform(at, outputs);
                 }
                 Output::Apply { task, token, .. } => {
@@ -302,8 +283,9 @@
                 Output::Won { task, .. } => {
                     self.owned.insert(task, at);
                     let all = self.owned.len() == self.size.tasks as usize;
-                    let took = if self.now > S + GOES { self.now - S - GOES } else { self.now - S };
-                    let figure = match self.now > S + GOES {
+                    let took =
+                        if self.time.now > S + GOES { self.time.now - S - GOES } else { self.time.now - S };
+                    let figure = match self.time.now > S + GOES {
                         true => &mut self.figures.again_after_ms,
                         false => &mut self.figures.owned_after_ms,
                     };
@@ -325,8 +307,8 @@
         if own.start != start || !own.up {
             return;
         }
-        if own.paused_until > self.now {
-            let wait = own.paused_until - self.now;
+        if own.paused_until > self.time.now {
+            let wait = own.paused_until - self.time.now;
             return self.at(wait, Event::Flush { keeper, start });
         }
         own.flushing = false;
@@ -341,15 +323,8 @@
 
 /// Plays seeds one after the other: sums of what counts, the worst of what lasts.
 pub fn play(size: Size, seeds: std::ops::Range<u64>) -> (Figures, Vec<u64>) {
-    let (mut sum, mut broken) = (Figures::default(), Vec::new());
-    for seed in seeds {
-        let own = Fleet::new(size, seed).run();
-        if own.stale_applied + own.two_owners > 0 {
-            broken.push(seed);
-        }
-        sum.add(&own);
-    }
-    (sum, broken)
+    let broken = |own: &Figures| own.stale_applied + own.two_owners > 0;
+    timeline::over(seeds, |seed| Fleet::new(size, seed).run(), broken, Figures::add)
 }
 
 impl Figures {
--- a/crates/fleet-rig/src/simulated.rs
+++ b/crates/fleet-rig/src/simulated.rs
@@ -5,8 +5,7 @@
 //! keepers are killed, wiped and paused, links break; engines of three cells drop repeats of the keys that
 //! their own cell has seen. What the module would decide is reduced to its rule on effects.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use eideryard_ledger::Place;
 use eideryard_replica::copies::Limits;
@@ -15,7 +14,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-type Micros = u64;
+use crate::timeline::{self, Micros, Timeline};
 
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
@@ -158,15 +157,10 @@
     size: Size,
     without: Without,
     rng: StdRng,
-    now: Micros,
-    events: BinaryHeap<Reverse<(Micros, u64)>>,
-    waiting: HashMap<u64, Event>,
-    numbers: u64,
+    time: Timeline<Event, ((usize, usize), bool)>,
     gateways: Vec<Gateway>,
     /// Which links are up, how often each has been made, and until when it is cut.
     links: BTreeMap<(usize, usize), (bool, u64, Micros)>,
-    /// When the last message of a link's direction arrives: none overtakes another.
-    arrives: HashMap<((usize, usize), bool), Micros>,
     requests: Vec<Request>,
     /// When each cell first saw a key.
     seen: HashMap<(usize, u32), Micros>,
@@ -183,18 +177,13 @@
 
 impl Fleet {
     pub fn new(size: Size, seed: u64, without: Without) -> Self {
-        let (events, waiting) = Default::default();
         let mut fleet = Fleet {
             size,
             without,
             rng: StdRng::seed_from_u64(seed),
-            now: S,
-            events,
-            waiting,
-            numbers: 0,
+            time: Timeline::new(S),
             gateways: Vec::new(),
             links: BTreeMap::new(),
-            arrives: HashMap::new(),
             requests: vec![Request::default(); size.requests],
             seen: HashMap::new(),
             effects: HashMap::new(),
@@ -257,13 +246,11 @@
             bytes_per_s: 1 << 20,
         };
         let whole = whole || self.without == Without::CatchUp;
-        Core::start(plan, Origin { identity, start }, whole, disk.clone().into_iter(), self.now)
+        Core::start(plan, Origin { identity, start }, whole, disk.clone().into_iter(), self.time.now)
     }
 
     fn at(&mut self, after: Micros, event: Event) {
-        self.numbers += 1;
-        self.events.push(Reverse((self.now + after, self.numbers)));
-        self.waiting.insert(self.numbers, event);
+        self.time.at(after, event);
     }
 
     /// One fault at a drawn time; half of those of processes are of keepers.
@@ -277,11 +264,11 @@
         let event = match self.rng.random_range(0..8) {
             0 | 1 => Event::Kill { gateway: any, wiped: false, down: lasts },
             2 => Event::Kill { gateway: any, wiped: true, down: lasts },
-            3 => Event::Pause { gateway: any, until: self.now + after + lasts },
+            3 => Event::Pause { gateway: any, until: self.time.now + after + lasts },
             _ => {
                 let keeper = self.rng.random_range(0..self.size.keepers);
                 let gateway = if any == keeper { (any + 1) % self.size.gateways } else { any };
-                Event::Cut { link: (gateway, keeper), until: self.now + after + lasts }
+                Event::Cut { link: (gateway, keeper), until: self.time.now + after + lasts }
             }
         };
         self.at(after, event);
@@ -290,7 +277,7 @@
     /// A line of the story, where this key is told of, or all keys.
     fn tell(&mut self, key: Option<usize>, what: impl FnOnce() -> String) {
         if self.traced.is_some() && (key.is_none() || key == self.traced) {
-            self.story.push(format!("{:>9.3} s {}", self.now as f64 / 1e6, what()));
+            self.story.push(format!("{:>9.3} s {}", self.time.now as f64 / 1e6, what()));
         }
     }
 
@@ -312,15 +299,9 @@
     }
 
     fn play(&mut self) {
-        let until = self.now + ASKS + RESTS;
-        while let Some(Reverse((at, number))) = self.events.pop() {
-            if at > until {
-                break;
-            }
-            self.now = at;
-            if let Some(event) = self.waiting.remove(&number) {
-                self.happens(event);
-            }
+        let until = self.time.now + ASKS + RESTS;
+        while let Some(event) = self.time.next(until) {
+            self.happens(event);
         }
     }
 
@@ -335,7 +316,7 @@
             own.core
                 .copies()
                 .get(key)
-                .map_or(0, |copy| eideryard_replica::copies::print_of(key, copy, self.now))
+                .map_or(0, |copy| eideryard_replica::copies::print_of(key, copy, self.time.now))
         };
         let differs = |key: &&&Vec<u8>| keepers.iter().any(|own| print(own, key) != print(&keepers[0], key));
         self.figures.differ = keys.iter().filter(differs).count() as u64;
@@ -349,8 +330,9 @@
 
     fn happens(&mut self, event: Event) {
         // One that stands still does all of it when it goes on.
-        let paused =
-            |gateway: usize, fleet: &Self| fleet.gateways[gateway].paused_until.saturating_sub(fleet.now);
+        let paused = |gateway: usize, fleet: &Self| {
+            fleet.gateways[gateway].paused_until.saturating_sub(fleet.time.now)
+        };
         match event {
             Event::Deliver { link, epoch, to_keeper, message } => {
                 let to = if to_keeper { link.1 } else { link.0 };
@@ -361,7 +343,7 @@
                 }
                 if stands {
                     let from = if to_keeper { Peer::Asker(link.0 as u64) } else { Peer::Keeper(link.1) };
-                    let outputs = self.gateways[to].core.hears(self.now, from, message);
+                    let outputs = self.gateways[to].core.hears(self.time.now, from, message);
                     self.perform(to, outputs);
                 }
             }
@@ -372,7 +354,7 @@
                     return self.at(wait, Event::Look(at));
                 }
                 if self.gateways[at].up {
-                    let outputs = self.gateways[at].core.work(self.now);
+                    let outputs = self.gateways[at].core.work(self.time.now);
                     self.perform(at, outputs);
                 }
                 self.at(LOOK, Event::Look(at));
@@ -389,9 +371,9 @@
             Event::Run { key, cell } => {
                 // Dropped as a repeat where this cell has seen the key within the window.
                 self.tell(Some(key), || format!("runs in cell {cell}"));
-                let known = self.seen.get(&(key, cell)).is_some_and(|at| self.now < at + WINDOW);
+                let known = self.seen.get(&(key, cell)).is_some_and(|at| self.time.now < at + WINDOW);
                 if !known {
-                    self.seen.insert((key, cell), self.now);
+                    self.seen.insert((key, cell), self.time.now);
                     *self.effects.entry(key).or_default() += 1;
                 }
             }
@@ -422,7 +404,7 @@
                     if let Some(own) = self.links.get_mut(&link) {
                         own.2 = own.2.max(until);
                     }
-                    let wait = until.saturating_sub(self.now);
+                    let wait = until.saturating_sub(self.time.now);
                     self.at(wait, Event::Link { link, up: true });
                 }
             }
@@ -434,7 +416,7 @@
     fn link(&mut self, link: (usize, usize), up: bool) {
         let ends_up = self.gateways[link.0].up && self.gateways[link.1].up;
         let Some(own) = self.links.get_mut(&link) else { return };
-        if own.0 == up || (up && (!ends_up || self.now < own.2)) {
+        if own.0 == up || (up && (!ends_up || self.time.now < own.2)) {
             return;
         }
         own.0 = up;
@@ -442,7 +424,7 @@
         let ends = [(link.0, Peer::Keeper(link.1)), (link.1, Peer::Asker(link.0 as u64))];
         for (at, peer) in ends {
             if self.gateways[at].up {
-                let outputs = self.gateways[at].core.link(self.now, peer, up);
+                let outputs = self.gateways[at].core.link(self.time.now, peer, up);
                 self.perform(at, outputs);
             }
         }
@@ -468,10 +450,8 @@
             true => self.rng.random_range(10 * MS..300 * MS),
             false => self.rng.random_range(200..2 * MS),
         };
-        let last = self.arrives.entry((link, to_keeper)).or_default();
-        *last = (self.now + delay).max(*last);
-        let delay = *last - self.now;
-        self.at(delay, Event::Deliver { link, epoch, to_keeper, message });
+        let event = Event::Deliver { link, epoch, to_keeper, message };
+        self.time.send((link, to_keeper), delay, event);
     }
 
     fn perform(&mut self, at: usize, outputs: Vec<Output>) {
@@ -489,7 +469,7 @@
                     }
                 }
                 Output::OwnVote { number, seen } => {
-                    let verdict = self.gateways[at].core.own_vote(self.now, number, &seen);
+                    let verdict = self.gateways[at].core.own_vote(self.time.now, number, &seen);
                     self.perform(at, verdict.into_iter().collect());
                 }
                 Output::Verdict(number, verdict) => self.decided(at, number, verdict),
@@ -498,7 +478,7 @@
                     self.tell(None, || format!("{at} votes"));
                     let own = &mut self.gateways[at];
                     own.voted = true;
-                    let took = self.now - own.voted_at.replace(0).unwrap_or(self.now);
+                    let took = self.time.now - own.voted_at.replace(0).unwrap_or(self.time.now);
                     self.figures.longest_catch_up_ms = self.figures.longest_catch_up_ms.max(took / MS);
                     let askers: Vec<_> =
                         self.links.keys().filter(|(_, keeper)| *keeper == at).copied().collect();
@@ -515,8 +495,8 @@
         if own.start != start || !own.up {
             return;
         }
-        if own.paused_until > self.now {
-            let wait = own.paused_until - self.now;
+        if own.paused_until > self.time.now {
+            let wait = own.paused_until - self.time.now;
             return self.at(wait, Event::Flush { keeper, start });
         }
         own.flushing = false;
@@ -568,7 +548,7 @@
         let core = self.core(gateway, identity, start, own.voted, &disk);
         let own = &mut self.gateways[gateway];
         (own.core, own.start, own.up, own.paused_until) = (core, start, true, 0);
-        own.voted_at = Some(self.now).filter(|_| !own.voted);
+        own.voted_at = Some(self.time.now).filter(|_| !own.voted);
         let links: Vec<_> =
             self.links.keys().filter(|(a, b)| *a == gateway || *b == gateway).copied().collect();
         for link in links {
@@ -596,7 +576,7 @@
         let own = &mut self.requests[request];
         own.tries += 1;
         if own.tries == 1 {
-            own.first = self.now;
+            own.first = self.time.now;
         }
         if !self.gateways[gateway].up {
             return self.again(request);
@@ -619,7 +599,7 @@
         cells.dedup();
         let since = known.iter().map(|(_, since)| *since).min();
         // What an engine would get after the window of the first is not sent.
-        let in_time = since.is_none_or(|since| self.now + 50 * MS < since + WINDOW);
+        let in_time = since.is_none_or(|since| self.time.now + 50 * MS < since + WINDOW);
         let cell = match &cells[..] {
             [] => Some(self.rng.random_range(0..CELLS)),
             [one] if in_time => *one,
@@ -634,14 +614,14 @@
         }
         let own = &mut self.gateways[gateway];
         // As the ledger: it is there before anything goes out.
-        let fresh = Local { cell, since: since.unwrap_or(self.now), out: 0, ran: false };
+        let fresh = Local { cell, since: since.unwrap_or(self.time.now), out: 0, ran: false };
         own.local.entry(request).or_insert(fresh).out += 1;
         own.numbers += 1;
         let number = own.numbers;
-        own.claims.insert(number, (request, cell, self.now, known.clone()));
+        own.claims.insert(number, (request, cell, self.time.now, known.clone()));
         let (place, keep) = (Some(Place { zone: 0, cell }), WAIT + WINDOW + SLACK);
-        let since = since.unwrap_or(self.now);
-        let outputs = own.core.claim(self.now, number, &key_of(request), place, since, keep, known);
+        let since = since.unwrap_or(self.time.now);
+        let outputs = own.core.claim(self.time.now, number, &key_of(request), place, since, keep, known);
         self.perform(gateway, outputs);
     }
 
@@ -658,7 +638,8 @@
             self.gateways[gateway].local.remove(&key);
         }
         let place = Some(Place { zone: 0, cell });
-        let outputs = self.gateways[gateway].core.ended(self.now, &key_of(key), place, ran, WINDOW + SLACK);
+        let outputs =
+            self.gateways[gateway].core.ended(self.time.now, &key_of(key), place, ran, WINDOW + SLACK);
         self.perform(gateway, outputs);
     }
 
@@ -672,7 +653,7 @@
         });
         match verdict {
             Verdict::Granted if waits => {
-                let took = (self.now - asked) / MS;
+                let took = (self.time.now - asked) / MS;
                 self.figures.longest_claim_ms = self.figures.longest_claim_ms.max(took);
                 let since = known.iter().map(|(_, since)| *since).min();
                 self.dispatch(request, gateway, cell, since);
@@ -695,7 +676,7 @@
     }
 
     fn dispatch(&mut self, request: usize, gateway: usize, cell: u32, since: Option<Micros>) {
-        if since.is_some_and(|since| self.now + 50 * MS >= since + WINDOW) {
+        if since.is_some_and(|since| self.time.now + 50 * MS >= since + WINDOW) {
             // Time has passed since it was decided.
             self.ended(gateway, request, cell, false);
             self.requests[request].done = true;
@@ -703,7 +684,7 @@
         }
         let own = &mut self.gateways[gateway];
         if self.without == Without::Claims {
-            let fresh = Local { cell, since: since.unwrap_or(self.now), out: 0, ran: false };
+            let fresh = Local { cell, since: since.unwrap_or(self.time.now), out: 0, ran: false };
             own.local.entry(request).or_insert(fresh).out += 1;
         }
         let start = own.start;
@@ -715,15 +696,8 @@
 
 /// Plays seeds one after the other, and sums what counts and keeps the worst of what lasts.
 pub fn play(size: Size, seeds: std::ops::Range<u64>, without: Without) -> (Figures, Vec<u64>) {
-    let (mut sum, mut broken) = (Figures::default(), Vec::new());
-    for seed in seeds {
-        let own = Fleet::new(size, seed, without).run();
-        if own.effects_twice + own.unanswered + own.differ > 0 {
-            broken.push(seed);
-        }
-        sum.add(&own);
-    }
-    (sum, broken)
+    let broken = |own: &Figures| own.effects_twice + own.unanswered + own.differ > 0;
+    timeline::over(seeds, |seed| Fleet::new(size, seed, without).run(), broken, Figures::add)
 }
 
 impl Figures {
