Summaries of copies are kept with each change, not reckoned on the loop

A keeper hashed all its copies on the gateway's thread four times a second for the status file and for every scrub that was asked of it. Prints stand in buckets by the second of a record's end now; a property test holds them against the table.

--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -28,6 +28,9 @@
     copies: BTreeMap<Vec<u8>, Copy>,
     /// All keys, by when they may be dropped.
     expiry: BTreeSet<(Micros, Vec<u8>)>,
+    /// Prints of all records by the second in which their origins let go of them, one for each range: kept
+    /// with every change, so that a summary costs the same however many copies there are.
+    prints: BTreeMap<u64, Vec<u64>>,
 }
 
 /// What a join did.
@@ -51,7 +54,7 @@
 
 impl Copies {
     pub fn new(limits: Limits) -> Self {
-        Copies { limits, copies: BTreeMap::new(), expiry: BTreeSet::new() }
+        Copies { limits, copies: BTreeMap::new(), expiry: BTreeSet::new(), prints: BTreeMap::new() }
     }
 
     pub fn len(&self) -> usize {
@@ -75,6 +78,7 @@
             }
             record.until = now + longest;
         }
+        copy.iter().for_each(|(origin, record)| self.printed(&key, origin, record));
         self.expiry.insert((until(&copy), key.clone()));
         self.copies.insert(key, copy);
     }
@@ -88,9 +92,12 @@
             return Joined::Full;
         }
         let copy = self.copies.entry(key.to_vec()).or_default();
-        let before = until(copy);
+        let (before, old) = (until(copy), copy.get(&origin).copied());
         let changed = entry::join(copy, origin, record);
-        let after = until(copy);
+        let (after, new) = (until(copy), copy.get(&origin).copied());
+        if old.map(seconds_of) != new.map(seconds_of) || changed {
+            old.iter().chain(&new).for_each(|record| self.printed(key, &origin, record));
+        }
         if before != after {
             self.expiry.remove(&(before, key.to_vec()));
             self.expiry.insert((after, key.to_vec()));
@@ -107,7 +114,8 @@
         let mut gone = Vec::new();
         while self.expiry.first().is_some_and(|(until, _)| *until <= now) {
             let Some((_, key)) = self.expiry.pop_first() else { break };
-            self.copies.remove(&key);
+            let copy = self.copies.remove(&key).unwrap_or_default();
+            copy.iter().for_each(|(origin, record)| self.printed(&key, origin, record));
             gone.push(key);
         }
         gone
@@ -120,12 +128,21 @@
     /// One print for each range, of what is not about to be dropped.
     pub fn prints(&self, now: Micros) -> Vec<u64> {
         let mut prints = vec![0u64; RANGES];
-        for (key, copy) in &self.copies {
-            prints[range(key)] ^= print_of(key, copy, now);
+        for own in self.prints.range(lasts_from(now)..).map(|(_, own)| own) {
+            prints.iter_mut().zip(own).for_each(|(sum, print)| *sum ^= print);
         }
         prints
     }
 
+    /// Puts a record's print in, or takes it out: the same.
+    fn printed(&mut self, key: &[u8], origin: &Origin, record: &Record) {
+        let prints = self.prints.entry(seconds_of(*record)).or_insert_with(|| vec![0; RANGES]);
+        prints[range(key)] ^= entry::print_in(key, origin, record);
+        if prints.iter().all(|print| *print == 0) {
+            self.prints.remove(&seconds_of(*record));
+        }
+    }
+
     /// The next entries, behind a key, of ranges whose prints differ from another one's; up to so many bytes,
     /// and whether there are more.
     pub fn page(
@@ -158,14 +175,18 @@
     entry.key.len() + 4 + entry.records.len() * 40
 }
 
+/// The second in which a record's origin lets go of it.
+fn seconds_of(record: Record) -> u64 {
+    record.nominal_ms / 1000
+}
+
+/// Records that end in this second or later are compared.
+fn lasts_from(now: Micros) -> u64 {
+    (now + FADES) / 1_000_000 + 1
+}
+
 /// Of what all keepers should agree on of a key.
 pub fn print_of(key: &[u8], copy: &Copy, now: Micros) -> u64 {
-    let lasting = copy.iter().filter(|(_, record)| record.nominal_ms * 1000 > now + FADES);
-    let prints = lasting.fold(0u64, |sum, (origin, record)| sum ^ entry::print_of(origin, record));
-    if prints == 0 {
-        return 0;
-    }
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(key).update(&prints.to_be_bytes());
-    hasher.finalize().as_bytes()[..8].iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+    let lasting = copy.iter().filter(|(_, record)| seconds_of(**record) >= lasts_from(now));
+    lasting.fold(0, |sum, (origin, record)| sum ^ entry::print_in(key, origin, record))
 }
--- a/crates/replica/src/entry.rs
+++ b/crates/replica/src/entry.rs
@@ -115,7 +115,12 @@
 
 /// Of what two copies of a record must agree on: its version and what it says, not each one's times.
 pub fn print_of(origin: &Origin, record: &Record) -> u64 {
-    let said = (origin, record.version, record.phase, record.place);
+    print_in(&[], origin, record)
+}
+
+/// The same within a table of many keys.
+pub fn print_in(key: &[u8], origin: &Origin, record: &Record) -> u64 {
+    let said = (key, origin, record.version, record.phase, record.place);
     let bytes = postcard::to_stdvec(&said).unwrap_or_default();
     let hash = blake3::hash(&bytes);
     hash.as_bytes()[..8].iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
--- a/crates/replica/tests/joins.rs
+++ b/crates/replica/tests/joins.rs
@@ -1,6 +1,7 @@
 //! Copies join in any order, any number of times, to the same: every kind of record, every split of messages.
 
 use eideryard_ledger::Place;
+use eideryard_replica::copies::{print_of, range, Copies, Limits, RANGES};
 use eideryard_replica::entry::{self, join, Copy, Origin, Phase, Record};
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -70,6 +71,23 @@
         prop_assert!(bytes.is_empty() || entry::from_bytes(&bytes[..bytes.len() - 1]).is_none());
     }
 
+    /// A summary that is kept with every change is that of what the table holds.
+    #[test]
+    fn prints_that_are_kept_are_those_of_the_copies(records in vec((0..4u8, written()), 0..30), now in 0..4u64) {
+        let mut copies = Copies::new(Limits { entries: 3 });
+        for (key, (origin, record)) in &records {
+            let record = Record { nominal_ms: u64::from(record.version) * 900, ..*record };
+            copies.join(&[*key], *origin, record);
+            copies.expire(u64::from(*key) * 200);
+        }
+        let mut whole = vec![0u64; RANGES];
+        for key in 0..4u8 {
+            let print = copies.get(&[key]).map_or(0, |copy| print_of(&[key], copy, now * 1_000_000));
+            whole[range(&[key])] ^= print;
+        }
+        prop_assert_eq!(copies.prints(now * 1_000_000), whole);
+    }
+
     /// Whatever its receiver's clock: it is not taken for younger than it was when it was asked for, and not
     /// dropped sooner.
     #[test]
