What waits, how long, and what becomes of it without a majority is decided in pure modules

keeping.rs said that it decides nothing and decided when a send is late, when a disk is slow, what is in time and what 'without-majority' means. The first three are crates/ledger/src/waiting.rs, the last is the replica's core. Own records that keepers lack have a bound now (ledger full); a summary with no difference scans nothing.

--- a/crates/fleet-rig/src/simulated.rs
+++ b/crates/fleet-rig/src/simulated.rs
@@ -244,6 +244,7 @@
             longest: LONGEST,
             limits: Limits { entries: 100_000 },
             bytes_per_s: 1 << 20,
+            send_without: false,
         };
         let whole = whole || self.without == Without::CatchUp;
         Core::start(plan, Origin { identity, start }, whole, disk.clone().into_iter(), self.time.now)
--- a/crates/gateway/src/gateway/acting.rs
+++ b/crates/gateway/src/gateway/acting.rs
@@ -89,9 +89,8 @@
                 request.earlier.push(ran);
                 let deadline = self.due.set(give_up_at, Due::Attempt(key, attempt));
                 request.attempts[attempt].deadline = Some(deadline);
-                let waiting =
-                    Waiting { ticket, claim, since: now, request: key, attempt, engine, give_up_at };
-                self.keeping.iter_mut().for_each(|keeping| keeping.waits(waiting));
+                let waiting = Waiting { ticket, claim, request: key, attempt, engine, give_up_at };
+                self.keeping.iter_mut().for_each(|keeping| keeping.waits(now, waiting));
             }
         }
     }
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -12,8 +12,9 @@
 use eideryard_operator::FleetPlan;
 use eideryard_ownership::{self as owners, Task, Token};
 use eideryard_peers::{Heard, Hello, Hub, Peer as End, State};
-use eideryard_record::FleetWord;
+use eideryard_record::{FleetWord, NotTaken};
 use eideryard_replica::copies::Limits;
+use eideryard_replica::core::Refusal;
 use eideryard_replica::drains::Drain;
 use eideryard_replica::{entry, Core, Message, Output, Peer, Plan, Told, Verdict};
 use eideryard_store::worker::Worker;
@@ -78,8 +79,6 @@
     fleet: String,
     name: String,
     status_at: Micros,
-    pub send_without: bool,
-    pub sent_without: u64,
 }
 
 fn of_end(end: End) -> Peer {
@@ -147,6 +146,7 @@
             longest: longest_wait + window + SLACK,
             limits: Limits { entries },
             bytes_per_s: CATCH_UP,
+            send_without: plan.send_without,
         };
         let whole = whole && voted.as_deref() == Some(&origin.identity.to_be_bytes()[..]);
         let held = copies.len();
@@ -201,8 +201,6 @@
             fleet: plan.name.clone(),
             name: name.to_string(),
             status_at: 0,
-            send_without: plan.send_without,
-            sent_without: 0,
         })
     }
 
@@ -211,8 +209,12 @@
         VOTES
     }
 
-    pub fn majority_stands(&self) -> bool {
-        self.core.majority_stands()
+    /// Why no claim is taken up now, if none is.
+    pub fn refuses(&self) -> Option<NotTaken> {
+        self.core.refuses().map(|why| match why {
+            Refusal::Full => NotTaken::LedgerFull,
+            Refusal::NoMajority => NotTaken::NoMajority,
+        })
     }
 
     /// Claims a key before it is sent; gives the claim's number.
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -1,7 +1,8 @@
 //! Intents: which keyed and unsafe requests a gateway may have sent, where and since when, across its
 //! restarts.
 //!
-//! Pure: time in, writes and verdicts out; [`state`] decides, [`entry`] turns entries to bytes and back. The
+//! Pure: time in, writes and verdicts out; [`state`] decides, [`waiting`] says
+//! which sends that wait may go, [`entry`] turns entries to bytes and back. The
 //! host makes an intent durable before the first byte of the request goes to an engine, asks for each
 //! request that comes what of it may have run, and tells the module, which decides by the same seven rules.
 //!
@@ -10,6 +11,7 @@
 
 pub mod entry;
 pub mod state;
+pub mod waiting;
 
 pub use entry::{Intent, Place};
 pub use state::{Doubt, Ledger, Limits, Refusal, Send, Wish};
--- a/crates/ledger/src/state.rs
+++ b/crates/ledger/src/state.rs
@@ -72,8 +72,6 @@
     /// All keys, by when they may be dropped.
     expiry: BTreeSet<(Micros, Vec<u8>)>,
     doubt: Doubt,
-    /// The first write that is not durable, and since when.
-    waits_since: Option<Micros>,
 }
 
 /// Whether requests of a class are known by what they may have done.
@@ -97,7 +95,7 @@
             false => Doubt::None,
         };
         let (entries, expiry) = (HashMap::new(), BTreeSet::new());
-        let mut ledger = Ledger { limits, classes, entries, expiry, doubt, waits_since: None };
+        let mut ledger = Ledger { limits, classes, entries, expiry, doubt };
         let mut found: Vec<(Vec<u8>, Intent)> = found.collect();
         for (_, intent) in &mut found {
             // Its attempts went with the process that sent them, but may run on: as if they ended now.
@@ -145,7 +143,7 @@
     ) -> Result<Vec<Earlier>, Refusal> {
         let Some(own) = self.classes.get(class).filter(|class| is_kept(class)) else { return Ok(Vec::new()) };
         let Some(key) = key else { return Ok(Vec::new()) };
-        if failing || self.is_stalled(now) {
+        if failing {
             return Err(Refusal::Stalled);
         }
         let nowhere = Earlier { zone: 0, cell: 0, since: 0 };
@@ -214,21 +212,6 @@
         }
     }
 
-    /// The write of a send was handed over.
-    pub fn handed(&mut self, now: Micros) {
-        self.waits_since.get_or_insert(now);
-    }
-
-    /// Since when the oldest send waits that still does.
-    pub fn waits(&mut self, since: Option<Micros>) {
-        self.waits_since = since;
-    }
-
-    /// Writes have waited for so long that nothing keyed is taken.
-    pub fn is_stalled(&self, now: Micros) -> bool {
-        self.waits_since.is_some_and(|since| now >= since + STALL)
-    }
-
     /// An attempt has its end. One that never ran leaves nothing, if it was the only one; the write may wait.
     pub fn ended(&mut self, now: Micros, class: usize, key: Option<&str>, never_ran: bool) -> Option<Wish> {
         let own = self.classes.get(class).filter(|class| is_kept(class))?;
--- a/crates/replica/src/copies.rs
+++ b/crates/replica/src/copies.rs
@@ -152,6 +152,9 @@
         bytes: usize,
         now: Micros,
     ) -> (Vec<Entry>, bool) {
+        if !differ.contains(&true) {
+            return (Vec::new(), false);
+        }
         let from = behind.map_or(Bound::Unbounded, Bound::Excluded);
         let (mut entries, mut size) = (Vec::new(), 0);
         for (key, copy) in self.copies.range::<[u8], _>((from, Bound::Unbounded)) {
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -36,6 +36,16 @@
     pub limits: Limits,
     /// Of catch-up, to all together.
     pub bytes_per_s: u64,
+    /// What becomes of claims without a majority: sent all the same, or refused.
+    pub send_without: bool,
+}
+
+/// Why a gateway takes up no claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// So many of its own records are not at all keepers yet, nor over: it forgets none early.
+    Full,
+    NoMajority,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,6 +81,8 @@
     pub granted: u64,
     pub earlier: u64,
     pub without_majority: u64,
+    /// Of these, sent all the same.
+    pub sent_without: u64,
     /// Claims of others that were answered, and turned away.
     pub answered: u64,
     pub turned_away: u64,
@@ -171,6 +183,14 @@
         &self.claims
     }
 
+    /// Why no claim is taken up now, if none is.
+    pub fn refuses(&self) -> Option<Refusal> {
+        if self.claims.own() >= self.plan.limits.entries {
+            return Some(Refusal::Full);
+        }
+        (!self.plan.send_without && !self.majority_stands()).then_some(Refusal::NoMajority)
+    }
+
     /// Whether a claim can be granted, as far as this gateway knows.
     pub fn majority_stands(&self) -> bool {
         let own = self.plan.own.filter(|_| self.standing.votes());
@@ -237,6 +257,15 @@
             Verdict::Earlier(_) => self.counted.earlier += 1,
             Verdict::NoMajority(_) => self.counted.without_majority += 1,
         }
+        let verdict = match verdict {
+            Verdict::NoMajority(told) if self.plan.send_without && told.is_empty() => {
+                self.counted.sent_without += 1;
+                Verdict::Granted
+            }
+            // What a minority told is heeded all the same.
+            Verdict::NoMajority(told) if self.plan.send_without => Verdict::Earlier(told),
+            verdict => verdict,
+        };
         Some(Output::Verdict(number, verdict))
     }
 
--- a/crates/store/tests/failures.rs
+++ b/crates/store/tests/failures.rs
@@ -351,3 +351,25 @@
         }
     }
 }
+
+/// A disk that stalls holds the store's thread and nobody else: batches are taken up to the queue's end, then refused,
+/// nothing is called durable, and all of it is once the disk writes again.
+#[test]
+fn a_disk_that_stalls_holds_its_thread_and_no_caller() {
+    use eideryard_store::worker::{Worker, MOST_WAITING};
+    let disk = Faulty::default();
+    let (store, _) = open(&disk, 1).unwrap();
+    let (told, heard) = std::sync::mpsc::channel();
+    let mut worker = Worker::start(store, Box::new(move || _ = told.send(()))).unwrap();
+    disk.stall(true);
+    let mut one = Batch::default();
+    one.put(b"key".to_vec(), b"value".to_vec(), 0);
+    // The thread may hold as many again as the queue.
+    let taken = std::iter::from_fn(|| worker.write(one.clone())).take(3 * MOST_WAITING).last().unwrap();
+    assert!((MOST_WAITING as u64..3 * MOST_WAITING as u64).contains(&taken), "{taken}");
+    assert_eq!(worker.durable(), 0);
+    disk.stall(false);
+    while worker.durable() < taken {
+        heard.recv_timeout(std::time::Duration::from_secs(20)).expect("it is told when more is durable");
+    }
+}
