Probing decided in the ownership crate; fences of replaced engines go; drains bind in one place

owning.rs held which copy of a report counts, how long one stands in and when an owner probes: probe.rs now.

--- a/crates/fleet-rig/src/owned.rs
+++ b/crates/fleet-rig/src/owned.rs
@@ -267,6 +267,7 @@
                         self.at(takes, Event::Flush { keeper: at, start });
                     }
                 }
+                Output::Forget(task) => _ = self.gateways[at].disk.remove(&task),
                 Output::OwnVote { task, token } => {
                     let outputs = self.gateways[at].core.own_vote(self.time.now, task, token);
                     self.perform(at, outputs);
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -67,16 +67,18 @@
 
     /// What peers' lists say of engines that are usable by the own one: they take nothing new.
     pub(super) fn heed_drains(&mut self, drains: Vec<Drain>) {
-        let mut bound = Vec::new();
-        for drain in drains.into_iter().filter(|drain| drain.number > self.link.number()) {
-            let Some(told) = self.last_entries.get_mut(&drain.engine) else { continue };
-            if told.phase == Phase::Ready && drain.booted_at >= told.booted_at {
+        let (number, mut bound) = (self.link.number(), Vec::new());
+        let Some(keeping) = &mut self.keeping else { return };
+        for drain in drains {
+            let told = self.last_entries.get_mut(&drain.engine).filter(|told| told.phase == Phase::Ready);
+            let Some(told) = told else { continue };
+            if keeping.binds(told.engine, told.booted_at, number).is_some() {
                 told.phase = Phase::Draining;
                 bound.push(*told);
             }
         }
         if !bound.is_empty() {
-            self.keeping.iter_mut().for_each(|keeping| keeping.counted.drains_heard += bound.len() as u64);
+            keeping.counted.drains_heard += bound.len() as u64;
             self.events.push_back(Event::ListChanges(bound));
         }
     }
--- a/crates/gateway/src/owning.rs
+++ b/crates/gateway/src/owning.rs
@@ -2,9 +2,8 @@
 //! whose report goes to all. Off without `task` in the operator's file. Decides nothing:
 //! `eideryard_ownership` does.
 
-use std::collections::BTreeMap;
-
 use eideryard::interface::{EngineId, LoadReport, Micros};
+use eideryard_ownership::probe::{task, Reports};
 use eideryard_ownership::{Core, Message, Output, Plan, Task, Token};
 use eideryard_record::FleetWord;
 use eideryard_replica::Origin;
@@ -14,13 +13,6 @@
 
 /// The store's keys of tokens: a prefix, then the task.
 pub const PREFIX: &[u8] = b"t";
-/// Probes of engines, by the engine's number.
-const PROBE: u8 = 1;
-/// An owner probes its engines so often.
-const EVERY: Micros = 1_000_000;
-/// A report that is no older answers a probe that this gateway would have sent.
-const FRESH: Micros = 300_000;
-
 /// An engine's report as its owner sends it: a number that only grows under one token, since each keeper
 /// passes it on and one copy counts, and the age.
 #[derive(Serialize, Deserialize)]
@@ -43,12 +35,9 @@
 pub struct Owning {
     core: Core,
     numbers: u64,
-    /// The last work of each task that counted here.
-    last: BTreeMap<Task, (Token, u64)>,
-    reports: BTreeMap<EngineId, (LoadReport, Micros)>,
+    reports: Reports<LoadReport>,
     /// Reports that the module is to hear of.
     fresh: Vec<(EngineId, LoadReport)>,
-    probed_at: BTreeMap<EngineId, Micros>,
     words: Vec<FleetWord>,
     /// Probes that a fresh report stood in for.
     pub spared: u64,
@@ -76,10 +65,6 @@
     postcard::from_bytes(value).ok().map(|token| (task, token))
 }
 
-fn task(engine: EngineId) -> Task {
-    Task { kind: PROBE, number: engine }
-}
-
 impl Owning {
     pub fn start(
         keepers: usize,
@@ -94,10 +79,8 @@
         Owning {
             core,
             numbers: 0,
-            last: BTreeMap::new(),
-            reports: BTreeMap::new(),
+            reports: Reports::default(),
             fresh: Vec::new(),
-            probed_at: BTreeMap::new(),
             words: Vec::new(),
             spared: 0,
         }
@@ -117,6 +100,12 @@
                     let ticket = worker.write(batch).into_iter();
                     todo.extend(ticket.map(|ticket| Todo::Then(ticket, task, token, then.clone())));
                 }
+                Output::Forget(task) => {
+                    let mut batch = Batch::default();
+                    batch.remove(store_key(task));
+                    // What stays in the store is forgotten after the next start.
+                    worker.write(batch);
+                }
                 Output::OwnVote { task, token } => {
                     let outputs = self.core.own_vote(now, task, token);
                     todo.extend(self.perform(now, outputs, worker));
@@ -141,19 +130,11 @@
 
     fn applies(&mut self, now: Micros, task: Task, token: Token, work: &[u8]) {
         let Ok(Work { number, age, report }) = postcard::from_bytes(work) else { return };
-        let last = self.last.entry(task).or_default();
-        if *last >= (token, number) && !cfg!(feature = "unfenced") {
-            return;
-        }
-        *last = (token, number);
-        self.tells(task, token, true);
         let [in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy] = report;
         let report = LoadReport { in_flight, waiting_for_memory, cores_busy, memory_granted, disks_busy };
-        let at = now.saturating_sub(age);
-        self.reports.insert(task.number, (report, at));
-        if now < at + FRESH {
-            self.fresh.push((task.number, report));
-        }
+        let Some(fresh) = self.reports.take(now, task.number, (token, number), age, report) else { return };
+        self.tells(task, token, true);
+        self.fresh.extend(fresh.then_some((task.number, report)));
     }
 
     pub fn hears_asker(
@@ -202,18 +183,12 @@
         let known: std::collections::BTreeSet<EngineId> = engines.collect();
         known.iter().for_each(|engine| self.core.wants(now, task(*engine)));
         self.core.forgets(|task| !known.contains(&task.number));
-        self.reports.retain(|engine, _| known.contains(engine));
-        self.probed_at.retain(|engine, _| known.contains(engine));
-        self.last.retain(|task, _| known.contains(&task.number));
+        self.reports.retain(|engine| known.contains(&engine));
     }
 
     /// Engines that this gateway is to probe for all.
     pub fn probes(&mut self, now: Micros) -> Vec<EngineId> {
-        let owned: Vec<EngineId> = self.core.owned(now).map(|(task, _)| task.number).collect();
-        let due = |engine: &EngineId| self.probed_at.get(engine).is_none_or(|at| at + EVERY <= now);
-        let due: Vec<EngineId> = owned.into_iter().filter(due).collect();
-        due.iter().for_each(|engine| _ = self.probed_at.insert(*engine, now));
-        due
+        self.reports.due(now, self.core.owned(now).map(|(task, _)| task))
     }
 
     /// An engine has answered a probe of this gateway's: all hear of it, if it owns the probing of it.
@@ -238,10 +213,9 @@
 
     /// A report that stands in for a probe.
     pub fn report(&mut self, now: Micros, engine: EngineId) -> Option<LoadReport> {
-        let (report, at) = self.reports.get(&engine)?;
-        let fresh = (now < at + FRESH).then_some(*report);
-        self.spared += u64::from(fresh.is_some());
-        fresh
+        let report = self.reports.stands_in(now, engine);
+        self.spared += u64::from(report.is_some());
+        report
     }
 
     pub fn fresh(&mut self) -> Vec<(EngineId, LoadReport)> {
@@ -262,11 +236,8 @@
     }
 
     pub fn due(&self, now: Micros) -> Micros {
-        let probes = self
-            .core
-            .owned(now)
-            .map(|(task, _)| self.probed_at.get(&task.number).map_or(now, |at| at + EVERY));
-        probes.chain([self.core.due()]).min().unwrap_or(now)
+        let probes = self.reports.next(now, self.core.owned(now).map(|(task, _)| task));
+        probes.into_iter().chain([self.core.due()]).min().unwrap_or(now)
     }
 
     pub fn counted(&self) -> eideryard_ownership::core::Counted {
--- a/crates/ownership/src/core.rs
+++ b/crates/ownership/src/core.rs
@@ -10,7 +10,7 @@
 use crate::voter::{Vote, Voter};
 use crate::Micros;
 
-/// Tasks that a gateway knows of; one more is not taken up.
+/// Tasks that a gateway knows of; with one more the oldest goes.
 pub const MOST_TASKS: usize = 4096;
 /// What time brings is looked at no more often.
 const LOOK: Micros = 2_000;
@@ -77,6 +77,8 @@
         token: Token,
         then: Vec<Output>,
     },
+    /// A task's token is not kept any more.
+    Forget(Task),
     /// This keeper's vote for itself.
     OwnVote {
         task: Task,
@@ -193,9 +195,6 @@
 
     /// Work at this fence.
     fn admits(&mut self, from: Option<u64>, task: Task, token: Token, work: Vec<u8>) -> Vec<Output> {
-        if self.fences.len() >= MOST_TASKS && self.fences.greatest(task) == Token::default() {
-            return Vec::new();
-        }
         match self.fences.admit(task, token) {
             Admission::Stale(greatest) => {
                 self.counted.fenced += 1;
@@ -342,15 +341,20 @@
             return Vec::new();
         }
         self.looked_at = now;
+        let gone = self.fences.trim(MOST_TASKS);
+        gone.iter().for_each(|task| self.voter.forget(*task));
+        let mut outputs: Vec<Output> = gone.into_iter().map(Output::Forget).collect();
         if self.plan.own.is_some() && !votes {
             self.looked_at += PAUSE;
-            return Vec::new();
+            return outputs;
         }
         let mut steps = Vec::new();
         for (task, own) in &mut self.candidates {
             steps.push((*task, own.work(now, unix_ms)));
         }
-        steps.into_iter().flat_map(|(task, step)| self.stepped(now, task, step)).collect()
+        let stepped = steps.into_iter().flat_map(|(task, step)| self.stepped(now, task, step));
+        outputs.extend(stepped);
+        outputs
     }
 
     /// When [`Core::work`] has something to do: as soon as a candidate has, but not all the time.
--- a/crates/ownership/src/fence.rs
+++ b/crates/ownership/src/fence.rs
@@ -41,6 +41,21 @@
         self.greatest.is_empty()
     }
 
+    /// Where there are more tasks than this, those go of which the last term is the oldest, as terms begin
+    /// with the time at which they were asked for: engines come under new names all day, and what is late for
+    /// one that was replaced thousands of tasks ago does no harm.
+    pub fn trim(&mut self, most: usize) -> Vec<Task> {
+        let mut gone = Vec::new();
+        while self.greatest.len() > most {
+            let oldest = self.greatest.iter().min_by_key(|(_, token)| **token).map(|(task, _)| *task);
+            let Some(task) = oldest else { break };
+            self.greatest.remove(&task);
+            self.durable.remove(&task);
+            gone.push(task);
+        }
+        gone
+    }
+
     /// Raises the fence. True: it was lower.
     pub fn raise(&mut self, task: Task, token: Token) -> bool {
         let higher = token > self.greatest(task);
@@ -67,3 +82,21 @@
         Admission::Admitted { waits: self.durable.get(&task).is_none_or(|durable| *durable < token) }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn work_waits_for_its_token_and_of_too_many_tasks_the_oldest_go() {
+        let mut fences = Fences::default();
+        let (task, token) = (|number| Task { kind: 1, number }, |term| Token { term, owner: 1 });
+        assert_eq!(fences.admit(task(1), token(5)), Admission::Admitted { waits: true });
+        fences.durable(task(1), token(5));
+        assert_eq!(fences.admit(task(1), token(5)), Admission::Admitted { waits: false });
+        assert_eq!(fences.admit(task(1), token(4)), Admission::Stale(token(5)));
+        (2..10).for_each(|number| _ = fences.raise(task(number), token(u64::from(number))));
+        assert_eq!(fences.trim(6), [2, 3, 4].map(task));
+        assert!(fences.len() == 6 && fences.greatest(task(1)) == token(5));
+    }
+}
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -4,7 +4,7 @@
 //! Pure: messages, time and what became durable in; messages, writes and words out. [`token`] is what all of
 //! an owner's work carries; [`fence`] remembers the greatest and turns lesser ones away; [`voter`] gives
 //! votes, which are promises of its fence; [`candidate`] asks for them, renews, and stops by itself; [`core`]
-//! joins them to one gateway's part.
+//! joins them to one gateway's part; [`probe`] is the task that is there.
 //!
 //! Safety rests on tokens and on votes that are durable before they leave, never on a clock: clocks only say
 //! when to try, when to renew and when to stop early. Bounds: [`core::MOST_TASKS`].
@@ -12,6 +12,7 @@
 pub mod candidate;
 pub mod core;
 pub mod fence;
+pub mod probe;
 pub mod token;
 pub mod voter;
 
--- a/crates/ownership/src/voter.rs
+++ b/crates/ownership/src/voter.rs
@@ -41,6 +41,11 @@
         Vote::Given { new: fences.raise(task, token) }
     }
 
+    /// Its task is not kept any more.
+    pub fn forget(&mut self, task: Task) {
+        self.leases.remove(&task);
+    }
+
     /// The owner gives it up: the next one need not wait.
     pub fn release(&mut self, fences: &Fences, task: Task, token: Token) {
         if fences.greatest(task) == token {
