--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,7 +54,11 @@
             Err(calloop::Error::IoError(e)) if e.kind() == std::io::ErrorKind::Interrupted => {}
             Err(e) => return Err(e.into()),
         }
-        looked = Instant::now();
+        // What the store's or the peers' thread brings is no look at the sockets: a client or an engine that
+        // comes right behind it waits for nothing. Without them every look counts.
+        if wakes.is_empty() || wakes.iter().any(|wake| !matches!(wake, Wake::Store)) {
+            looked = Instant::now();
+        }
         gateway.work(&mut wakes);
     }
     gateway.end();
