--- /dev/null
+++ b/src/decide/lessons.rs
@@ -0,0 +1,54 @@
+//! What a later life of a gateway may know of this one, and what an earlier one is believed.
+
+use super::*;
+
+impl Gateway {
+    /// What a later life of this gateway may want to know.
+    pub fn lessons(&self) -> Lessons {
+        let class = |own: &Learned| ClassLesson {
+            work_ratio: own.work_ratio,
+            memory_ratio: own.memory_ratio,
+            work: own.work,
+            memory_mb: own.memory,
+        };
+        let engine = |(&engine, own): (&EngineId, &Engine)| EngineLesson {
+            engine,
+            booted_at: own.entry.booted_at,
+            stretch: own.stretch,
+            best: own.best,
+            bad: own.bad,
+            others: own.others,
+        };
+        Lessons {
+            classes: self.learned.iter().map(class).collect(),
+            engines: self.engines.iter().filter(|(_, own)| own.listed).map(engine).collect(),
+            level: self.traffic.level,
+        }
+    }
+
+    /// Doubt grows with age: what was learned moves back to what a stranger holds. Of another process than
+    /// the one that runs now, or where this life has learned already, nothing is taken back.
+    pub(super) fn remember(&mut self, lessons: Lessons, age: Micros) {
+        let kept = (-(age as f64) / (LESSON_SPAN * self.set.warm_within.max(1) as f64)).exp();
+        if kept < LEAST_LESSON {
+            return;
+        }
+        let doubted = |stranger: f64, learned: f64| stranger + kept * (learned - stranger);
+        for (own, told) in self.learned.iter_mut().zip(&lessons.classes).filter(|(own, _)| own.work == 0.0) {
+            own.work_ratio = doubted(own.work_ratio, told.work_ratio.clamp(1.0 / CLIP, CLIP));
+            own.memory_ratio = doubted(own.memory_ratio, told.memory_ratio.clamp(1.0 / CLIP, CLIP));
+            (own.work, own.memory) = (told.work, told.memory_mb);
+        }
+        for told in &lessons.engines {
+            let same =
+                |own: &&mut Engine| own.listed && own.entry.booted_at == told.booted_at && own.ideal == 0.0;
+            let Some(own) = self.engines.get_mut(&told.engine).filter(same) else { continue };
+            own.best = doubted(1.0, told.best.clamp(0.0, 1.0));
+            own.stretch = doubted(own.best, told.stretch.max(own.best));
+            own.bad = doubted(0.0, told.bad.clamp(0.0, BAD_SHARE));
+            (own.stretch_at, own.others) = (self.now, told.others.max(0.0));
+            own.reported_at = self.now.saturating_sub(age);
+        }
+        self.traffic.level = doubted(self.traffic.level, lessons.level.max(0.0));
+    }
+}
