Where no report counts queries, gateways keep to an arc of the engines each

In belief.rs, 'others': without counts any stretch over 1.2 of the best counts an engine as full, nothing is sent, nothing corrects it, and the decayed sums keep their ratio for 14 latency memories.

Gateways now sit at equal distances on a ring of engines that all find alike, each with an arc as long as leaves it a share that its widest query fits in; there the paper's own sums decide again and nothing is probed. Taken for granted before: that own sums mean nothing wherever there are many gateways. Also covers late and noisy reports (nothing rests on them) and sick engines (fewer gateways meet each). Could harm where one gateway has far more traffic than the others.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -213,6 +213,7 @@
         tenants: tenants(tree)?,
         kinds: kinds(tree)?,
         peers: tree.or("peers-total", 1.0)?,
+        index: tree.optional("self-index")?,
         zone: tree.or("az", 0)?,
         tick: tree.or("tick-us", 1_000)?,
         discovery: match tree.text("discovery") {
@@ -225,6 +226,8 @@
         may_cancel: tree.flag("limits.may-cancel")?,
         may_duplicate: tree.flag("limits.may-duplicate")?,
         may_probe: tree.flag("limits.probes")?,
+        counts_told: tree.text("report.source") != Some("off")
+            && tree.list("report.fields").contains(&"concurrent"),
         may_advise: tree.flag("limits.retry-after")?,
         max_advice: tree.or("limits.max-retry-after-us", 0)?,
         fall_multiple: tree.or("rules.fall-multiple", f64::INFINITY)?,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -16,6 +16,7 @@
 mod outcome;
 mod rules;
 mod send;
+mod shares;
 mod shedding;
 
 use crate::interface::*;
@@ -55,6 +56,7 @@
 const COLD_MARGIN: f64 = 0.6; // Part of the cold budget in use: estimates scatter, others round up as well
 const CHANCE: f64 = 3.0; // Deviations of chance that the cold budget leaves room for
 const CAPACITY_BUSY: f64 = 0.85; // Capacity is counted at this part of busy cores
+const LEAST_ARC: f64 = 0.75; // Part of an arc of homes that must be one's own, in shares that a query fits in
 const HOMES: usize = 2; // Engines that are home to a group
 const HOME_GAIN: f64 = 0.25; // Part of a query's cost that reading its group warm saves, at the homes
 const GROUP_MEMORY: f64 = 100.0; // Requests over which a group's part of all is counted
@@ -88,6 +90,8 @@
     learned: Vec<Learned>,
     traffic: Traffic,
     thin: bool, // This gateway's share of an engine is under one query: the whole of it is looked at
+    few: bool,  // It keeps to an arc of the engines, so that its share of each of these is none so small
+    place: f64, // Where on the ring of engines its arc begins, as a part of the whole
     share: f64, // What both bounds are a part of: 1/peers of an engine, or all of it where that is thin
     tokens: Vec<(f64, Micros)>, // Tokens left to each tenant, and when they were last filled
     beating: bool,
@@ -98,32 +102,32 @@
 }
 impl Gateway {
     pub fn new(set: Settings, seed: u64, now: Micros) -> Self {
-        let cores = set.kinds.iter().map(|kind| kind.cores).fold(0.0, f64::max);
-        let widest = set.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
-        let thin = START_BOUND * cores / set.peers < widest;
         let latency = (STRETCH_MEMORY * set.warm_within as f64).max(1.0);
-        // A stranger takes no engine for idle that none told of, and asks at once, where others are many.
-        let (level, probes) = if thin { (START_LEVEL, SAVED) } else { (0.0, 0.0) };
         let fresh = Learned { work_ratio: 1.0, memory_ratio: 1.0, work: 0.0, memory: None };
-        Gateway {
-            rng: fastrand::Rng::with_seed(seed),
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut own = Gateway {
+            place: set.index.map_or_else(|| rng.f64(), |index| index / set.peers),
+            rng,
             now,
             engines: BTreeMap::new(),
             requests: BTreeMap::new(),
             queue: BTreeMap::new(),
             keys: BTreeMap::new(),
             learned: vec![fresh; set.classes.len()],
-            traffic: Traffic { last: now, level, probes, ..Default::default() },
-            share: if thin { 1.0 } else { 1.0 / set.peers },
-            thin,
+            traffic: Traffic { last: now, ..Default::default() },
+            share: 1.0,
+            thin: false,
+            few: false,
             tokens: set.tenants.iter().map(|t| (t.quota_per_s / set.peers, now)).collect(),
             beating: false,
             subscribe_at: (set.discovery == Discovery::Ask).then_some(now),
             latency,
-            pause: (latency * if thin { 1.0 } else { FULL_PAUSE }) as Micros,
+            pause: 0,
             actions: Vec::new(),
             set,
-        }
+        };
+        own.count_shares();
+        own
     }
 
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
@@ -143,7 +147,7 @@
             Event::Timer { tag: BEAT } => self.beat(),
             Event::Timer { tag } => self.end(tag - 1, 0),
             Event::FullList(entries) => self.full_list(entries),
-            Event::ListChanges(entries) => entries.into_iter().for_each(|entry| self.listed(entry)),
+            Event::ListChanges(entries) => self.list_changes(entries),
             Event::Remembered { lessons, age } => self.remember(lessons, age),
             Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
         }
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -13,7 +13,11 @@
         // An engine that erred on it isn't asked for it again while there are others.
         let erred = |id: &EngineId| held.erred_at().any(|other| other == *id);
         let others = order.iter().any(|id| !erred(id));
-        let among = |id: &EngineId| (!self.thin || held.asked.contains(id)) && !(others && erred(id));
+        let among = |id: &EngineId| {
+            (!self.thin || held.asked.contains(id))
+                && (!self.few || order.contains(id))
+                && !(others && erred(id))
+        };
         let able = |e: &Engine| e.asked_at == 0 && self.rules_allow(held, e) && self.has_room(held, e);
         let able = self.engines.iter().filter(|(id, e)| among(id) && able(e));
         let priced = able.map(|(&id, e)| (self.cost(held, e, &order[..homes]), id));
@@ -25,7 +29,10 @@
     pub(super) fn homes(&self, held: &Held) -> (Vec<EngineId>, usize) {
         let (group, class) = (held.req.group, &self.set.classes[held.req.class]);
         let open = self.engines.iter().filter(|(_, e)| e.open() && may_place(class, &e.entry));
-        let mut order: Vec<_> = open.map(|(&id, _)| (mix(group ^ mix(id as u64)), id)).collect();
+        let own = |id: EngineId| mix(group ^ mix(id as u64));
+        let ring = open.map(|(&id, _)| id).collect();
+        let own_arc = if self.few { self.arc(ring) } else { ring };
+        let mut order: Vec<_> = own_arc.into_iter().map(|id| (own(id), id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
         let seen = GROUP_MEMORY * (1.0 + GROUP_PRIOR - (-self.traffic.arrivals / GROUP_MEMORY).exp());
         let part = self.traffic.groups.get(&group).map_or(0.0, |(count, _)| count / seen);
--- a/src/decide/lessons.rs
+++ b/src/decide/lessons.rs
@@ -5,25 +5,9 @@
 impl Gateway {
     /// What a later life of this gateway may want to know.
     pub fn lessons(&self) -> Lessons {
-        let class = |own: &Learned| ClassLesson {
-            work_ratio: own.work_ratio,
-            memory_ratio: own.memory_ratio,
-            work: own.work,
-            memory_mb: own.memory,
-        };
-        let engine = |(&engine, own): (&EngineId, &Engine)| EngineLesson {
-            engine,
-            booted_at: own.entry.booted_at,
-            stretch: own.stretch,
-            best: own.best,
-            bad: own.bad,
-            others: own.others,
-        };
-        Lessons {
-            classes: self.learned.iter().map(class).collect(),
-            engines: self.engines.iter().filter(|(_, own)| own.listed).map(engine).collect(),
-            level: self.traffic.level,
-        }
+        let classes = self.learned.iter().map(Learned::lesson).collect();
+        let engines = self.engines.values().filter(|own| own.listed).map(Engine::lesson).collect();
+        Lessons { classes, engines, level: self.traffic.level }
     }
 
     /// Doubt grows with age: what was learned moves back to what a stranger holds. Of another process than
--- a/src/decide/listing.rs
+++ b/src/decide/listing.rs
@@ -5,10 +5,15 @@
 impl Gateway {
     pub(super) fn full_list(&mut self, entries: Vec<Entry>) {
         self.engines.values_mut().for_each(|e| e.listed = entries.iter().any(|n| n.engine == e.entry.engine));
+        self.list_changes(entries);
+    }
+
+    pub(super) fn list_changes(&mut self, entries: Vec<Entry>) {
         entries.into_iter().for_each(|entry| self.listed(entry));
+        self.count_shares();
     }
 
-    pub(super) fn listed(&mut self, entry: Entry) {
+    fn listed(&mut self, entry: Entry) {
         let warm_at = entry.booted_at + self.set.warm_within;
         let engine = self.engines.entry(entry.engine).or_insert_with(|| Engine::new(entry));
         if entry.booted_at > engine.entry.booted_at {
--- a/src/decide/rules.rs
+++ b/src/decide/rules.rs
@@ -75,7 +75,7 @@
         }
         let since = self.now.saturating_sub(self.set.fall_window);
         let sent: f64 = engine.cold_sends.iter().filter(|(at, _)| *at >= since).map(|(_, work)| work).sum();
-        sent + usual <= COLD_MARGIN * whole / self.set.peers
+        sent + usual <= COLD_MARGIN * whole * self.share
     }
 }
 
--- a/src/decide/send.rs
+++ b/src/decide/send.rs
@@ -29,13 +29,8 @@
         }
         engine.out.insert((id, held.attempts.len()), charge);
         engine.tally();
-        held.attempts.push(Attempt {
-            entry: engine.entry,
-            sent_at,
-            state: State::Out,
-            cancelled: false,
-            erred: false,
-        });
+        let (entry, state) = (engine.entry, State::Out);
+        held.attempts.push(Attempt { entry, sent_at, state, cancelled: false, erred: false });
         self.queue.remove(&(held.due, id));
         (held.grant, held.rank) = (grant, None);
         let give_up_at = held.end_by;
--- /dev/null
+++ b/src/decide/shares.rs
@@ -0,0 +1,34 @@
+//! What part of the engines is this gateway's own: one of each, an arc of them, or the whole with all others.
+
+use super::*;
+
+impl Gateway {
+    /// A share of an engine that no query fits in makes own sums meaningless. Where reports count queries the
+    /// whole engine is looked at then. Where they don't, and arcs can be short enough, gateways keep to some
+    /// of the engines each, at equal distances on a ring that all find alike: own sums tell there again.
+    pub(super) fn count_shares(&mut self) {
+        let cores = self.set.kinds.iter().map(|kind| kind.cores).fold(0.0, f64::max);
+        let widest = self.set.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
+        let (fit, peers) = (START_BOUND * cores / widest, self.set.peers);
+        let open = self.engines.values().filter(|engine| engine.open()).count() as f64;
+        let arcs = !self.set.counts_told && fit * open >= LEAST_ARC * HOMES as f64 * peers;
+        (self.few, self.thin) = (peers > fit && arcs, peers > fit && !arcs);
+        self.share = if self.thin { 1.0 } else { 1.0 / peers.min(fit) };
+        self.pause = (self.latency * if self.thin { 1.0 } else { FULL_PAUSE }) as Micros;
+        if self.traffic.arrivals == 0.0 && !self.traffic.heard {
+            // A stranger takes no engine for idle that none told of, and asks at once, where others are many.
+            let (level, probes) = if self.thin { (START_LEVEL, SAVED) } else { (0.0, 0.0) };
+            (self.traffic.level, self.traffic.probes) = (level, probes);
+        }
+    }
+
+    /// This gateway's arc of a ring of engines; what is closed for a while has its successor stand in.
+    pub(super) fn arc(&self, mut ring: Vec<EngineId>) -> Vec<EngineId> {
+        ring.sort_unstable_by_key(|&id| mix(id as u64));
+        let count = ring.len();
+        let wide = ((count as f64 / self.set.peers / self.share) as usize).max(HOMES);
+        ring.rotate_left(((self.place * count as f64) as usize).min(count.saturating_sub(1)));
+        let usable = |id: &EngineId| self.now >= self.engines[id].quarantined_until;
+        ring.into_iter().filter(usable).take(wide).collect()
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -89,6 +89,8 @@
     pub kinds: Vec<Kind>,
     /// Gateways in this tier, this one included.
     pub peers: f64,
+    /// This gateway's number among them, from 0, where it is told.
+    pub index: Option<f64>,
     pub zone: u32,
     pub tick: Micros,
     pub discovery: Discovery,
@@ -100,6 +102,8 @@
     pub may_cancel: bool,
     pub may_duplicate: bool,
     pub may_probe: bool,
+    /// Load reports count the queries that an engine holds.
+    pub counts_told: bool,
     pub may_advise: bool,
     pub max_advice: Micros,
     /// A cold engine sent more than `fall_multiple` times its present capacity for `fall_window` falls over.
--- a/src/state.rs
+++ b/src/state.rs
@@ -106,6 +106,17 @@
         Engine { entry, listed: true, width: 1.0, best: 1.0, stretch: 1.0, ..Default::default() }
     }
 
+    pub(crate) fn lesson(&self) -> EngineLesson {
+        EngineLesson {
+            engine: self.entry.engine,
+            booted_at: self.entry.booted_at,
+            stretch: self.stretch,
+            best: self.best,
+            bad: self.bad,
+            others: self.others,
+        }
+    }
+
     pub(crate) fn open(&self) -> bool {
         self.listed && self.entry.phase == Phase::Ready
     }
@@ -125,6 +136,13 @@
     pub(crate) memory: Option<f64>,
 }
 
+impl Learned {
+    pub(crate) fn lesson(&self) -> ClassLesson {
+        let Learned { work_ratio, memory_ratio, work, memory } = *self;
+        ClassLesson { work_ratio, memory_ratio, work, memory_mb: memory }
+    }
+}
+
 /// What was taken: decayed means of work, time on an idle engine, that times memory, time between arrivals,
 /// and each group's decayed count, with the arrivals at which it was last counted.
 #[derive(Default)]
--- /dev/null
+++ b/tests/arcs.rs
@@ -0,0 +1,102 @@
+//! Many gateways that no report counts queries for: each keeps to an arc of the engines, and goes by own outcomes.
+
+mod common;
+use common::*;
+use eideryard::interface::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const ENGINES: u32 = 70;
+const GATEWAYS: u32 = 100;
+
+/// Queries take up to four threads of engines with twelve cores; nothing tells of load.
+fn silent(index: u32) -> Settings {
+    let mut set = settings();
+    (set.counts_told, set.peers, set.index) = (false, GATEWAYS as f64, Some(index as f64));
+    set.kinds.iter_mut().for_each(|kind| kind.cores = 12.0);
+    set.classes[REPORT].threads = 4.0;
+    set
+}
+
+fn fleet() -> Vec<Entry> {
+    (1..=ENGINES).map(ready).collect()
+}
+
+/// The engines that a gateway spreads a crowd of look-ups over.
+fn used(set: Settings, engines: &[Entry]) -> BTreeSet<EngineId> {
+    let mut bench = Bench::new(set, engines);
+    let mut used = BTreeSet::new();
+    for id in 0..40 {
+        let deadline = bench.now + 4 * S;
+        let asked = Request { group: id, ..lookup(id, deadline) };
+        used.extend(sent(&bench.take(asked)).into_iter().map(|(_, engine)| engine));
+    }
+    used
+}
+
+#[test]
+fn arcs_cover_all_engines_and_none_is_shared_by_more_than_a_query_each_has_room_for() {
+    let mut gateways: BTreeMap<EngineId, u32> = BTreeMap::new();
+    for index in 0..GATEWAYS {
+        let own = used(silent(index), &fleet());
+        assert!((2..=4).contains(&own.len()), "gateway {index} spreads over {} engines", own.len());
+        own.into_iter().for_each(|engine| *gateways.entry(engine).or_default() += 1);
+    }
+    assert_eq!(gateways.len(), ENGINES as usize, "some engines are nobody's");
+    // Two threads a core of twelve cores are six queries of four threads.
+    assert!(gateways.values().all(|&count| count <= 6), "{gateways:?}");
+}
+
+#[test]
+fn the_next_engine_of_the_ring_stands_in_for_one_that_is_closed() {
+    let before = used(silent(0), &fleet());
+    let gone = *before.first().unwrap();
+    let left: Vec<Entry> = fleet().into_iter().filter(|entry| entry.engine != gone).collect();
+    let after = used(silent(0), &left);
+    assert_eq!(after.len(), before.len());
+    assert_eq!(after.intersection(&before).count(), before.len() - 1, "the others stay");
+}
+
+#[test]
+fn with_counted_reports_or_too_few_engines_for_arcs_all_engines_are_in_use() {
+    let far = |set: Settings, engines: &[Entry]| {
+        let mut asked = BTreeSet::new();
+        for id in 0..60 {
+            let mut bench = Bench::new(set.clone(), engines);
+            let deadline = bench.now + 4 * S;
+            let actions = bench.take(Request { group: id, ..lookup(id, deadline) });
+            asked.extend(sent(&actions).into_iter().map(|(_, engine)| engine));
+        }
+        asked.len()
+    };
+    assert!(far(Settings { counts_told: true, ..silent(0) }, &fleet()) > 20);
+    assert!(
+        far(silent(0), &fleet()[..12]) > 8,
+        "arcs of twelve engines for a hundred would be slivers again"
+    );
+}
+
+/// Engines take one to three times the ideal time, as chance has it, and are far from full. What a gateway holds
+/// of an engine must not rest on a single slow answer that it then never checks.
+#[test]
+fn a_quiet_day_without_reports_is_served() {
+    let mut bench = Bench::new(silent(3), &fleet());
+    let (mut out, mut turned_away): (Vec<(Micros, RequestId, Micros)>, usize) = Default::default();
+    for id in 0..600 {
+        let until = bench.now + 100 * MS;
+        out.sort_unstable();
+        while out.first().is_some_and(|own| own.0 <= until) {
+            let (at, id, spent) = out.remove(0);
+            let wait = at.saturating_sub(bench.now);
+            turned_away += refused(&bench.pass(wait)).len();
+            bench.end(id, 0, Outcome::Answered, spent);
+        }
+        let wait = until - bench.now;
+        turned_away += refused(&bench.pass(wait)).len();
+        let deadline = bench.now + 4 * S;
+        let actions = bench.take(Request { group: id % 50, ..lookup(id, deadline) });
+        turned_away += refused(&actions).len();
+        let spent = 100 * MS * (1 + id * 7 % 3);
+        out.extend(sent(&actions).into_iter().map(|(id, _)| (bench.now + spent, id, spent)));
+    }
+    assert!(turned_away < 30, "{turned_away} of 600 turned away");
+}
