Look-ups stand only behind their like in the thread bound, until the engine jams

In an arc a share is a few threads, and one report of four threads out there filled it (admission.rs, 'before'), though look-ups run at rank 3 and engines share 16 to 8. Now up to three times the best, and where cancels aren't allowed until any pressure shows.

Could harm where ranks are not heeded. Test fails on the code before.

--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -50,7 +50,16 @@
         }
         let cores = self.kind(engine).cores * self.warmth(engine) * self.share;
         let others = if self.thin { self.others(engine) } else { 0.0 };
-        let before = engine.threads + others;
+        let dashboard = self.is_dashboard(held.req.class);
+        // A dashboard runs ahead of what is larger, so only its like stands before it, until the engine jams.
+        // What can't be taken back jams for long, so there any pressure counts as a jam.
+        let jam = match self.set.may_cancel {
+            true => self.now < engine.pressed_until || engine.stretch > CLIP * engine.best,
+            false => engine.under_pressure(self.now),
+        };
+        let ahead = |charge: &&Charge| jam || self.thin || !dashboard || self.is_dashboard(charge.class);
+        let own: f64 = engine.out.values().filter(ahead).map(|charge| charge.threads).sum();
+        let before = own + others;
         let threads = before + self.set.classes[held.req.class].threads;
         // Latency shows seconds after the sends that cause it; threads over cores imply it at once.
         let pressure = self.thin || engine.under_pressure(self.now) || threads > IMPLIED * cores;
@@ -59,7 +68,6 @@
             return true;
         }
         // The last one in may pass the bound: a small share would else stay partly unused.
-        let dashboard = self.is_dashboard(held.req.class);
         let thin_bound = if dashboard { IMPLIED } else { THIN_BOUND };
         let bound = if self.thin { thin_bound } else { START_BOUND };
         if before >= bound * engine.width * cores {
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -73,7 +73,9 @@
     /// Silence: attempts are out, yet no note and no outcome comes while other engines speak.
     pub(super) fn watch_silence(&mut self) {
         let limit = |e: &Engine| match self.set.note_period {
-            0 => e.out.values().map(|c| c.ideal).fold(0.0, f64::max) * e.stretch,
+            0 => {
+                (e.out.values().map(|c| c.ideal).fold(0.0, f64::max) * e.stretch).max(self.latency / SILENCE)
+            }
             period => period as f64,
         };
         let busy = self.engines.iter().filter(|(_, e)| !e.out.is_empty());
--- a/tests/arcs.rs
+++ b/tests/arcs.rs
@@ -100,3 +100,29 @@
     }
     assert!(turned_away < 30, "{turned_away} of 600 turned away");
 }
+
+/// Look-ups run at the highest rank: a report that fills this gateway's share of its engines must not keep them.
+#[test]
+fn look_ups_are_not_kept_behind_reports_unless_the_engine_jams() {
+    let fits = |may_cancel: bool, spent: Micros| {
+        let set = Settings { may_cancel, peers: 4.0, ..silent(0) };
+        let mut bench = Bench::new(set, &[ready(1)]);
+        for id in 0..2 {
+            let deadline = bench.now + 20 * S;
+            let asked = if id == 0 { lookup(id, deadline) } else { report(id, deadline, 100.0) };
+            bench.take(asked);
+            bench.pass(spent);
+            bench.end(id, 0, Outcome::Answered, spent);
+        }
+        for id in 2..5 {
+            let deadline = bench.now + 20 * S;
+            bench.take(report(id, deadline, 100.0));
+        }
+        let deadline = bench.now + 4 * S;
+        !sent(&bench.take(lookup(9, deadline))).is_empty()
+    };
+    assert!(fits(true, 100 * MS), "kept behind reports");
+    assert!(fits(false, 100 * MS), "kept behind reports");
+    assert!(!fits(true, 15 * S), "sent into a jam");
+    assert!(!fits(false, 15 * S), "sent into a jam");
+}
