--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -226,7 +226,7 @@
         may_cancel: tree.flag("limits.may-cancel")?,
         may_duplicate: tree.flag("limits.may-duplicate")?,
         may_probe: tree.flag("limits.probes")?,
-        counts_told: tree.text("report.source") != Some("off")
+        counts_by_probe: tree.text("report.source") == Some("on_probe")
             && tree.list("report.fields").contains(&"concurrent"),
         may_advise: tree.flag("limits.retry-after")?,
         max_advice: tree.or("limits.max-retry-after-us", 0)?,
--- a/src/decide/shares.rs
+++ b/src/decide/shares.rs
@@ -3,15 +3,15 @@
 use super::*;
 
 impl Gateway {
-    /// A share of an engine that no query fits in makes own sums meaningless. Where reports count queries the
-    /// whole engine is looked at then. Where they don't, and arcs can be short enough, gateways keep to some
-    /// of the engines each, at equal distances on a ring that all find alike: own sums tell there again.
+    /// A share of an engine that no query fits in makes own sums meaningless. Where arcs can be short enough,
+    /// gateways keep to some of the engines each, at equal distances on a ring that all find alike: own sums
+    /// tell there again. Else, and where only probes count queries, the whole engine is looked at by reports.
     pub(super) fn count_shares(&mut self) {
         let cores = self.set.kinds.iter().map(|kind| kind.cores).fold(0.0, f64::max);
         let widest = self.set.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
         let (fit, peers) = (START_BOUND * cores / widest, self.set.peers);
         let open = self.engines.values().filter(|engine| engine.open()).count() as f64;
-        let arcs = !self.set.counts_told && fit * open >= LEAST_ARC * HOMES as f64 * peers;
+        let arcs = !self.set.counts_by_probe && fit * open >= LEAST_ARC * HOMES as f64 * peers;
         (self.few, self.thin) = (peers > fit && arcs, peers > fit && !arcs);
         self.share = if self.thin { 1.0 } else { 1.0 / peers.min(fit) };
         self.pause = (self.latency * if self.thin { 1.0 } else { FULL_PAUSE }) as Micros;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -102,8 +102,8 @@
     pub may_cancel: bool,
     pub may_duplicate: bool,
     pub may_probe: bool,
-    /// Load reports count the queries that an engine holds.
-    pub counts_told: bool,
+    /// Probes, and they alone, tell how many queries an engine holds.
+    pub counts_by_probe: bool,
     pub may_advise: bool,
     pub max_advice: Micros,
     /// A cold engine sent more than `fall_multiple` times its present capacity for `fall_window` falls over.
--- a/tests/arcs.rs
+++ b/tests/arcs.rs
@@ -1,4 +1,4 @@
-//! Many gateways that no report counts queries for: each keeps to an arc of the engines, and goes by own outcomes.
+//! Many gateways before few engines: each keeps to an arc of the engines, and goes by own outcomes.
 
 mod common;
 use common::*;
@@ -11,7 +11,7 @@
 /// Queries take up to four threads of engines with twelve cores; nothing tells of load.
 fn silent(index: u32) -> Settings {
     let mut set = settings();
-    (set.counts_told, set.peers, set.index) = (false, GATEWAYS as f64, Some(index as f64));
+    (set.counts_by_probe, set.peers, set.index) = (false, GATEWAYS as f64, Some(index as f64));
     set.kinds.iter_mut().for_each(|kind| kind.cores = 12.0);
     set.classes[REPORT].threads = 4.0;
     set
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn with_counted_reports_or_too_few_engines_for_arcs_all_engines_are_in_use() {
+fn with_counts_from_probes_or_too_few_engines_for_arcs_all_engines_are_in_use() {
     let far = |set: Settings, engines: &[Entry]| {
         let mut asked = BTreeSet::new();
         for id in 0..60 {
@@ -68,7 +68,7 @@
         }
         asked.len()
     };
-    assert!(far(Settings { counts_told: true, ..silent(0) }, &fleet()) > 20);
+    assert!(far(Settings { counts_by_probe: true, ..silent(0) }, &fleet()) > 20);
     assert!(
         far(silent(0), &fleet()[..12]) > 8,
         "arcs of twelve engines for a hundred would be slivers again"
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,7 +46,7 @@
         may_cancel: true,
         may_duplicate: false,
         may_probe: false,
-        counts_told: true,
+        counts_by_probe: true,
         may_advise: true,
         max_advice: S,
         fall_multiple: 2.0,
