--- a/src/decide/shares.rs
+++ b/src/decide/shares.rs
@@ -13,7 +13,11 @@
         let open = self.engines.values().filter(|engine| engine.open()).count() as f64;
         let arcs = !self.set.counts_by_probe && fit * open >= LEAST_ARC * HOMES as f64 * peers;
         (self.few, self.thin) = (peers > fit && arcs, peers > fit && !arcs);
-        self.share = if self.thin { 1.0 } else { 1.0 / peers.min(fit) };
+        self.share = match (self.thin, self.few) {
+            (true, _) => 1.0,
+            (_, true) => open / peers / (fit * open / peers).round().max(HOMES as f64),
+            _ => 1.0 / peers,
+        };
         self.pause = (self.latency * if self.thin { 1.0 } else { FULL_PAUSE }) as Micros;
         if self.traffic.arrivals == 0.0 && !self.traffic.heard {
             // A stranger takes no engine for idle that none told of, and asks at once, where others are many.
@@ -26,7 +30,7 @@
     pub(super) fn arc(&self, mut ring: Vec<EngineId>) -> Vec<EngineId> {
         ring.sort_unstable_by_key(|&id| mix(id as u64));
         let count = ring.len();
-        let wide = ((count as f64 / self.set.peers / self.share) as usize).max(HOMES);
+        let wide = ((count as f64 / self.set.peers / self.share).round() as usize).max(HOMES);
         ring.rotate_left(((self.place * count as f64) as usize).min(count.saturating_sub(1)));
         let usable = |id: &EngineId| self.now >= self.engines[id].quarantined_until;
         ring.into_iter().filter(usable).take(wide).collect()
