Order, budget and effects judged from outside on drawn settings and events

tests/properties.rs plays 150 days of drawn settings (1 to 90 gateways, probes, cancels, copies, budgets) and event orders and judges the actions alone; a second test holds that the judge finds a planted break of each rule. No rule was found broken.

--- a/src/decide/shares.rs
+++ b/src/decide/shares.rs
@@ -13,11 +13,9 @@
         let open = self.engines.values().filter(|engine| engine.open()).count() as f64;
         let arcs = !self.set.counts_by_probe && fit * open >= LEAST_ARC * HOMES as f64 * peers;
         (self.few, self.thin) = (peers > fit && arcs, peers > fit && !arcs);
-        self.share = match (self.thin, self.few) {
-            (true, _) => 1.0,
-            (_, true) => open / peers / (fit * open / peers).round().max(HOMES as f64),
-            _ => 1.0 / peers,
-        };
+        let wide = (fit * open / peers).round().max(HOMES as f64);
+        let own = if self.few { open / peers / wide } else { 1.0 / peers };
+        self.share = if self.thin { 1.0 } else { own };
         self.pause = (self.latency * if self.thin { 1.0 } else { FULL_PAUSE }) as Micros;
         if self.traffic.arrivals == 0.0 && !self.traffic.heard {
             // A stranger takes no engine for idle that none told of, and asks at once, where others are many.
--- /dev/null
+++ b/tests/properties.rs
@@ -0,0 +1,251 @@
+//! Rules on days that nobody has drawn: drawn settings and events, the rule judged from outside by the actions alone.
+//! Order of a key, the budget of further attempts, and effects that must never come twice.
+
+mod common;
+use common::*;
+use eideryard::interface::*;
+use std::collections::BTreeMap;
+
+const UNSAFE: usize = 3;
+const SEEDS: u64 = 150;
+
+#[derive(Default)]
+struct Seen {
+    class: usize,
+    key: Option<String>,
+    over: bool,
+    /// How each attempt ended, none while it is out.
+    attempts: Vec<Option<Outcome>>,
+}
+
+/// What an observer of a gateway's events and actions knows, and what it objects to.
+struct Judge {
+    set: Settings,
+    taken: Vec<Micros>,
+    further: Vec<Micros>,
+    requests: BTreeMap<RequestId, Seen>,
+    rests: BTreeMap<String, Micros>,
+    broken: Vec<String>,
+}
+
+impl Judge {
+    fn new(set: Settings) -> Self {
+        let (taken, further, broken) = Default::default();
+        Judge { set, taken, further, requests: BTreeMap::new(), rests: BTreeMap::new(), broken }
+    }
+
+    fn takes(&mut self, now: Micros, request: &Request) {
+        self.taken.push(now);
+        let seen = Seen { class: request.class, key: request.key.clone(), ..Seen::default() };
+        self.requests.insert(request.id, seen);
+    }
+
+    fn ends(&mut self, now: Micros, ended: &Ended) {
+        let Some(seen) = self.requests.get_mut(&ended.request) else { return };
+        seen.attempts[ended.attempt] = Some(ended.outcome);
+        seen.over |= ended.complete;
+        if matches!(ended.outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Cancelled) {
+            seen.key.iter().for_each(|key| _ = self.rests.insert(key.clone(), now + self.set.order_pause));
+        }
+    }
+
+    fn acts(&mut self, now: Micros, action: &Action) {
+        match action {
+            Action::Send { request, .. } => self.sends(now, *request),
+            Action::Refuse { request, .. } => {
+                let seen = self.requests.get_mut(request).expect("a request that was taken");
+                if seen.class == UNSAFE && seen.attempts.iter().any(|a| !never_ran(a)) {
+                    self.broken.push(format!("{request} is called safe to repeat and may have run"));
+                }
+                seen.over = true;
+            }
+            Action::Fail { request } => {
+                self.requests.get_mut(request).expect("a request that was taken").over = true
+            }
+            _ => {}
+        }
+    }
+
+    fn sends(&mut self, now: Micros, request: RequestId) {
+        let seen = &self.requests[&request];
+        let mut wrong = Vec::new();
+        let out = seen.attempts.iter().any(Option::is_none);
+        if out && !self.set.may_duplicate {
+            wrong.push("two attempts are out");
+        }
+        if seen.class == UNSAFE && seen.attempts.iter().any(|a| !never_ran(a)) {
+            wrong.push("an effect may come twice");
+        }
+        if let Some(key) = seen.key.as_ref().filter(|_| self.set.classes[seen.class].ordered) {
+            let before = self.requests.range(..request).filter(|(_, own)| own.key.as_ref() == Some(key));
+            if before.clone().any(|(_, own)| !own.over || own.attempts.iter().any(Option::is_none)) {
+                wrong.push("an earlier one of its key isn't over");
+            }
+            if seen.attempts.is_empty() && self.rests.get(key).is_some_and(|until| now < *until) {
+                wrong.push("its key rests");
+            }
+        }
+        if let Some(budget) = self.set.attempt_budget.filter(|_| !seen.attempts.is_empty()) {
+            let lately = |times: &[Micros]| times.iter().filter(|at| **at + budget.span > now).count() as f64;
+            self.further.push(now);
+            if lately(&self.further) > budget.spare + budget.ratio * lately(&self.taken) {
+                wrong.push("over the budget");
+            }
+        }
+        self.broken.extend(wrong.into_iter().map(|why| format!("send of {request}: {why}")));
+        self.requests.get_mut(&request).unwrap().attempts.push(None);
+    }
+}
+
+fn never_ran(attempt: &Option<Outcome>) -> bool {
+    matches!(attempt, Some(Outcome::Full | Outcome::NoConnection | Outcome::Unsent))
+}
+
+fn drawn(rng: &mut fastrand::Rng) -> Settings {
+    let mut set = settings();
+    let mut last = class(Effect::Unsafe, 3 * S, 2.0);
+    last.is_load = true;
+    set.classes.push(last);
+    set.classes[LOAD].ordered = true;
+    set.peers = [1.0, 3.0, 20.0, 90.0][rng.usize(..4)];
+    (set.may_probe, set.counts_by_probe) = (rng.bool(), rng.bool());
+    (set.may_cancel, set.may_duplicate) = (rng.bool(), rng.bool());
+    set.note_period = if rng.bool() { 500 * MS } else { 0 };
+    set.order_pause = rng.u64(0..2 * S);
+    set.max_attempts = rng.usize(1..7);
+    let ratio = rng.f64() * 0.5;
+    set.attempt_budget = rng.bool().then(|| AttemptBudget { span: 5 * S, ratio, spare: 3.0 });
+    set
+}
+
+/// One day of a gateway: what it took, how its attempts ended, in an order that chance has chosen.
+fn play(seed: u64) -> Judge {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let set = drawn(&mut rng);
+    let engines: Vec<Entry> = (1..=rng.u32(2..12)).map(ready).collect();
+    let mut bench = Bench::seeded(set.clone(), seed, &engines);
+    let mut judge = Judge::new(set);
+    let mut out: Vec<(RequestId, usize)> = Vec::new();
+    let sick = rng.f64();
+    for id in 0..250 {
+        let (now, class) = (bench.now, rng.usize(..4));
+        let deadline = now + rng.u64(S..20 * S);
+        let key = (class == LOAD).then(|| format!("k{}", rng.u32(..4)));
+        let mut actions = match rng.u32(..20) {
+            0 => {
+                let request = rng.u64(..id + 1);
+                judge.requests.get_mut(&request).into_iter().for_each(|seen| seen.over = true);
+                bench.tell(Event::ClientLeft { request })
+            }
+            1 => {
+                let mut entry = engines[rng.usize(..engines.len())];
+                entry.phase = [Phase::Ready, Phase::Draining, Phase::Gone][rng.usize(..3)];
+                bench.tell(Event::ListChanges(vec![entry]))
+            }
+            2..=9 if !out.is_empty() => {
+                let (request, attempt) = out.swap_remove(rng.usize(..out.len()));
+                let bad = [Outcome::Error, Outcome::Full, Outcome::TimedOut, Outcome::NoConnection];
+                let outcome = match rng.f64() < sick {
+                    true => bad.into_iter().chain([Outcome::Broken]).nth(rng.usize(..5)).unwrap(),
+                    false => Outcome::Answered,
+                };
+                finish(&mut bench, &mut judge, (request, attempt), outcome)
+            }
+            _ => {
+                let asked = Request { class, key, group: rng.u64(..30), ..lookup(id, deadline) };
+                judge.takes(now, &asked);
+                bench.take(asked)
+            }
+        };
+        heed(&mut bench, &mut judge, &mut out, &mut actions);
+        // In small steps, so that what timers bring about is judged at its own time.
+        for _ in 0..rng.u32(..40) {
+            let mut actions = bench.pass(5 * MS);
+            heed(&mut bench, &mut judge, &mut out, &mut actions);
+        }
+    }
+    judge
+}
+
+fn finish(bench: &mut Bench, judge: &mut Judge, of: (RequestId, usize), outcome: Outcome) -> Vec<Action> {
+    let complete = outcome == Outcome::Answered || judge.requests[&of.0].over;
+    let now = bench.now;
+    bench.end_with(of.0, of.1, outcome, S, |ended| {
+        ended.complete = complete;
+        judge.ends(now, ended);
+    })
+}
+
+/// Judges actions in their order; a cancel is heeded at once, a probe finds an idle engine.
+fn heed(bench: &mut Bench, judge: &mut Judge, out: &mut Vec<(RequestId, usize)>, actions: &mut Vec<Action>) {
+    while !actions.is_empty() {
+        let action = actions.remove(0);
+        judge.acts(bench.now, &action);
+        match action {
+            Action::Send { request, .. } => out.push((request, judge.requests[&request].attempts.len() - 1)),
+            Action::Cancel { request, attempt } if out.contains(&(request, attempt)) => {
+                out.retain(|own| *own != (request, attempt));
+                actions.extend(finish(bench, judge, (request, attempt), Outcome::Cancelled));
+            }
+            Action::Probe { engine } => {
+                let report = Some(LoadReport { in_flight: Some(1.0), ..LoadReport::default() });
+                let probed = Probed { engine, outcome: Outcome::Answered, report };
+                actions.extend(bench.tell(Event::Probed(probed)));
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn order_budget_and_effects_are_kept_on_drawn_days() {
+    let (mut sends, mut further) = (0, 0);
+    for seed in 0..SEEDS {
+        let judge = play(seed);
+        assert!(judge.broken.is_empty(), "seed {seed}: {:?}", judge.broken);
+        sends += judge.requests.values().map(|seen| seen.attempts.len()).sum::<usize>();
+        further += judge.further.len();
+    }
+    assert!(sends > 50 * SEEDS as usize && further > SEEDS as usize, "{sends} sends, {further} further");
+}
+
+/// The judge objects to what breaks each rule.
+#[test]
+fn the_judge_finds_planted_breaks() {
+    let send = |request| Action::Send { request, engine: 1, give_up_at: 0 };
+    let ended = |request, outcome| Ended {
+        request,
+        attempt: 0,
+        outcome,
+        spent: 0,
+        complete: false,
+        told: false,
+        bill: None,
+        report: None,
+    };
+    let mut set = settings();
+    set.classes.push(class(Effect::Unsafe, S, 1.0));
+    set.classes[LOAD].ordered = true;
+    set.attempt_budget = Some(AttemptBudget { span: 5 * S, ratio: 0.0, spare: 0.0 });
+    let planted = |class: usize, second: RequestId, outcome: Option<Outcome>, refused: bool| {
+        let mut judge = Judge::new(set.clone());
+        let key = (class == LOAD).then(|| "k".to_string());
+        (1..=2).for_each(|id| judge.takes(S, &Request { class, key: key.clone(), ..lookup(id, 9 * S) }));
+        judge.acts(S, &send(1));
+        outcome.into_iter().for_each(|outcome| judge.ends(S, &ended(1, outcome)));
+        let next = if refused { Action::Refuse { request: 1, retry_after: 0 } } else { send(second) };
+        judge.acts(S, &next);
+        judge.broken
+    };
+    assert!(planted(LOOKUP, 2, None, false).is_empty());
+    for (class, second, outcome, refused) in [
+        (LOOKUP, 1, None, false),                    // two attempts are out
+        (LOOKUP, 1, Some(Outcome::Full), false),     // the budget has nothing to spare
+        (UNSAFE, 1, Some(Outcome::TimedOut), false), // an effect may come twice
+        (UNSAFE, 1, Some(Outcome::Broken), true),    // and its client is told to come again
+        (LOAD, 2, None, false),                      // the one before of its key is out
+        (LOAD, 2, Some(Outcome::TimedOut), false),   // and may run still
+    ] {
+        assert!(!planted(class, second, outcome, refused).is_empty(), "{class} {second} {outcome:?}");
+    }
+}
