--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -114,7 +114,7 @@
     set.order_pause = rng.u64(0..2 * S);
     set.max_attempts = rng.usize(1..7);
     let ratio = rng.f64() * 0.5;
-    set.attempt_budget = rng.bool().then(|| AttemptBudget { span: 5 * S, ratio, spare: 3.0 });
+    set.attempt_budget = rng.bool().then_some(AttemptBudget { span: 5 * S, ratio, spare: 3.0 });
     set
 }
 
