An engine slower than it has been is dearer

Now stretch over the engine's best is part of the price. Ruled out: false silence (one engine in the record), cold budget (22% of its limit at most). Also covers neighbours and shared slowness of a few; could harm where latency swings by what queries find warm.

--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -45,7 +45,8 @@
         let class = &self.set.classes[held.req.class];
         let cores = self.kind(engine).cores * self.warmth(engine);
         let crowd = (engine.threads + self.others(engine) + class.threads) / cores;
-        let mut cost = held.ideal * (0.5 + crowd);
+        let mut cost =
+            held.ideal * (0.5 + crowd) * if self.thin { 1.0 } else { engine.stretch / engine.best };
         if homes.contains(&engine.entry.engine) != self.keeps_away(held.req.class) {
             cost *= 1.0 - HOME_GAIN;
         }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -336,3 +336,19 @@
     }
     assert!(tries < 40, "{tries} tries in a second at two dead engines");
 }
+
+/// An engine that ages, or whose machine others use, answers later and later and errs in nothing.
+#[test]
+fn an_engine_slower_than_it_has_been_draws_less() {
+    let mut bench = Bench::new(settings(), &[ready(1), ready(2)]);
+    let mut late = 0;
+    for id in 0..40 {
+        let deadline = bench.now + 4 * S;
+        let Some(&(_, engine)) = sent(&bench.take(lookup(id, deadline))).first() else { continue };
+        let spent = if engine == 1 && id > 5 { 260 * MS } else { 100 * MS };
+        bench.pass(spent);
+        bench.end(id, 0, Outcome::Answered, spent);
+        late += usize::from(spent > 200 * MS);
+    }
+    assert!((1..=8).contains(&late), "{late} of 40 went to the slow one");
+}
