--- a/crates/command/tests/common/mod.rs
+++ b/crates/command/tests/common/mod.rs
@@ -73,9 +73,20 @@
         running
     }
 
+    /// In a process that gets so many descriptors.
+    pub fn start_within(config: &Value, descriptors: u64) -> Self {
+        let mut running = Self::launched_by(config, "", Some(descriptors));
+        running.listens();
+        running
+    }
+
     /// What it says before it listens is there to be read.
     pub fn launched(config: &Value, operator: &str) -> Self {
-        let (child, log, config) = launch(config, operator);
+        Self::launched_by(config, operator, None)
+    }
+
+    fn launched_by(config: &Value, operator: &str, descriptors: Option<u64>) -> Self {
+        let (child, log, config) = launch(config, operator, descriptors);
         let address = "127.0.0.1:0".parse().expect("an address");
         Running { child, config, address, log, counted: None }
     }
@@ -106,11 +117,25 @@
         Client::connect(self.address).expect("the gateway listens")
     }
 
-    fn signal(&self, signal: Signal) {
+    pub fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).expect("the gateway runs");
     }
 
+    /// Holds the process still, so that what happens meanwhile is there at once when it goes on.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    pub fn go_on(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Waits until a counter has a value.
+    pub fn until(&mut self, name: &str, value: u64) {
+        while self.counters()[name] != value {}
+    }
+
     pub fn counters(&mut self) -> BTreeMap<String, u64> {
         counters(&self.counters_line())
     }
@@ -183,14 +208,17 @@
     config.with_extension("records")
 }
 
-fn launch(config: &Value, more: &str) -> (Child, Receiver<String>, PathBuf) {
+fn launch(config: &Value, more: &str, descriptors: Option<u64>) -> (Child, Receiver<String>, PathBuf) {
     let number = STARTED.fetch_add(1, Ordering::Relaxed);
     let path = std::env::temp_dir().join(format!("eideryard-{}-{number}.json", std::process::id()));
     std::fs::write(&path, config.to_string()).expect("a file for the configuration");
     let operator = path.with_extension("conf");
     std::fs::write(&operator, format!("record-dir \"{}\"\n{more}", record_of(&path).display()))
         .expect("a file");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_eideryard"))
+    // The shell sets the limit and becomes the program.
+    let limit = descriptors.map_or(String::new(), |limit| format!("ulimit -n {limit}; "));
+    let mut child = Command::new("/bin/sh")
+        .args(["-c", &format!("{limit}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_eideryard")])
         .arg("--operator")
         .arg(&operator)
         .env("EDGE_CONFIG", &path)
@@ -212,7 +240,7 @@
 
 /// Runs the program on a configuration that it can't use: how it ended, and what it said.
 pub fn refused_start(config: &Value) -> (ExitStatus, String) {
-    let (mut child, log, _) = launch(config, "");
+    let (mut child, log, _) = launch(config, "", None);
     let said = log.recv_timeout(PATIENCE).expect("a line that says why");
     (child.wait().expect("the program ends"), said)
 }
@@ -277,6 +305,7 @@
                 while let Ok(command) = end.command() {
                     let _ = match command.verb() {
                         "serve" => end.answer(command.id(), "OK", &format!("count={pages}"), &page),
+                        "gauges" | "health" => end.answer(command.id(), "UP", "report=inflight:0", ""),
                         "read" => {
                             end.answer(command.id(), "ROWS", &format!("pos={}", command.words[2]), &page)
                         }
--- /dev/null
+++ b/crates/command/tests/drawn.rs
@@ -0,0 +1,95 @@
+//! The program on settings that nobody has thought of: other names, counts of classes, effects, windows shorter than
+//! a dial, waits of 100 ms and 20 s, no probes, no reports, no cancels, one process and thirty. Each request gets
+//! one final answer, what capacity can serve in time is served, and the end is clean.
+
+mod common;
+
+use common::standin::Answer;
+use common::{addresses, answer_all, config, stand_ins, Running};
+use serde_json::{json, Value};
+
+const SEEDS: u64 = 12;
+const ASKED: u64 = 16;
+
+fn pick<T: Copy>(rng: &mut fastrand::Rng, from: &[T]) -> T {
+    from[rng.usize(..from.len())]
+}
+
+/// Draws settings; gives them with each class's name, wait in milliseconds, and whether it takes a key.
+fn drawn(rng: &mut fastrand::Rng, base: Value) -> (Value, Vec<(String, u64, bool)>) {
+    let mut own = base;
+    let count = rng.usize(1..=6);
+    let (mut grades, mut asked) = (Vec::new(), Vec::new());
+    for number in 0..count {
+        let name = format!("g{number}-{:04x}", rng.u16(..));
+        let (effect, wait) =
+            (pick(rng, &["pure", "token", "side_effect"]), pick(rng, &[100, 700, 5_000, 20_000]));
+        grades.push(json!({
+            "name": name, "aim-us": wait * pick(rng, &[100, 500, 1_000]), "aim-stretch": 2.0, "value": rng.f64() * 10.0,
+            "deadline-us": wait * 1000, "repeat": effect, "group": pick(rng, &["all", "zone", "cell"]),
+            "window-us": pick(rng, &[50_000, 1_000_000, 15_000_000]), "sequential": effect == "token" && rng.bool(),
+        }));
+        asked.push((name, wait, effect == "token"));
+    }
+    let flags = |rng: &mut fastrand::Rng| (0..count).map(|_| rng.bool()).collect::<Vec<_>>();
+    let threads: Vec<f64> = (0..count).map(|_| pick(rng, &[1.0, 2.0, 4.0])).collect();
+    let settings = &mut own["settings"];
+    settings["grades"] = json!(grades);
+    settings["peers-total"] = json!(pick(rng, &[1, 3, 30, 300]));
+    settings["extra"]["threads-by-class"] = json!(threads);
+    settings["extra"]["is-load"] = json!(flags(rng));
+    settings["extra"]["class-waits"] = json!(flags(rng));
+    settings["extra"]["note-period-us"] = json!(pick(rng, &[0, 500_000, 2_000_000]));
+    settings["limits"]["may-cancel"] = json!(rng.bool());
+    settings["limits"]["may-duplicate"] = json!(rng.bool());
+    settings["limits"]["probes"] = json!(rng.bool());
+    settings["limits"]["retry-after"] = json!(rng.bool());
+    settings["limits"]["max-attempts"] = json!(rng.u64(1..6));
+    settings["limits"]["dial-timeout-us"] = json!(pick(rng, &[250_000, 2_000_000]));
+    settings["rules"]["fall-us"] = json!(pick(rng, &[1_000_000, 3_000_000]));
+    if rng.bool() {
+        settings["rules"]["further-ratio"] = json!(0.1);
+        settings["rules"]["ratio-span-us"] = json!(4_000_000);
+        settings["rules"]["spare-attempts"] = json!(rng.u64(0..4));
+    }
+    settings["orgs"] = json!([{"name": "some", "quota-rps": pick(rng, &[0.5, 100.0])}]);
+    (own, asked)
+}
+
+#[test]
+fn any_settings_are_served_with_one_answer_each() {
+    for seed in 0..SEEDS {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let (bulletin, engines) = stand_ins(2);
+        let (own, classes) = drawn(&mut rng, config(bulletin.address(), &addresses(&engines)));
+        let gateway = Running::start(&own);
+        engines.into_iter().for_each(|engine| answer_all(engine, 1, "a\tb\tc\n".into()));
+        let mut client = gateway.client();
+        let mut served = vec![0; classes.len()];
+        for number in 1..=ASKED {
+            let at = number as usize % classes.len();
+            let (name, wait, keyed) = &classes[at];
+            let (id, wait) = (format!("{:016x}", seed << 32 | number), wait.to_string());
+            let key = format!("{:032x}", u128::from(number));
+            let work = if wait == "100" { "20.0" } else { "200.0" };
+            let mut fields =
+                vec![("i", id.as_str()), ("d", &wait), ("t", "some"), ("h", work), ("ram", "20")];
+            fields.extend(keyed.then_some(("k", key.as_str())));
+            client.call(number, name, &fields, b"SELECT * FROM sales_3.orders").unwrap();
+            match client.answer().unwrap_or_else(|e| panic!("seed {seed}, {number} of {name}: {e}\n{own}")) {
+                Answer::Result { id, .. } if id == number => served[at] += 1,
+                // A wait as short as a look at the sockets may end before its answer is there.
+                Answer::Error { id, .. } if id == number && wait == "100" => served[at] += 1,
+                other => panic!("seed {seed}, {number} of {name}: {other:?}\n{own}"),
+            }
+        }
+        let asked = ASKED.min(classes.len() as u64) as usize;
+        assert!(served[..asked.min(served.len())].iter().all(|count| *count > 0), "seed {seed}: {served:?}");
+        drop(client);
+        let mut gateway = gateway;
+        gateway.terminate();
+        let (status, counted) = gateway.ended();
+        assert!(status.success(), "seed {seed}: {status}");
+        assert_eq!((counted["taken"], counted["open"], counted["lost"]), (ASKED, 0, 0), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/command/tests/effects.rs
@@ -0,0 +1,138 @@
+//! Effects: each class of effect against each way in which an attempt can go wrong. What is unsafe to repeat comes
+//! to an engine once, unless no byte of it ever went out.
+
+mod common;
+
+use common::standin::{Answer, Bulletin, Client, Engine, EngineEnd};
+use common::{addresses, config, fields, host, next, stand_ins, Running, QUERY};
+use serde_json::{json, Value};
+
+const ID: &str = "0000000000000001";
+const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+const CLASSES: [&str; 3] = ["report", "load", "change"];
+
+struct Stage {
+    _bulletin: Bulletin,
+    engine: Engine,
+    gateway: Running,
+    client: Client,
+}
+
+/// A gateway before one engine, and a client that has asked for one of the classes.
+fn asked(class: &str, wait: &str, change: impl Fn(&mut Value)) -> Stage {
+    let (bulletin, mut engines) = stand_ins(1);
+    let mut configured = config(bulletin.address(), &addresses(&engines));
+    change(&mut configured);
+    let gateway = Running::start(&configured);
+    let mut client = gateway.client();
+    let mut given = fields(ID, wait);
+    if class == "load" {
+        given.push(("k", KEY));
+    }
+    client.call(1, class, &given, QUERY).unwrap();
+    Stage { _bulletin: bulletin, engine: engines.remove(0), gateway, client }
+}
+
+impl Stage {
+    fn begun(&mut self) -> EngineEnd {
+        let mut end = self.engine.accept().unwrap();
+        assert_eq!(next(&mut end, "serve").id(), ID);
+        end
+    }
+
+    /// A repeat comes, is answered, and its client is served.
+    fn repeated(mut self, sent: u64) {
+        let mut end = self.begun();
+        end.answer(ID, "OK", "count=1", "a\tb\tc\n").unwrap();
+        assert!(matches!(self.client.answer().unwrap(), Answer::Result { id: 1, .. }));
+        assert_eq!(self.gateway.counters()["sent"], sent);
+    }
+
+    /// It has failed, and nothing came a second time.
+    fn failed(mut self) {
+        let answer = self.client.answer().unwrap();
+        assert!(matches!(&answer, Answer::Error { id: 1, word, .. } if word == "Failed"), "{answer:?}");
+        assert_eq!(self.gateway.counters()["sent"], 1);
+    }
+}
+
+#[test]
+fn reset_under_a_request_that_has_begun() {
+    for class in CLASSES {
+        let mut stage = asked(class, "15000", |_| ());
+        drop(stage.begun());
+        if class == "change" {
+            stage.failed();
+        } else {
+            stage.repeated(2);
+        }
+    }
+}
+
+/// The connection stands, and an answer begins that never ends.
+#[test]
+fn an_answer_that_never_ends() {
+    for class in CLASSES {
+        let soon = |own: &mut Value| own["settings"]["limits"]["dial-timeout-us"] = json!(100_000);
+        let mut stage = asked(class, "15000", soon);
+        let mut end = stage.begun();
+        end.write_raw(format!("{ID} OK count=1 4000\r\na\tb").as_bytes()).unwrap();
+        if class == "change" {
+            stage.failed();
+        } else {
+            stage.repeated(2);
+        }
+    }
+}
+
+/// Refused connections prove that nothing ran: each class goes on to the engine that is there.
+#[test]
+fn a_connection_that_is_refused() {
+    for class in CLASSES {
+        let nobody = common::standin::unused_address();
+        let mut stage = asked(class, "15000", |own| {
+            let hosts = own["known"]["items"][0]["roster"]["hosts"].as_array_mut().unwrap();
+            hosts.push(host("s-nobody", nobody, "up"));
+        });
+        let mut end = stage.begun();
+        end.answer(ID, "OK", "count=1", "a\tb\tc\n").unwrap();
+        assert!(matches!(stage.client.answer().unwrap(), Answer::Result { id: 1, .. }));
+        let counted = stage.gateway.counters();
+        assert_eq!(counted["sent"], 1 + counted["no_connection"]);
+    }
+}
+
+/// It hangs for good, the wait is short: one final answer, refused only where a repeat does no harm, and what comes
+/// after it changes nothing.
+#[test]
+fn an_engine_that_hangs_past_the_wait() {
+    for (class, word) in [("report", "TryLater"), ("load", "TryLater"), ("change", "Failed")] {
+        let mut stage = asked(class, "500", |_| ());
+        let mut end = stage.begun();
+        let answer = stage.client.answer().unwrap();
+        assert!(
+            matches!(&answer, Answer::Error { id: 1, word: own, .. } if own == word),
+            "{class}: {answer:?}"
+        );
+        end.answer(ID, "OK", "count=1", "a\tb\tc\n").unwrap();
+        stage.client.ask_health(2).unwrap();
+        assert_eq!(stage.client.answer().unwrap(), Answer::Health { id: 2, well: true }, "no second answer");
+        assert_eq!(stage.gateway.counters()["sent"], 1);
+    }
+}
+
+/// Second copies are permitted in general: what is unsafe still has one attempt out, also while its engine is mute
+/// beside one that speaks.
+#[test]
+fn a_mute_engine_gets_no_second_copy_of_what_is_unsafe() {
+    let (bulletin, engines) = stand_ins(2);
+    let mut configured = config(bulletin.address(), &addresses(&engines));
+    configured["settings"]["limits"]["may-duplicate"] = json!(true);
+    configured["settings"]["extra"]["note-period-us"] = json!(50_000);
+    let mut gateway = Running::start(&configured);
+    let mut client = gateway.client();
+    client.call(1, "change", &fields(ID, "3000"), QUERY).unwrap();
+    let answer = client.answer().unwrap();
+    assert!(matches!(&answer, Answer::Error { id: 1, word, .. } if word == "Failed"), "{answer:?}");
+    assert_eq!(gateway.counters()["sent"], 1);
+}
--- a/crates/gateway/src/deadlines.rs
+++ b/crates/gateway/src/deadlines.rs
@@ -6,6 +6,9 @@
 
 use crate::table::Key;
 
+#[cfg(test)]
+mod tests;
+
 /// What can fall due.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Due {
@@ -23,10 +26,8 @@
     Bulletin,
     /// Descriptors may be free again for clients that wait.
     Accept,
-    /// After SIGTERM: clients come no more; and what is still open must end.
-    LastClients,
-    LastAnswers,
-    Leave,
+    /// After SIGTERM: a phase of the shutdown is over.
+    Shutdown,
 }
 
 pub type DeadlineKey = (Micros, u64);
@@ -71,22 +72,3 @@
         Some(first.remove())
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn deadlines_fire_in_order_once_and_not_when_taken_back() {
-        let mut due = Deadlines::new();
-        due.set(20, Due::Timer(1));
-        due.set(10, Due::Timer(2));
-        let gone = due.set(10, Due::Timer(3));
-        due.set(10, Due::Timer(4));
-        due.take_back(Some(gone));
-        due.take_back(None);
-        assert_eq!((due.next(), due.due(9)), (Some(10), None));
-        assert_eq!([due.due(10), due.due(10), due.due(10)], [Some(Due::Timer(2)), Some(Due::Timer(4)), None]);
-        assert_eq!((due.due(30), due.next()), (Some(Due::Timer(1)), None));
-    }
-}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -7,18 +7,20 @@
 use std::net::SocketAddr;
 
 use eideryard::interface::{Bill, EngineId, LoadReport, Micros, Note, Outcome};
-use eideryard_engine_line::{self as line, decode, Answer, Fields, Serve, Word};
+use eideryard_engine_line::{self as line, decode, Serve, Word};
 
 use crate::connection::{is_shortage, Connection, Filled, Loop, Wake, MOST_READS};
 use crate::counters::Counters;
-use crate::deadlines::{DeadlineKey, Deadlines, Due};
+use crate::deadlines::{Deadlines, Due};
 use crate::table::{Key, Table};
+use answers::{pages, report, take};
+use conn::{Conn, Open, Stage};
+
+mod answers;
+mod conn;
+#[cfg(test)]
+mod tests;
 
-/// Pages of one result, and its bytes: the protocol allows 48,000, in pages of whole rows.
-const MOST_PAGES: usize = 256;
-const MOST_RESULT: usize = 48_000;
-/// Pages of a result that is spooled: the spool's budget for one result ends it sooner.
-const MOST_SPOOLED_PAGES: usize = 1 << 20;
 /// Pages of one result that are asked for at once, whatever room there is: their answers may come in any
 /// order.
 const MOST_ASKED: usize = 64;
@@ -30,90 +32,6 @@
 /// Note periods without a word after which a connection is held to be dead, if what it carries is given up.
 const QUIET_PERIODS: Micros = 2;
 
-/// What an attempt on a connection waits for.
-enum Stage {
-    Running,
-    /// It ended well; its further pages are on their way.
-    Reading {
-        pages: Vec<Option<Vec<u8>>>,
-        bytes: usize,
-        bill: Option<Bill>,
-        report: Option<LoadReport>,
-    },
-    /// The same for the spool: pages are handed on in order as they come, and asked for as it has room.
-    Spooling {
-        count: usize,
-        /// The next to hand on, and the next to ask for.
-        next: usize,
-        asked: usize,
-        /// Those that came before their turn.
-        early: BTreeMap<usize, Vec<u8>>,
-        /// Bytes handed on, for the size of a usual page.
-        bytes: usize,
-        bill: Option<Bill>,
-        report: Option<LoadReport>,
-    },
-}
-
-struct Open {
-    request: Key,
-    attempt: usize,
-    stage: Stage,
-    /// Its result goes to the spool.
-    spooled: bool,
-    sent_at: Micros,
-    /// Where in what is sent on this connection its request begins and ends.
-    sent: (u64, u64),
-    /// A new priority that is told once the request is out: until then the engine knows no such id.
-    later_rank: Option<u8>,
-}
-
-struct Conn {
-    engine: EngineId,
-    connection: Connection,
-    open: BTreeMap<Box<str>, Open>,
-    /// Requests that ended here without a result: an answer of theirs may still come, or come once more, so
-    /// none of them is sent on this connection again.
-    ended: BTreeSet<Box<str>>,
-    probes: BTreeMap<Box<str>, DeadlineKey>,
-    /// It takes no more: it closes when what is open on it is over.
-    retired: bool,
-    opened_at: Micros,
-    heard_at: Micros,
-    /// Until it must be up; afterwards, where nothing is open, until it is closed for that.
-    deadline: Option<DeadlineKey>,
-    /// Until the rest of an answer that has begun must have come.
-    rest: Option<DeadlineKey>,
-}
-
-impl Conn {
-    /// It isn't idle any more; one that isn't up yet keeps its deadline for that.
-    fn is_used(&mut self, due: &mut Deadlines) {
-        due.take_back(if self.connection.was_up() { self.deadline.take() } else { None });
-    }
-
-    /// Ranks that came for requests which were not out yet.
-    fn tell_later_ranks(&mut self) -> io::Result<()> {
-        let Connection { written, output, .. } = &mut self.connection;
-        let out = self.open.iter_mut().filter(|(_, open)| open.sent.1 <= *written);
-        for (id, open) in out {
-            if let Some(rank) = open.later_rank.take().filter(|_| matches!(open.stage, Stage::Running)) {
-                line::write_weigh(output.tail(), id, rank);
-            }
-        }
-        self.connection.flush()
-    }
-
-    /// Takes a request back out of what waits to be written.
-    fn take_back(&mut self, begin: u64, end: u64) {
-        let written = self.connection.written;
-        self.connection.output.cut((begin - written) as usize, (end - written) as usize);
-        for open in self.open.values_mut().filter(|open| open.sent.0 >= end) {
-            open.sent = (open.sent.0 - (end - begin), open.sent.1 - (end - begin));
-        }
-    }
-}
-
 struct Engine {
     address: Option<SocketAddr>,
     conns: Vec<Key>,
@@ -404,14 +322,12 @@
         heard: &mut Vec<Heard>,
     ) -> bool {
         let Some(conn) = self.table.get_mut(key) else { return false };
-        let Some(open) = conn.open.remove(id) else { return false };
-        let (begin, end) = open.sent;
-        if conn.connection.written <= begin {
-            conn.take_back(begin, end);
+        if conn.withdraw(id) {
             self.settle(key, now, due, heard);
             return false;
         }
-        if conn.connection.written < end {
+        let Some(open) = conn.open.remove(id) else { return false };
+        if conn.connection.written < open.sent.1 {
             // The engine has a part of it and doesn't read: only the end of the connection keeps it from the
             // rest.
             self.close(key, Outcome::Broken, due, heard);
@@ -556,18 +472,44 @@
         result
     }
 
-    /// Writes all that was sent since the last time.
-    pub fn flush(&mut self, due: &mut Deadlines, heard: &mut Vec<Heard>) {
+    /// Writes what was sent since the last time. The one place where the first byte of an attempt is let go:
+    /// `begins` says whether it still may be, else it is withdrawn. Where nobody can say, what has not begun
+    /// waits, and what it waits behind with it.
+    pub fn flush(
+        &mut self,
+        now: Micros,
+        mut begins: Option<&mut dyn FnMut(Key, usize) -> bool>,
+        due: &mut Deadlines,
+        heard: &mut Vec<Heard>,
+    ) {
         let mut unflushed = std::mem::take(&mut self.unflushed);
         unflushed.sort_unstable();
         unflushed.dedup();
         for key in unflushed.drain(..) {
-            let Some(conn) = self.table.get_mut(key) else { continue };
+            // One that isn't up yet is marked again once it is.
+            let up = |conn: &&mut Conn| conn.connection.was_up();
+            let Some(conn) = self.table.get_mut(key).filter(up) else { continue };
+            let unbegun = conn.unbegun();
+            if begins.is_none() && !unbegun.is_empty() {
+                self.unflushed.push(key);
+                continue;
+            }
+            let mut withdrawn = false;
+            for (id, request, attempt) in unbegun {
+                // A connection that takes no more leads to where the engine isn't any longer, or to nobody.
+                let may = !conn.retired && begins.as_mut().is_some_and(|begins| begins(request, attempt));
+                if !may && conn.withdraw(&id) {
+                    let outcome = Outcome::Unsent;
+                    heard.push(Heard::Over { request, attempt, outcome, report: None, told: false });
+                    withdrawn = true;
+                }
+            }
             if conn.connection.flush().is_err() || conn.tell_later_ranks().is_err() {
                 self.close(key, Outcome::Broken, due, heard);
+            } else if withdrawn {
+                self.settle(key, now, due, heard);
             }
         }
-        self.unflushed = unflushed;
     }
 
     /// The one place that gives an engine's connection back. What was not written whole never came to the
@@ -596,188 +538,7 @@
     }
 }
 
-/// What an answer means for the attempt that it answers; asks for what is still to come.
-fn take(
-    open: &mut Open,
-    answer: &Answer,
-    out: &mut Vec<u8>,
-    heard: &mut Vec<Heard>,
-) -> Result<Option<Heard>, &'static str> {
-    let (request, attempt) = (open.request, open.attempt);
-    let over = |outcome| {
-        let report = report(&answer.fields);
-        Ok(Some(Heard::Over { request, attempt, outcome, report, told: false }))
-    };
-    match (&mut open.stage, answer.word) {
-        (Stage::Running, Word::Ok) if open.spooled => {
-            let count =
-                answer.fields.number("count").filter(|count| (1..=MOST_SPOOLED_PAGES).contains(count));
-            let count = count.ok_or("a result with no readable number of pages")?;
-            check_page(answer.payload)?;
-            let (bill, report) = (bill(&answer.fields), report(&answer.fields));
-            heard.push(Heard::Page { request, rows: answer.payload.to_vec() });
-            if count == 1 {
-                return Ok(Some(Heard::Spooled { request, attempt, bill, report }));
-            }
-            let (bytes, early) = (answer.payload.len(), BTreeMap::new());
-            open.stage = Stage::Spooling { count, next: 1, asked: 1, early, bytes, bill, report };
-            Ok(None)
-        }
-        (Stage::Spooling { count, next, asked, early, bytes, bill, report }, Word::Rows) => {
-            let at = answer.fields.number("pos").filter(|at: &usize| at < asked);
-            let at = at.ok_or("a page that was not asked for")?;
-            if at < *next || early.contains_key(&at) {
-                // A second copy.
-                return Ok(None);
-            }
-            check_page(answer.payload)?;
-            early.insert(at, answer.payload.to_vec());
-            while let Some(rows) = early.remove(next) {
-                *next += 1;
-                *bytes += rows.len();
-                heard.push(Heard::Page { request, rows });
-            }
-            if *next < *count {
-                return Ok(None);
-            }
-            line::write_release(out, answer.id);
-            Ok(Some(Heard::Spooled { request, attempt, bill: *bill, report: report.take() }))
-        }
-        (Stage::Running, Word::Ok) => {
-            let count = pages(answer).ok_or("a result with no readable number of pages")?;
-            check_page(answer.payload)?;
-            let (bill, report) = (bill(&answer.fields), report(&answer.fields));
-            let first = answer.payload.to_vec();
-            if count <= 1 {
-                return Ok(Some(Heard::Served { request, attempt, pages: vec![first], bill, report }));
-            }
-            (1..count).for_each(|page| line::write_read(out, answer.id, page));
-            let bytes = first.len();
-            let pages = std::iter::once(Some(first)).chain((1..count).map(|_| None)).collect();
-            open.stage = Stage::Reading { pages, bytes, bill, report };
-            Ok(None)
-        }
-        (Stage::Reading { pages, bytes, bill, report }, Word::Rows) => {
-            let place = answer.fields.number("pos").and_then(|at: usize| pages.get_mut(at));
-            let place = place.ok_or("a page that was not asked for")?;
-            if place.is_some() {
-                return Ok(None);
-            }
-            check_page(answer.payload)?;
-            *place = Some(answer.payload.to_vec());
-            *bytes += answer.payload.len();
-            if *bytes > MOST_RESULT {
-                return Err("a result is too long");
-            }
-            if pages.iter().any(Option::is_none) {
-                return Ok(None);
-            }
-            line::write_release(out, answer.id);
-            let pages = pages.iter_mut().filter_map(Option::take).collect();
-            Ok(Some(Heard::Served { request, attempt, pages, bill: *bill, report: report.take() }))
-        }
-        (_, Word::Note) => Ok(note(&answer.fields).map(|note| Heard::Noted { request, attempt, note })),
-        (Stage::Running, Word::Busy | Word::Void) => over(Outcome::Full),
-        (_, Word::Err) => over(Outcome::Error),
-        // A second copy of the first page.
-        (Stage::Reading { .. } | Stage::Spooling { .. }, Word::Ok) => Ok(None),
-        _ => Err("an answer that fits nothing asked for"),
-    }
-}
-
-/// How many pages a good end says that it has, if that can be.
-fn pages(answer: &Answer) -> Option<usize> {
-    answer.fields.number("count").filter(|count| (1..=MOST_PAGES).contains(count))
-}
-
-/// A page holds whole rows of three columns as text: what doesn't came spoilt, and so may all that follows.
-fn check_page(page: &[u8]) -> Result<(), &'static str> {
-    let row = |row: &str| row.ends_with('\n') && row.bytes().filter(|&byte| byte == b'\t').count() == 2;
-    let text = std::str::from_utf8(page).map_err(|_| "a page is not UTF-8")?;
-    match text.split_inclusive('\n').all(row) {
-        true => Ok(()),
-        false => Err("a page doesn't hold whole rows"),
-    }
-}
-
-/// What a good end says it cost: `ticks` is work in milliseconds, `footprint` memory in MB.
-fn bill(fields: &Fields) -> Option<Bill> {
-    let work: f64 = fields.number("ticks").filter(|work| *work > 0.0)?;
-    Some(Bill { work: work * 1e3, memory_mb: fields.number("footprint").unwrap_or(0.0) })
-}
-
-fn note(fields: &Fields) -> Option<Note> {
-    let level: f64 = fields.number("reading").unwrap_or(0.0);
-    match fields.get("remark")? {
-        "share" => Some(Note::Progress(level)),
-        "short" => Some(Note::Spilling(level)),
-        "held" if level == 2.0 => Some(Note::WaitsForLoad),
-        "held" => Some(Note::WaitsForMemory),
-        _ => None,
-    }
-}
-
-/// A load report, by the names of the settings or by those of the engines.
-fn report(fields: &Fields) -> Option<LoadReport> {
-    let mut report = LoadReport::default();
-    for (name, value) in fields.report()? {
-        let named = match name {
-            "inflight" => "concurrent",
-            "queue" => "depth",
-            "util" => "load_share",
-            name => name,
-        };
-        eideryard_settings::set_reported(&mut report, named, value);
-    }
-    Some(report)
-}
-
 /// An address as the list writes it.
 pub fn address(text: &str) -> Result<SocketAddr, io::Error> {
     text.parse().map_err(|_| io::Error::other(format!("'{text}' is no address with a port")))
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::connection::Wakes;
-    use calloop::EventLoop;
-
-    const NOW: Micros = 1_000_000;
-
-    fn serve(id: &str) -> Serve<'_> {
-        let statement = b"SELECT 1";
-        Serve { id, class: "report", wait_ms: 900, key: None, grant_mb: 64, rank: Some(2), statement }
-    }
-
-    /// Three requests wait to be written; the second is taken back, and the rank it was to get goes with it.
-    #[test]
-    fn what_is_given_up_unwritten_leaves_nothing_behind() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events: EventLoop<Wakes> = EventLoop::try_new().unwrap();
-        let limits = Limits { dial_timeout: NOW, idle: 0, note_period: 0, streams: 32, connections: 8 };
-        let mut engines = Engines::new(&events.handle(), limits);
-        let (mut due, mut counters, mut heard) = (Deadlines::new(), Counters::default(), Vec::new());
-        engines.listed(5, listener.local_addr().ok(), 0, &mut due, &mut heard);
-        let mut requests = Table::new();
-        let mut conns = ["a", "b", "c"].map(|id| {
-            let tried = (requests.insert(()), 0, false);
-            engines.send(NOW, 5, tried, &serve(id), &mut due, &mut counters).unwrap()
-        });
-        conns.sort();
-        assert_eq!((conns[0], counters.dials), (conns[2], 1), "one connection carries all three");
-        assert!(engines.weigh(conns[0], "b", 1) && engines.weigh(conns[0], "c", 0));
-        assert!(!engines.give_up(NOW, conns[0], "b", true, &mut due, &mut heard));
-        let mut expected = Vec::new();
-        ["a", "c"].iter().for_each(|id| serve(id).write(&mut expected));
-        let conn = engines.table.get_mut(conns[0]).unwrap();
-        assert_eq!(conn.connection.output.filled(), expected);
-        assert_eq!(conn.open["c"].sent, (expected.len() as u64 / 2, expected.len() as u64));
-        // Once all is out, the rank that came too early follows.
-        conn.connection.written = expected.len() as u64;
-        conn.connection.output.clear();
-        let _ = conn.tell_later_ranks();
-        assert_eq!(conn.open["c"].later_rank, None);
-        assert!(heard.is_empty());
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,13 +25,16 @@
 use crate::link::Link;
 use crate::requests::{self, place, Attempt, Call, Names, NotTaken, Requests};
 use crate::sharing::About;
+use crate::shutdown::{Left, Phase as Stage, Shutdown, Step};
 use crate::spooling::{Spooling, Told as Word, Waiter};
 use crate::table::Key;
 use crate::tap::Tap;
 
 mod acting;
+mod calling;
 mod listing;
 mod results;
+mod stopping;
 mod telling;
 
 /// Descriptors for what is neither a client nor an engine: listener, bulletin, event loop, signals, standard
@@ -39,13 +42,6 @@
 const OTHER_SOCKETS: usize = 24;
 /// How long clients wait in the queue before another look whether a descriptor has come free.
 const ACCEPT_PAUSE: Micros = 20_000;
-/// New requests come for at most 0.4 s and 0.2 s more after SIGTERM; who leaves later than this has waited
-/// for all.
-const LAST_CLIENTS: Micros = 700_000;
-/// SIGKILL may follow SIGTERM after the longest wait of a client, at most 3 s, and 0.7 s more.
-const LONGEST_STOP: Micros = 3_000_000;
-/// What is still open so long before that gets its answer then.
-const STOP_MARGIN: Micros = 200_000;
 
 pub struct Gateway {
     module: decide::Gateway,
@@ -74,10 +70,7 @@
     last_entries: BTreeMap<EngineId, Entry>,
     from_clients: Vec<clients::Heard>,
     from_engines: Vec<engines::Heard>,
-    /// After SIGTERM: when the last answer must be out; and whether clients come no more.
-    stopping: Option<Micros>,
-    no_more_clients: bool,
-    out_of_time: bool,
+    shutdown: Shutdown,
 }
 
 impl Gateway {
@@ -155,9 +148,7 @@
             last_entries: BTreeMap::new(),
             from_clients: Vec::new(),
             from_engines: Vec::new(),
-            stopping: None,
-            no_more_clients: false,
-            out_of_time: false,
+            shutdown: Shutdown::default(),
             module: decide::Gateway::new(config.settings, config.seed, now),
             clock,
         };
@@ -202,22 +193,25 @@
         }
         self.spool_work();
         self.keep_work();
+        if !self.events.is_empty() {
+            self.settle();
+        }
+        self.stop_work();
         self.tell_changes();
         self.tell_state();
         self.tap.flush(self.clock.now());
         wakes.append(&mut again);
+        wakes.extend(self.clients.again.drain(..).map(Wake::Client));
     }
 
     fn woken(&mut self, wake: Wake, again: &mut Wakes) {
         let now = self.clock.now();
         match wake {
-            Wake::Listener => self.accept(),
+            Wake::Listener => _ = self.accept(),
             Wake::Client(key) => {
                 let (names, heard) = (&self.names, &mut self.from_clients);
                 let due = &mut self.due;
-                if self.clients.read(key, now, names, due, &mut self.counters, heard) {
-                    again.push(wake);
-                }
+                self.clients.read(key, now, names, due, &mut self.counters, heard);
                 self.hear_clients();
             }
             Wake::Engine(key) => {
@@ -230,7 +224,9 @@
             Wake::Bulletin => {
                 let mut items = Vec::new();
                 let before = (self.link.is_heard(), self.counters.list_events);
-                self.link.read(now, &mut self.due, &mut self.counters, &mut items);
+                if self.link.read(now, &mut self.due, &mut self.counters, &mut items) {
+                    again.push(wake);
+                }
                 self.tell_link(now, before, &items);
                 items.into_iter().for_each(|item| self.listed(item));
             }
@@ -256,12 +252,16 @@
         tracing::debug_span!(parent: &request, "attempt", engine).entered()
     }
 
-    fn accept(&mut self) {
-        let now = self.clock.now();
-        if !self.clients.accept(now, &mut self.due, &mut self.counters) {
+    /// Takes in all that wait to connect. False: some still wait.
+    fn accept(&mut self) -> bool {
+        let (now, names, heard) = (self.clock.now(), &self.names, &mut self.from_clients);
+        let all = self.clients.accept(now, names, &mut self.due, &mut self.counters, heard);
+        if !all {
             self.due.set(now + ACCEPT_PAUSE, Due::Accept);
         }
         self.tell_changes();
+        self.hear_clients();
+        all
     }
 
     fn fell_due(&mut self, due: Due) {
@@ -270,8 +270,8 @@
             Due::Timer(tag) => self.events.push_back(Event::Timer { tag }),
             Due::Attempt(request, attempt) => self.give_up(request, attempt, Outcome::TimedOut),
             Due::Client(key) => {
-                let (due, heard) = (&mut self.due, &mut self.from_clients);
-                self.clients.client_due(key, now, due, &mut self.counters, heard);
+                let (names, due, heard) = (&self.names, &mut self.due, &mut self.from_clients);
+                self.clients.client_due(key, now, names, due, &mut self.counters, heard);
                 self.hear_clients();
             }
             Due::Conn(key) => self.engines.conn_due(key, &mut self.due, &mut self.from_engines),
@@ -281,15 +281,9 @@
                 self.link.due(now, &mut self.due, &mut self.counters);
                 self.tell_link(now, before, &[]);
             }
-            Due::Accept => self.accept(),
-            Due::LastClients => self.no_more_clients = true,
-            Due::Leave => self.out_of_time = true,
-            Due::LastAnswers => {
-                for request in self.requests.owing() {
-                    // The request's own timer fires early: its time is up now.
-                    self.events.push_back(Event::Timer { tag: end_tag(request.number()) });
-                }
-            }
+            Due::Accept => _ = self.accept(),
+            // Its steps are taken at the end of each look.
+            Due::Shutdown => {}
         }
         self.hear_engines();
     }
@@ -312,11 +306,19 @@
         }
     }
 
+    /// Writes what waits. While the module has not heard all there is, nothing begins at an engine: that a
+    /// client has left or an engine drains may be among it.
     fn flush(&mut self) {
         let heard = &mut self.from_clients;
         self.clients.flush(self.clock.now(), &mut self.due, &mut self.counters, heard);
-        self.engines.flush(&mut self.due, &mut self.from_engines);
         self.hear_clients();
+        let (now, module) = (self.clock.now(), &mut self.module);
+        let mut begins = |request: Key, attempt| module.begins(now, request.number(), attempt);
+        let begins: Option<&mut dyn FnMut(Key, usize) -> bool> = match self.events.is_empty() {
+            true => Some(&mut begins),
+            false => None,
+        };
+        self.engines.flush(now, begins, &mut self.due, &mut self.from_engines);
         self.hear_engines();
     }
 
@@ -345,123 +347,6 @@
         }
     }
 
-    fn called(&mut self, client: Key, id: u32, call: Result<Call, &'static str>) {
-        let now = self.clock.now();
-        self.counters.taken += 1;
-        let call = match (self.clients.takes(client), call) {
-            (Some(true), Ok(call)) => call,
-            (Some(true), Err(field)) => return self.invalid(client, id, field),
-            (Some(false), _) => return self.invalid(client, id, "one behind it"),
-            (None, _) => {
-                self.counters.lost += 1;
-                self.tell_untaken(Untaken::Gone, None);
-                return;
-            }
-        };
-        let of = (call.class, call.tenant);
-        let spooled = call.paged && self.spooling.is_some();
-        let address = self.clients.address_of(client);
-        let name = call.key.clone().filter(|_| spooled);
-        if let Some((name, spooling)) = name.zip(self.spooling.as_mut()).filter(|(name, own)| own.knows(name))
-        {
-            // The same key again: the answer of its one run is this one's too, and no room and no attempt
-            // is taken.
-            let who = Waiter { client, call: id, counts: Some(of) };
-            let told = spooling.again(&name, who, now);
-            self.tap.host(now, Host::Attached { class: of.0, tenant: of.1 });
-            told.into_iter().for_each(|word| self.tell(word));
-            return;
-        }
-        if let Some(spooling) = self.spooling.as_mut().filter(|_| spooled) {
-            if let Err((wait, why)) = spooling.admit(of.0, of.1, address, now) {
-                self.counters.refused += 1;
-                self.counters.no_room += 1;
-                self.tell_untaken(Untaken::NoRoom, Some(of));
-                let wait = wait.map(|wait| (wait / 1000).to_string());
-                let mut fields = vec![("why", why)];
-                fields.extend(wait.as_deref().filter(|_| self.may_advise).map(|wait| ("w", wait)));
-                self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &fields));
-                return;
-            }
-        }
-        let earlier = self.keeping.as_mut().map_or(Ok(Vec::new()), |keeping| {
-            keeping.arrives(now, call.class, call.key.as_deref(), call.marked)
-        });
-        let earlier = match earlier {
-            Ok(earlier) => earlier,
-            Err(why) => return self.no_store(client, id, of, why),
-        };
-        let deadline = now + call.wait;
-        let arrived = Request {
-            id: 0,
-            class: call.class,
-            tenant: call.tenant,
-            // The module keeps the order of classes that have one by it.
-            key: call.key.as_deref().map(str::to_string),
-            deadline: self.stopping.map_or(deadline, |stop| deadline.min(stop)),
-            work: call.work,
-            memory_mb: call.memory_mb,
-            group: call.group.unwrap_or(0),
-            earlier: earlier.clone(),
-        };
-        let request = match self.requests.insert(client, id, now, deadline, call) {
-            Ok(request) => request,
-            Err(NotTaken::Again) => return self.invalid(client, id, "i"),
-            Err(NotTaken::NoRoom) => {
-                self.counters.refused += 1;
-                self.counters.no_room += 1;
-                self.tell_untaken(Untaken::NoRoom, Some(of));
-                self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &[]));
-                return;
-            }
-        };
-        self.clients.opened(client, id, request);
-        let mut own = self.requests.get_mut(request);
-        own.iter_mut().for_each(|own| own.earlier.clone_from(&earlier));
-        if let Some((spooling, own)) = self.spooling.as_mut().filter(|_| spooled).zip(own) {
-            own.spooled = true;
-            let who = Waiter { client, call: id, counts: None };
-            let name = own.key.as_ref().unwrap_or(&own.id);
-            spooling.begin(request.number(), name, who, (of.0, of.1, address), now);
-        }
-        self.span(request).in_scope(|| tracing::debug!("taken"));
-        if self.tap.is_on() {
-            let offered = self.requests.get_mut(request).map(|own| Host::Offered(offer(request, own)));
-            offered.into_iter().for_each(|offered| self.tap.host(now, offered));
-        }
-        self.events.push_back(Event::Arrived(Request { id: request.number(), ..arrived }));
-    }
-
-    /// A keyed request is not taken, since its intent can't be kept now.
-    fn no_store(&mut self, client: Key, id: u32, of: (usize, usize), why: Untaken) {
-        self.counters.refused += 1;
-        self.counters.no_room += 1;
-        self.tell_untaken(why, Some(of));
-        let wait = (eideryard_ledger::state::ADVICE / 1000).to_string();
-        let mut fields = vec![("why", why.name())];
-        fields.extend(Some(("w", wait.as_str())).filter(|_| self.may_advise));
-        self.clients.answer(client, id, |out| write_error(out, id, "TryLater", &fields));
-    }
-
-    /// A request that can't be used gets an error that names the field.
-    fn invalid(&mut self, client: Key, id: u32, field: &str) {
-        tracing::debug!("a request can't be used: {field}");
-        self.counters.invalid += 1;
-        self.tell_untaken(Untaken::Invalid, None);
-        self.clients.answer(client, id, |out| write_error(out, id, "Invalid", &[("field", field)]));
-    }
-
-    /// Nobody waits for this any more.
-    fn left(&mut self, key: Key, how: AnswerKind) {
-        self.spool_over(key, true);
-        self.tell_end(key, how, false);
-        if let Some(request) = self.requests.get_mut(key) {
-            request.answered = true;
-            self.events.push_back(Event::ClientLeft { request: key.number() });
-            self.requests.give_back(key, &mut self.due);
-        }
-    }
-
     // ---- Engines ----
 
     fn hear_engines(&mut self) {
@@ -587,33 +472,6 @@
             }
         }
     }
-
-    // ---- The end ----
-
-    /// SIGTERM: everything that comes is still served, until clients have stopped coming and all have their
-    /// answers.
-    fn stop(&mut self) {
-        if self.stopping.is_some() {
-            return;
-        }
-        let now = self.clock.now();
-        let last = now + LAST_CLIENTS + self.longest_wait.min(LONGEST_STOP) - STOP_MARGIN;
-        tracing::info!("stopping; {} requests are open", self.counters.open());
-        self.stopping = Some(last);
-        self.tap.host(now, Host::Stopping);
-        self.clients.well = false;
-        self.keeping.iter_mut().for_each(|keeping| keeping.hands_over(now));
-        self.due.set(now + LAST_CLIENTS, Due::LastClients);
-        self.due.set(last, Due::LastAnswers);
-        // An answer that isn't out by then has a client that doesn't read.
-        self.due.set(last + STOP_MARGIN / 2, Due::Leave);
-    }
-
-    /// Whether nothing is left to do.
-    pub fn is_done(&self) -> bool {
-        let answered = self.no_more_clients && self.counters.open() == 0;
-        answered && (self.clients.is_written() || self.out_of_time)
-    }
 }
 
 /// What the record says of a request beside what the module is told.
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -35,7 +35,7 @@
         // What the list ended comes after the list itself.
         self.events.push_back(event);
         self.hear_engines();
-        self.clients.well |= self.stopping.is_none() && !self.engine_names.is_empty();
+        self.clients.well |= self.shutdown.phase() == Stage::Serving && !self.engine_names.is_empty();
         // Engines come under new names all day: a name stays as long as its engine or a connection to it.
         self.engine_names.retain(|&engine, _| self.engines.knows(engine));
         self.last_listed.retain(|&engine, _| self.engines.knows(engine));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod owning;
 mod requests;
 mod sharing;
+pub mod shutdown;
 mod spooling;
 mod status;
 mod table;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -6,10 +6,13 @@
 use eideryard::interface::Micros;
 use eideryard_bulletin::{request, Heard, Item, Reader};
 
-use crate::connection::{Connection, Filled, Loop, Wake};
+use crate::connection::{Connection, Filled, Loop, Wake, MOST_READS};
 use crate::counters::Counters;
 use crate::deadlines::{DeadlineKey, Deadlines, Due};
 
+#[cfg(test)]
+mod tests;
+
 /// A comment comes each second: a stream that has missed two is dead. What it would have told counts as told
 /// 4 s after it fell silent, and asking again takes a while too.
 const SILENCE: Micros = 2_200_000;
@@ -108,10 +111,19 @@
         self.pause = (2 * self.pause).clamp(FIRST_PAUSE, LONGEST_PAUSE);
     }
 
-    pub fn read(&mut self, now: Micros, due: &mut Deadlines, counters: &mut Counters, items: &mut Vec<Item>) {
-        if let Err(reason) = self.take(now, due, counters, items) {
-            self.hang_up(&reason, now, due);
+    /// Reads what has come. True: there may be more, others first.
+    pub fn read(
+        &mut self,
+        now: Micros,
+        due: &mut Deadlines,
+        counters: &mut Counters,
+        items: &mut Vec<Item>,
+    ) -> bool {
+        let more = self.take(now, due, counters, items);
+        if let Err(reason) = &more {
+            self.hang_up(reason, now, due);
         }
+        more == Ok(true)
     }
 
     fn take(
@@ -120,18 +132,18 @@
         due: &mut Deadlines,
         counters: &mut Counters,
         items: &mut Vec<Item>,
-    ) -> Result<(), String> {
-        let Some((connection, reader)) = &mut self.connection else { return Ok(()) };
+    ) -> Result<bool, String> {
+        let Some((connection, reader)) = &mut self.connection else { return Ok(false) };
         let was_up = connection.was_up();
         if !connection.is_up().map_err(|e| e.to_string())? {
-            return Ok(());
+            return Ok(false);
         }
         if !was_up {
             due.renew(&mut self.deadline, now + SILENCE, Due::Bulletin);
         }
         connection.flush().map_err(|e| e.to_string())?;
         let mut heard = Vec::new();
-        loop {
+        for _ in 0..MOST_READS {
             let filled = connection.fill().map_err(|e| e.to_string())?;
             let taken = reader.take(connection.input.filled(), &mut heard).map_err(|e| e.to_string());
             connection.input.clear();
@@ -156,49 +168,12 @@
             }
             taken?;
             match filled {
-                Filled::Blocked => return Ok(()),
+                Filled::Blocked => return Ok(false),
                 Filled::Ended => return Err("the stream ended".into()),
                 Filled::Some if reader.is_over() => return Err("the response is over".into()),
                 Filled::Some => {}
             }
         }
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use crate::connection::Wakes;
-    use calloop::EventLoop;
-    use std::io::{Read, Write};
-
-    /// Lets the link read until its stream has ended.
-    fn streamed(link: &mut Link, listener: &std::net::TcpListener, due: &mut Deadlines, text: &str) {
-        let (mut counters, mut items) = (Counters::default(), Vec::new());
-        link.call(0, due, &mut counters);
-        let (mut stream, _) = listener.accept().unwrap();
-        while link.connection.as_ref().is_some_and(|(connection, _)| connection.written == 0) {
-            link.read(0, due, &mut counters, &mut items);
-        }
-        assert!(stream.read(&mut [0; 512]).unwrap() > 0);
-        stream.write_all(format!("HTTP/1.1 200 OK\r\n\r\n{text}").as_bytes()).unwrap();
-        drop(stream);
-        while link.is_up() {
-            link.read(0, due, &mut counters, &mut items);
-        }
-    }
-
-    #[test]
-    fn a_bulletin_that_greets_and_breaks_off_is_called_after_pauses_until_it_tells_something() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events: EventLoop<Wakes> = EventLoop::try_new().unwrap();
-        let address = listener.local_addr().unwrap();
-        let (mut link, mut due) = (Link::new(&events.handle(), address, 0, SILENCE, 7), Deadlines::new());
-        let pauses = [": hello\n\n", ": hello\n\n", "data: {\"no\":1}\n\n", ": hello\n\n"].map(|text| {
-            streamed(&mut link, &listener, &mut due, text);
-            due.next()
-        });
-        assert!(pauses[0] == Some(0) && pauses[1] > Some(0) && pauses[2] == Some(0), "{pauses:?}");
-        assert!(pauses[3] > Some(0), "{pauses:?}");
+        Ok(true)
     }
 }
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -60,7 +60,24 @@
 
 impl Engine {
     pub fn listen(address: &str) -> io::Result<Self> {
-        Ok(Engine { listener: TcpListener::bind(address)? })
+        Self::over(TcpListener::bind(address)?)
+    }
+
+    fn over(listener: TcpListener) -> io::Result<Self> {
+        // It holds for what is accepted, too.
+        socket2::SockRef::from(&listener).set_read_timeout(Some(PATIENCE))?;
+        Ok(Engine { listener })
+    }
+
+    /// One whose queue of new connections is full: a dial to it comes up only after [`Held::let_go`].
+    pub fn held() -> io::Result<Held> {
+        let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)?;
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        // The system queues one connection more than it is told.
+        socket.listen(0)?;
+        let mut held = Held { engine: Engine::over(socket.into())?, filler: None };
+        held.fill()?;
+        Ok(held)
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -73,6 +90,26 @@
     }
 }
 
+/// An engine that holds back who dials it, and what fills its queue.
+pub struct Held {
+    pub engine: Engine,
+    filler: Option<TcpStream>,
+}
+
+impl Held {
+    /// From here on dials wait.
+    pub fn fill(&mut self) -> io::Result<()> {
+        self.filler = Some(TcpStream::connect(self.engine.address())?);
+        Ok(())
+    }
+
+    /// The queue has room again.
+    pub fn let_go(&mut self) -> io::Result<()> {
+        self.filler = None;
+        self.engine.listener.accept().map(|_| ())
+    }
+}
+
 impl EngineEnd {
     /// The next command; an error of kind `UnexpectedEof` once the gateway has closed the connection.
     pub fn command(&mut self) -> io::Result<Command> {
@@ -125,7 +162,9 @@
 
 impl Bulletin {
     pub fn listen(address: &str) -> io::Result<Self> {
-        Ok(Bulletin { listener: TcpListener::bind(address)? })
+        let listener = TcpListener::bind(address)?;
+        socket2::SockRef::from(&listener).set_read_timeout(Some(PATIENCE))?;
+        Ok(Bulletin { listener })
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -156,6 +195,10 @@
         self.stream.write_all(format!("id: {number}\ndata: {data}\n\n").as_bytes())
     }
 
+    pub fn write_raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
     pub fn comment(&mut self) -> io::Result<()> {
         self.stream.write_all(b": still here\n\n")
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,8 +1,7 @@
-//! Every decision of one gateway. The types, events and actions are in `src/interface.rs`,
-//! what is remembered in `src/state.rs`.
-//! A request passes through the files of `src/decide`: arrival, draws, admission, choice, rules and send,
-//! outcome, ending. Then come health, shedding and the list of engines. The mechanism is that of the
-//! BI Batch Manager paper for many gateways and engines; docs/design.md says what was kept and what changed.
+//! Every decision of one gateway. Types, events and actions are in `src/interface.rs`, what is remembered in
+//! `src/state.rs`. A request passes through the files of `src/decide`: arrival, draws, admission, choice, rules
+//! and send, outcome, ending; then health, shedding, the list of engines. The mechanism is that of the BI Batch
+//! Manager paper for many gateways and engines; docs/design.md says what was kept and what changed.
 
 mod admission;
 mod arrival;
@@ -137,8 +136,7 @@
             Event::Arrived(request) => self.take(request),
             Event::Ended(ended) => self.outcome(ended),
             Event::RanBefore { request, earlier } => {
-                let held = self.requests.get_mut(&request).into_iter();
-                held.for_each(|held| held.req.earlier.extend(earlier.iter().copied()));
+                _ = self.requests.get_mut(&request).map(|held| held.req.earlier.extend(earlier))
             }
             Event::Noted { request, attempt, note } => self.noted(request, attempt, note),
             Event::StreamBegan { request } => _ = self.requests.get_mut(&request).map(|h| h.streaming = true),
@@ -151,9 +149,7 @@
             Event::Remembered { lessons, age } => self.remember(lessons, age),
             Event::ListFailed => self.subscribe_at = Some(now + self.set.ask_every / 8),
         }
-        if self.subscribe_at.take_if(|at| *at <= now).is_some() {
-            self.actions.push(Action::Subscribe);
-        }
+        self.actions.extend(self.subscribe_at.take_if(|at| *at <= now).map(|_| Action::Subscribe));
         // A note or an arrival frees no room, so only what else happens is worth a look at the whole queue.
         if !quiet {
             self.release();
@@ -177,14 +173,13 @@
         self.traffic.level *= if self.traffic.heard { 1.0 } else { kept };
         self.keys.retain(|_, (line, rests_until)| !line.is_empty() || *rests_until > now);
         let since = now.saturating_sub(self.set.attempt_budget.map_or(0, |budget| budget.span));
-        self.traffic.taken.retain(|&at| at >= since);
-        self.traffic.further.retain(|&at| at >= since);
+        self.traffic.forget(since);
         self.traffic.groups.retain(|_, (_, at)| self.traffic.arrivals - *at < GROUP_FADED * GROUP_MEMORY);
         let since = now.saturating_sub(self.set.fall_window);
         for engine in self.engines.values_mut() {
             engine.observe(now, memory, None);
             engine.loading.retain(|_, at| *at + memory as Micros > now);
-            engine.cold_sends.retain(|(at, _)| *at >= since);
+            engine.cold_sends.retain(|(at, ..)| *at >= since);
         }
         self.engines.retain(|_, engine| engine.listed || !engine.out.is_empty());
     }
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -13,8 +13,8 @@
             let held = &self.requests[&id];
             let memory = held.memory;
             let like = (class, if self.concerned(class) { held.req.group } else { 0 });
-            if full[class] || !self.is_drawn(held) || no_room.get(&like).is_some_and(|&least| memory >= least)
-            {
+            let small = no_room.get(&like).is_none_or(|&least| memory < least);
+            if full[class] || !small || !self.is_drawn(held) {
                 continue;
             }
             let plain = held.attempts.is_empty() && !self.set.classes[class].ordered;
@@ -53,10 +53,8 @@
         let dashboard = self.is_dashboard(held.req.class);
         // A dashboard runs ahead of what is larger, so only its like stands before it, until the engine jams.
         // What can't be taken back jams for long, so there any pressure counts as a jam.
-        let jam = match self.set.may_cancel {
-            true => self.now < engine.pressed_until || engine.stretch > CLIP * engine.best,
-            false => engine.under_pressure(self.now),
-        };
+        let jammed = self.now < engine.pressed_until || engine.stretch > CLIP * engine.best;
+        let jam = if self.set.may_cancel { jammed } else { engine.under_pressure(self.now) };
         let ahead = |charge: &&Charge| jam || self.thin || !dashboard || self.is_dashboard(charge.class);
         let own: f64 = engine.out.values().filter(ahead).map(|charge| charge.threads).sum();
         let before = own + others;
--- a/src/decide/arrival.rs
+++ b/src/decide/arrival.rs
@@ -10,8 +10,7 @@
         let work = req.work.map_or(usual, |estimate| estimate * known.work_ratio);
         let memory = req.memory_mb.map_or(known.memory.unwrap_or(0.0), |mb| mb * known.memory_ratio);
         let (id, class_id, group, ideal) = (req.id, req.class, req.group, work / class.threads);
-        // Early, so that the answer is in the client's hands before it gives up, also where both were held
-        // up.
+        // Early, so that the answer is in the client's hands in time, also where both were held up.
         let margin =
             2 * self.set.tick + (ANSWER_MARGIN * req.deadline.saturating_sub(self.now) as f64) as Micros;
         let end_by = req.deadline.saturating_sub(margin).max(self.now);
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -13,11 +13,8 @@
         // An engine that erred on it isn't asked for it again while there are others.
         let erred = |id: &EngineId| held.erred_at().any(|other| other == *id);
         let others = order.iter().any(|id| !erred(id));
-        let among = |id: &EngineId| {
-            (!self.thin || held.asked.contains(id))
-                && (!self.few || order.contains(id))
-                && !(others && erred(id))
-        };
+        let near = |e: &EngineId| (!self.thin || held.asked.contains(e)) && (!self.few || order.contains(e));
+        let among = |id: &EngineId| near(id) && !(others && erred(id));
         let able = |e: &Engine| e.asked_at == 0 && self.rules_allow(held, e) && self.has_room(held, e);
         let able = self.engines.iter().filter(|(id, e)| among(id) && able(e));
         let priced = able.map(|(&id, e)| (self.cost(held, e, &order[..homes]), id));
--- a/src/decide/draws.rs
+++ b/src/decide/draws.rs
@@ -14,8 +14,8 @@
         let (mut order, homes) = self.homes(held);
         let away = self.keeps_away(held.req.class);
         order.drain(..if away && order.len() > homes { homes } else { 0 });
-        order
-            .retain(|id| self.rules_allow(held, &self.engines[id]) && self.may_take(held, &self.engines[id]));
+        let able = |e: &Engine| self.rules_allow(held, e) && self.may_take(held, e);
+        order.retain(|id| able(&self.engines[id]));
         let (mut asked, first) = (Vec::new(), held.asked_at == 0);
         for (turn, lot) in lots.into_iter().enumerate().take(order.len()) {
             // Once the homes had no room the last one is any engine.
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -72,12 +72,9 @@
 
     /// Silence: attempts are out, yet no note and no outcome comes while other engines speak.
     pub(super) fn watch_silence(&mut self) {
-        let limit = |e: &Engine| match self.set.note_period {
-            0 => {
-                (e.out.values().map(|c| c.ideal).fold(0.0, f64::max) * e.stretch).max(self.latency / SILENCE)
-            }
-            period => period as f64,
-        };
+        let notes = self.set.note_period as f64;
+        let longest = |e: &Engine| e.out.values().map(|c| c.ideal).fold(0.0, f64::max) * e.stretch;
+        let limit = |e: &Engine| if notes > 0.0 { notes } else { longest(e).max(self.latency / SILENCE) };
         let busy = self.engines.iter().filter(|(_, e)| !e.out.is_empty());
         let quiet = |e: &Engine| (self.now - e.last_heard) as f64 > SILENCE * limit(e);
         let mute = busy.clone().filter(|(_, e)| quiet(e));
--- a/src/decide/lessons.rs
+++ b/src/decide/lessons.rs
@@ -24,8 +24,7 @@
             (own.work, own.memory) = (told.work, told.memory_mb);
         }
         for told in &lessons.engines {
-            let same =
-                |own: &&mut Engine| own.listed && own.entry.booted_at == told.booted_at && own.ideal == 0.0;
+            let same = |e: &&mut Engine| e.listed && e.entry.booted_at == told.booted_at && e.ideal == 0.0;
             let Some(own) = self.engines.get_mut(&told.engine).filter(same) else { continue };
             own.best = doubted(1.0, told.best.clamp(0.0, 1.0));
             own.stretch = doubted(own.best, told.stretch.max(own.best));
--- a/src/decide/outcome.rs
+++ b/src/decide/outcome.rs
@@ -9,11 +9,14 @@
         let never_ran = matches!(end.outcome, Outcome::Full | Outcome::NoConnection | Outcome::Unsent);
         tried.state = if never_ran { State::NeverRan } else { State::MayHaveRun };
         tried.erred = end.outcome == Outcome::Error;
-        let engine_id = tried.entry.engine;
+        let (engine_id, tried) = (tried.entry.engine, *tried);
         held.ended |= end.complete;
         let unusable = held.erred_at_several();
         let (ended, class) = (held.ended, held.req.class);
         let (estimate, key) = ((held.req.work, held.req.memory_mb), held.req.key.clone());
+        if end.outcome == Outcome::Unsent {
+            self.uncount_sent(end.request, end.attempt, &tried);
+        }
         let rests_until = self.now + self.set.order_pause + self.set.tick;
         let charge = self.uncharge(engine_id, &end);
         if let Some(charge) = charge.filter(|_| end.outcome == Outcome::Answered) {
@@ -63,15 +66,9 @@
         known.memory = Some(mean + LEARN * (bill.memory_mb - mean));
     }
 
-    pub(super) fn learn_stretch(
-        &mut self,
-        engine: EngineId,
-        charge: &Charge,
-        spent: Micros,
-        bill: Option<Bill>,
-    ) {
+    pub(super) fn learn_stretch(&mut self, id: EngineId, charge: &Charge, spent: Micros, bill: Option<Bill>) {
         let ideal = bill.map_or(charge.ideal, |bill| bill.work / charge.threads);
-        let Some(engine) = self.engines.get_mut(&engine) else { return };
+        let Some(engine) = self.engines.get_mut(&id) else { return };
         engine.observe(self.now, self.latency, (!charge.waited).then_some((spent as f64, ideal)));
         engine.widen(if engine.under_pressure(self.now) { -BOUND_CUT } else { 1.0 });
     }
--- a/src/decide/rules.rs
+++ b/src/decide/rules.rs
@@ -59,22 +59,21 @@
 
     /// Cold engines: this gateway's share of the budget, in usual work of the classes sent.
     pub(super) fn cold_budget_allows(&self, held: &Held, engine: &Engine) -> bool {
-        let usual = self.learned[held.req.class].work;
+        let (usual, window) = (self.learned[held.req.class].work, self.set.fall_window as f64);
         let capacity = self.set.start_capacity * CAPACITY_BUSY * self.kind(engine).cores;
-        let window = self.set.fall_window as f64;
         let whole = self.set.fall_multiple * capacity * window;
         if self.now >= engine.cold_until {
             return true;
         }
         if self.thin {
-            // A share of less than a query is given by lot: each request may go there with the chance that
-            // makes the sum over all gateways fit, less what chance may add to it.
+            // Less than a query is given by lot, at odds that make the sum of all gateways fit, chance included.
             let safe = ((CHANCE * CHANCE * usual + 4.0 * whole).sqrt() - CHANCE * usual.sqrt()) / 2.0;
             let asked = self.traffic.work * window / self.traffic.gap.max(1.0) * self.set.peers;
             return chance(held.req.id ^ mix(engine.entry.engine as u64)) < COLD_MARGIN * safe * safe / asked;
         }
         let since = self.now.saturating_sub(self.set.fall_window);
-        let sent: f64 = engine.cold_sends.iter().filter(|(at, _)| *at >= since).map(|(_, work)| work).sum();
+        let sent: f64 =
+            engine.cold_sends.iter().filter(|(at, ..)| *at >= since).map(|(_, work, _)| work).sum();
         sent + usual <= COLD_MARGIN * whole * self.share
     }
 }
--- a/src/decide/send.rs
+++ b/src/decide/send.rs
@@ -15,22 +15,13 @@
         let (ideal, sent_at) = (held.ideal, self.now);
         let charge = Charge { class, group, memory, threads, ideal, sent_at, waited: false, noted: None };
         let grant = self.grant(held, engine);
-        let usual = self.learned[class].work;
+        let (entry, state, attempt) = (engine.entry, State::Out, held.attempts.len());
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
-        let Some(held) = self.requests.get_mut(&id) else { return };
-        if !held.attempts.is_empty() {
-            self.traffic.further.push_back(self.now);
-        }
-        if self.now < engine.cold_until {
-            engine.cold_sends.push_back((self.now, usual));
-        }
-        if engine.out.is_empty() {
-            engine.last_heard = self.now;
-        }
-        engine.out.insert((id, held.attempts.len()), charge);
+        engine.last_heard = if engine.out.is_empty() { self.now } else { engine.last_heard };
+        engine.out.insert((id, attempt), charge);
         engine.tally();
-        let (entry, state) = (engine.entry, State::Out);
-        held.attempts.push(Attempt { entry, sent_at, state, cancelled: false, erred: false });
+        self.count_sent(id, Attempt { entry, sent_at, state, cancelled: false, erred: false });
+        let Some(held) = self.requests.get_mut(&id) else { return };
         self.queue.remove(&(held.due, id));
         (held.grant, held.rank) = (grant, None);
         let give_up_at = held.end_by;
@@ -38,6 +29,36 @@
         self.actions.push(Action::Send { request: id, engine: engine_id, give_up_at });
     }
 
+    /// Asked when the first byte of an attempt is let go: what held when it was sent may hold no more. False:
+    /// it is withdrawn, to end as never sent.
+    pub fn begins(&mut self, now: Micros, id: RequestId, attempt: usize) -> bool {
+        self.now = now;
+        let last = self.requests.get_mut(&id).filter(|held| held.attempts.len() == attempt + 1);
+        let Some(mut tried) = last.and_then(|held| held.attempts.pop()) else { return false };
+        self.uncount_sent(id, attempt, &tried);
+        let (held, engine) = (&self.requests[&id], self.engines.get(&tried.entry.engine));
+        let same = engine.filter(|own| own.entry.booted_at == tried.entry.booted_at);
+        let goes = !tried.cancelled && same.is_some_and(|engine| self.rules_allow(held, engine));
+        tried.sent_at = now;
+        self.count_sent(id, tried);
+        goes
+    }
+
+    /// Budgets count an attempt from its first byte on, as far as the host tells of that.
+    fn count_sent(&mut self, id: RequestId, tried: Attempt) {
+        let Some(held) = self.requests.get_mut(&id) else { return };
+        let cold = self.engines.get_mut(&tried.entry.engine).filter(|own| self.now < own.cold_until);
+        let usual = self.learned[held.req.class].work;
+        cold.into_iter().for_each(|own| own.cold_sends.push_back((tried.sent_at, usual, id)));
+        self.traffic.further.extend((!held.attempts.is_empty()).then_some(tried.sent_at));
+        held.attempts.push(tried);
+    }
+
+    pub(super) fn uncount_sent(&mut self, id: RequestId, attempt: usize, tried: &Attempt) {
+        self.traffic.uncount_further(attempt, tried.sent_at);
+        self.engines.get_mut(&tried.entry.engine).into_iter().for_each(|own| own.uncount(id, tried.sent_at));
+    }
+
     /// A quarter over the corrected estimate, never under the engine's default, within the largest grant.
     pub(super) fn grant(&self, held: &Held, engine: &Engine) -> f64 {
         let estimate = held.memory.max(held.req.memory_mb.unwrap_or(0.0));
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,9 +11,10 @@
     MayHaveRun,
 }
 
+#[derive(Clone, Copy)]
 pub(crate) struct Attempt {
-    pub(crate) entry: Entry, // The engine as it was listed then
-    pub(crate) sent_at: Micros,
+    pub(crate) entry: Entry,    // The engine as it was listed then
+    pub(crate) sent_at: Micros, // When its first byte went out, as far as the host has told
     pub(crate) state: State,
     pub(crate) cancelled: bool,
     pub(crate) erred: bool,
@@ -73,7 +74,7 @@
     pub(crate) entry: Entry,
     pub(crate) listed: bool,
     pub(crate) cold_until: Micros,
-    pub(crate) cold_sends: VecDeque<(Micros, f64)>,
+    pub(crate) cold_sends: VecDeque<(Micros, f64, RequestId)>,
     pub(crate) out: BTreeMap<(RequestId, usize), Charge>,
     pub(crate) threads: f64,
     pub(crate) memory: f64,
@@ -117,6 +118,11 @@
         }
     }
 
+    /// A send that never came about.
+    pub(crate) fn uncount(&mut self, id: RequestId, sent_at: Micros) {
+        self.cold_sends.retain(|sent| (sent.0, sent.2) != (sent_at, id));
+    }
+
     pub(crate) fn open(&self) -> bool {
         self.listed && self.entry.phase == Phase::Ready
     }
@@ -168,6 +174,20 @@
     pub(crate) further: VecDeque<Micros>,
 }
 
+impl Traffic {
+    /// A further attempt that never came about.
+    pub(crate) fn uncount_further(&mut self, attempt: usize, sent_at: Micros) {
+        let place = self.further.iter().rposition(|own| *own == sent_at).filter(|_| attempt > 0);
+        place.map(|place| self.further.remove(place));
+    }
+
+    /// What lies so far back that no budget looks at it.
+    pub(crate) fn forget(&mut self, since: Micros) {
+        self.taken.retain(|&at| at >= since);
+        self.further.retain(|&at| at >= since);
+    }
+}
+
 /// A number from 0 to 1 that looks drawn by chance.
 pub(crate) fn chance(value: u64) -> f64 {
     (mix(value) >> 11) as f64 / (1u64 << 53) as f64
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,10 +1,11 @@
 //! Rules on days that nobody has drawn: drawn settings and events, the rule judged from outside by the actions alone.
-//! Order of a key, the budget of further attempts, and effects that must never come twice.
+//! Order of a key, the budget of further attempts, effects that must never come twice, drains and clients that have
+//! gone. What counts is the first byte of an attempt, which some days hold back for a while.
 
 mod common;
 use common::*;
 use eideryard::interface::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 const UNSAFE: usize = 3;
 const SEEDS: u64 = 150;
@@ -14,8 +15,12 @@
     class: usize,
     key: Option<String>,
     over: bool,
+    end_by: Micros,
     /// How each attempt ended, none while it is out.
     attempts: Vec<Option<Outcome>>,
+    engines: Vec<EngineId>,
+    /// When the first byte of each went out.
+    begun: Vec<Option<Micros>>,
 }
 
 /// What an observer of a gateway's events and actions knows, and what it objects to.
@@ -25,18 +30,21 @@
     further: Vec<Micros>,
     requests: BTreeMap<RequestId, Seen>,
     rests: BTreeMap<String, Micros>,
+    /// Engines that take nothing new, as the gateway was told.
+    closed: BTreeSet<EngineId>,
     broken: Vec<String>,
 }
 
 impl Judge {
     fn new(set: Settings) -> Self {
-        let (taken, further, broken) = Default::default();
-        Judge { set, taken, further, requests: BTreeMap::new(), rests: BTreeMap::new(), broken }
+        let (taken, further, broken, rests, closed) = Default::default();
+        Judge { set, taken, further, requests: BTreeMap::new(), rests, closed, broken }
     }
 
     fn takes(&mut self, now: Micros, request: &Request) {
         self.taken.push(now);
-        let seen = Seen { class: request.class, key: request.key.clone(), ..Seen::default() };
+        let (class, key, end_by) = (request.class, request.key.clone(), request.deadline);
+        let seen = Seen { class, key, end_by, ..Seen::default() };
         self.requests.insert(request.id, seen);
     }
 
@@ -51,7 +59,7 @@
 
     fn acts(&mut self, now: Micros, action: &Action) {
         match action {
-            Action::Send { request, .. } => self.sends(now, *request),
+            Action::Send { request, engine, .. } => self.sends(now, *request, *engine),
             Action::Refuse { request, .. } => {
                 let seen = self.requests.get_mut(request).expect("a request that was taken");
                 if seen.class == UNSAFE && seen.attempts.iter().any(|a| !never_ran(a)) {
@@ -66,7 +74,7 @@
         }
     }
 
-    fn sends(&mut self, now: Micros, request: RequestId) {
+    fn sends(&mut self, now: Micros, request: RequestId, engine: EngineId) {
         let seen = &self.requests[&request];
         let mut wrong = Vec::new();
         let out = seen.attempts.iter().any(Option::is_none);
@@ -85,15 +93,39 @@
                 wrong.push("its key rests");
             }
         }
-        if let Some(budget) = self.set.attempt_budget.filter(|_| !seen.attempts.is_empty()) {
+        self.broken.extend(wrong.into_iter().map(|why| format!("send of {request}: {why}")));
+        let seen = self.requests.get_mut(&request).unwrap();
+        seen.attempts.push(None);
+        seen.begun.push(None);
+        seen.engines.push(engine);
+    }
+
+    /// The first byte of an attempt goes out.
+    fn begins(&mut self, now: Micros, (request, attempt): (RequestId, usize)) {
+        let seen = self.requests.get_mut(&request).unwrap();
+        let mut wrong = Vec::new();
+        if seen.over || now >= seen.end_by {
+            wrong.push("its client waits no more");
+        }
+        if self.closed.contains(&seen.engines[attempt]) {
+            wrong.push("its engine drains or is gone");
+        }
+        let class = &self.set.classes[seen.class];
+        let before = seen.attempts.iter().zip(&seen.begun).filter(|(outcome, _)| !never_ran(outcome));
+        let ran = before.filter_map(|(_, begun)| *begun).min();
+        if class.effect == Effect::Keyed && ran.is_some_and(|ran| now >= ran + class.window) {
+            wrong.push("its key is forgotten");
+        }
+        let again = seen.begun.iter().any(Option::is_some);
+        seen.begun[attempt] = Some(now);
+        if let Some(budget) = self.set.attempt_budget.filter(|_| again) {
             let lately = |times: &[Micros]| times.iter().filter(|at| **at + budget.span > now).count() as f64;
             self.further.push(now);
             if lately(&self.further) > budget.spare + budget.ratio * lately(&self.taken) {
                 wrong.push("over the budget");
             }
         }
-        self.broken.extend(wrong.into_iter().map(|why| format!("send of {request}: {why}")));
-        self.requests.get_mut(&request).unwrap().attempts.push(None);
+        self.broken.extend(wrong.into_iter().map(|why| format!("first byte of {request}: {why}")));
     }
 }
 
@@ -107,12 +139,15 @@
     last.is_load = true;
     set.classes.push(last);
     set.classes[LOAD].ordered = true;
-    set.peers = [1.0, 3.0, 20.0, 90.0][rng.usize(..4)];
+    set.peers = [1.0, 3.0, 20.0, 30.0, 90.0][rng.usize(..5)];
     (set.may_probe, set.counts_by_probe) = (rng.bool(), rng.bool());
     (set.may_cancel, set.may_duplicate) = (rng.bool(), rng.bool());
     set.note_period = if rng.bool() { 500 * MS } else { 0 };
     set.order_pause = rng.u64(0..2 * S);
     set.max_attempts = rng.usize(1..7);
+    set.classes.iter_mut().for_each(|class| class.window = [100 * MS, S, 10 * S][rng.usize(..3)]);
+    set.classes.iter_mut().for_each(|class| class.aim = [100 * MS, S, 5 * S][rng.usize(..3)]);
+    set.fall_window = [S, 3 * S][rng.usize(..2)];
     let ratio = rng.f64() * 0.5;
     set.attempt_budget = rng.bool().then_some(AttemptBudget { span: 5 * S, ratio, spare: 3.0 });
     set
@@ -125,11 +160,12 @@
     let engines: Vec<Entry> = (1..=rng.u32(2..12)).map(ready).collect();
     let mut bench = Bench::seeded(set.clone(), seed, &engines);
     let mut judge = Judge::new(set);
-    let mut out: Vec<(RequestId, usize)> = Vec::new();
+    let mut day =
+        Day { late: [0.0, 0.5][rng.usize(..2)], out: Vec::new(), held: Vec::new(), rng: rng.fork() };
     let sick = rng.f64();
     for id in 0..250 {
         let (now, class) = (bench.now, rng.usize(..4));
-        let deadline = now + rng.u64(S..20 * S);
+        let deadline = now + if rng.bool() { rng.u64(S..20 * S) } else { 100 * MS };
         let key = (class == LOAD).then(|| format!("k{}", rng.u32(..4)));
         let mut actions = match rng.u32(..20) {
             0 => {
@@ -140,10 +176,14 @@
             1 => {
                 let mut entry = engines[rng.usize(..engines.len())];
                 entry.phase = [Phase::Ready, Phase::Draining, Phase::Gone][rng.usize(..3)];
+                match entry.phase {
+                    Phase::Ready => judge.closed.remove(&entry.engine),
+                    _ => judge.closed.insert(entry.engine),
+                };
                 bench.tell(Event::ListChanges(vec![entry]))
             }
-            2..=9 if !out.is_empty() => {
-                let (request, attempt) = out.swap_remove(rng.usize(..out.len()));
+            2..=9 if !day.out.is_empty() => {
+                let (request, attempt) = day.out.swap_remove(rng.usize(..day.out.len()));
                 let bad = [Outcome::Error, Outcome::Full, Outcome::TimedOut, Outcome::NoConnection];
                 let outcome = match rng.f64() < sick {
                     true => bad.into_iter().chain([Outcome::Broken]).nth(rng.usize(..5)).unwrap(),
@@ -151,22 +191,46 @@
                 };
                 finish(&mut bench, &mut judge, (request, attempt), outcome)
             }
+            10..=12 if !day.held.is_empty() => {
+                let of = day.held.swap_remove(day.rng.usize(..day.held.len()));
+                day.let_go(&mut bench, &mut judge, of)
+            }
             _ => {
                 let asked = Request { class, key, group: rng.u64(..30), ..lookup(id, deadline) };
                 judge.takes(now, &asked);
                 bench.take(asked)
             }
         };
-        heed(&mut bench, &mut judge, &mut out, &mut actions);
+        heed(&mut bench, &mut judge, &mut day, &mut actions);
         // In small steps, so that what timers bring about is judged at its own time.
         for _ in 0..rng.u32(..40) {
             let mut actions = bench.pass(5 * MS);
-            heed(&mut bench, &mut judge, &mut out, &mut actions);
+            heed(&mut bench, &mut judge, &mut day, &mut actions);
         }
     }
     judge
 }
 
+/// What is out, and what has no byte out yet since its dial isn't up.
+struct Day {
+    late: f64,
+    out: Vec<(RequestId, usize)>,
+    held: Vec<(RequestId, usize)>,
+    rng: fastrand::Rng,
+}
+
+impl Day {
+    /// The dial is up: the module is asked, and told where it says no.
+    fn let_go(&mut self, bench: &mut Bench, judge: &mut Judge, of: (RequestId, usize)) -> Vec<Action> {
+        if !bench.gateway.begins(bench.now, of.0, of.1) {
+            return finish(bench, judge, of, Outcome::Unsent);
+        }
+        judge.begins(bench.now, of);
+        self.out.push(of);
+        Vec::new()
+    }
+}
+
 fn finish(bench: &mut Bench, judge: &mut Judge, of: (RequestId, usize), outcome: Outcome) -> Vec<Action> {
     let complete = outcome == Outcome::Answered || judge.requests[&of.0].over;
     let now = bench.now;
@@ -177,16 +241,26 @@
 }
 
 /// Judges actions in their order; a cancel is heeded at once, a probe finds an idle engine.
-fn heed(bench: &mut Bench, judge: &mut Judge, out: &mut Vec<(RequestId, usize)>, actions: &mut Vec<Action>) {
+fn heed(bench: &mut Bench, judge: &mut Judge, day: &mut Day, actions: &mut Vec<Action>) {
     while !actions.is_empty() {
         let action = actions.remove(0);
         judge.acts(bench.now, &action);
         match action {
-            Action::Send { request, .. } => out.push((request, judge.requests[&request].attempts.len() - 1)),
-            Action::Cancel { request, attempt } if out.contains(&(request, attempt)) => {
-                out.retain(|own| *own != (request, attempt));
+            Action::Send { request, .. } => {
+                let of = (request, judge.requests[&request].attempts.len() - 1);
+                match day.rng.f64() < day.late {
+                    true => day.held.push(of),
+                    false => actions.extend(day.let_go(bench, judge, of)),
+                }
+            }
+            Action::Cancel { request, attempt } if day.out.contains(&(request, attempt)) => {
+                day.out.retain(|own| *own != (request, attempt));
                 actions.extend(finish(bench, judge, (request, attempt), Outcome::Cancelled));
             }
+            Action::Cancel { request, attempt } if day.held.contains(&(request, attempt)) => {
+                day.held.retain(|own| *own != (request, attempt));
+                actions.extend(finish(bench, judge, (request, attempt), Outcome::Unsent));
+            }
             Action::Probe { engine } => {
                 let report = Some(LoadReport { in_flight: Some(1.0), ..LoadReport::default() });
                 let probed = Probed { engine, outcome: Outcome::Answered, report };
@@ -232,9 +306,13 @@
         let key = (class == LOAD).then(|| "k".to_string());
         (1..=2).for_each(|id| judge.takes(S, &Request { class, key: key.clone(), ..lookup(id, 9 * S) }));
         judge.acts(S, &send(1));
+        judge.begins(S, (1, 0));
         outcome.into_iter().for_each(|outcome| judge.ends(S, &ended(1, outcome)));
         let next = if refused { Action::Refuse { request: 1, retry_after: 0 } } else { send(second) };
         judge.acts(S, &next);
+        if !refused {
+            judge.begins(S, (second, (second == 1) as usize));
+        }
         judge.broken
     };
     assert!(planted(LOOKUP, 2, None, false).is_empty());
@@ -248,4 +326,29 @@
     ] {
         assert!(!planted(class, second, outcome, refused).is_empty(), "{class} {second} {outcome:?}");
     }
+    // What has changed before the first byte: the client left, the engine drains, the key's window is over.
+    let changes: [fn(&mut Judge); 3] = [
+        |judge| judge.requests.get_mut(&1).unwrap().over = true,
+        |judge| _ = judge.closed.insert(1),
+        |judge| {
+            let seen = judge.requests.get_mut(&1).unwrap();
+            (seen.class, seen.attempts, seen.begun) = (LOAD, vec![Some(Outcome::Broken)], vec![Some(0)]);
+        },
+    ];
+    for (number, change) in changes.into_iter().enumerate() {
+        let mut judge = Judge::new(Settings { attempt_budget: None, ..set.clone() });
+        judge.takes(S, &lookup(1, 90 * S));
+        if number == 2 {
+            change(&mut judge);
+            judge.requests.get_mut(&1).unwrap().engines.push(1);
+        }
+        judge.acts(11 * S, &send(1));
+        if number < 2 {
+            change(&mut judge);
+        }
+        assert!(judge.broken.is_empty());
+        let last = judge.requests[&1].attempts.len() - 1;
+        judge.begins(11 * S, (1, last));
+        assert!(!judge.broken.is_empty(), "change {number}");
+    }
 }
