Ordered classes keep the order that clients name in the field `o`

Change: the gateway hands the module `o` as the key of the order, or `k` where there is none (requests.rs, calling.rs). Up to 64 printable characters; else the error names "o". Nothing of it goes on to engines. Test: four requests of one class on a real socket, red before ("left: [1, 2, 3], right: [1, 3, 4]"), green now.

--- a/crates/command/tests/effects.rs
+++ b/crates/command/tests/effects.rs
@@ -136,3 +136,37 @@
     assert!(matches!(&answer, Answer::Error { id: 1, word, .. } if word == "Failed"), "{answer:?}");
     assert_eq!(gateway.counters()["sent"], 1);
 }
+
+/// Requests of an ordered class bear the key of their order beside that of their effect: those of one order run one at
+/// a time, whatever their other keys, those of another beside them, and one without keeps nobody back.
+#[test]
+fn requests_of_one_order_run_one_at_a_time() {
+    let (bulletin, engines) = stand_ins(1);
+    let mut configured = config(bulletin.address(), &addresses(&engines));
+    configured["settings"]["grades"][1]["sequential"] = json!(true);
+    let mut gateway = Running::start(&configured);
+    let mut client = gateway.client();
+    let ids = ["0000000000000001", "0000000000000002", "0000000000000003", "0000000000000004"];
+    let keys = ids.map(|id| format!("{id}{id}"));
+    let orders = [Some("0000ccb1d26c6c8b"), Some("0000ccb1d26c6c8b"), Some("000204fb92eb08f5"), None];
+    for (number, ((id, key), order)) in ids.iter().zip(&keys).zip(orders).enumerate() {
+        let mut given = fields(id, "15000");
+        given.push(("k", key));
+        given.extend(order.map(|order| ("o", order)));
+        client.call(number as u64 + 1, "load", &given, QUERY).unwrap();
+    }
+    gateway.until("taken", 4);
+    let mut end = engines[0].accept().unwrap();
+    let first: Vec<String> = (0..3).map(|_| next(&mut end, "serve").id().to_string()).collect();
+    assert_eq!(first, [ids[0], ids[2], ids[3]]);
+    assert_eq!(gateway.counters()["sent"], 3);
+    end.answer(ids[0], "OK", "count=1", "a\tb\tc\n").unwrap();
+    let second = next(&mut end, "serve");
+    assert_eq!((second.id(), second.field("replay")), (ids[1], Some(keys[1].as_str())));
+    for id in &ids[1..] {
+        end.answer(id, "OK", "count=1", "a\tb\tc\n").unwrap();
+    }
+    for _ in ids {
+        assert!(matches!(client.answer().unwrap(), Answer::Result { .. }));
+    }
+}
--- a/crates/gateway/src/gateway/calling.rs
+++ b/crates/gateway/src/gateway/calling.rs
@@ -54,8 +54,8 @@
             id: 0,
             class: call.class,
             tenant: call.tenant,
-            // The module keeps the order of classes that have one by it.
-            key: call.key.as_deref().map(str::to_string),
+            // The module keeps the order of classes that have one by it; one that comes without is its own.
+            key: call.order_key.as_deref().or(call.key.as_deref()).map(str::to_string),
             deadline: self.shutdown.last_answer().map_or(deadline, |stop| deadline.min(stop)),
             work: call.work,
             memory_mb: call.memory_mb,
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -11,6 +11,8 @@
 /// Digits of an id and of a key, hex as the protocol has them.
 const ID_DIGITS: usize = 16;
 const KEY_DIGITS: usize = 32;
+/// The longest key of an order.
+const MOST_ORDER_KEY: usize = 64;
 /// Estimates that are so many times off what the largest engine could do or hold are none, and so is a wait
 /// so many times longer than the longest that the settings know.
 const MOST_OFF: f64 = 100.0;
@@ -79,6 +81,8 @@
     pub class: usize,
     pub tenant: usize,
     pub key: Option<Box<str>>,
+    /// What it keeps its turn behind, in classes with an order.
+    pub order_key: Option<Box<str>>,
     /// Its client says that it asks again.
     pub marked: bool,
     pub wait: Micros,
@@ -108,7 +112,7 @@
             None => Ok(None),
             Some(text) => upto(text, most).map(|value| Some(value).filter(|v| *v > 0.0)).ok_or(name),
         };
-        let known = ["i", "d", "t", "r", "k", "h", "ram", "p"];
+        let known = ["i", "d", "t", "r", "k", "o", "h", "ram", "p"];
         if known.iter().any(|name| fields.iter().filter(|(own, _)| own == name).count() > 1) {
             return Err("one that is there twice");
         }
@@ -123,6 +127,8 @@
         if key.is_none() && names.keyed[class] {
             return Err("k");
         }
+        let plain = |text: &&str| text.len() <= MOST_ORDER_KEY && text.bytes().all(|b| b.is_ascii_graphic());
+        let order_key = field("o").map(|text| Some(text).filter(plain).ok_or("o")).transpose()?;
         let wait = field("d").and_then(|text| upto(text, names.longest_wait / 1e3)).ok_or("d")?;
         if body.is_empty() || std::str::from_utf8(body).is_err() || body.contains(&0) {
             return Err("statement");
@@ -132,6 +138,7 @@
             class,
             tenant,
             key: key.map(Into::into),
+            order_key: order_key.filter(|text| !text.is_empty()).map(Into::into),
             marked: field("r") == Some("1"),
             wait: (wait * 1e3) as Micros,
             work: estimate("h", names.most_work / 1e3)?.map(|ms| ms * 1e3),
