A pause of a moment is no reason to shed what waits

Seen while testing effects: a gateway before one engine that answers BUSY once refuses the request a beat later ("refused": 1, "sent": 1), though the engine takes it 20 ms after. `shed` counts no engine that is closed, also where `uncharge` closed it for the moment after a refusal as full; with the last usable one paused the rate of work is next to nothing and all that waits is shed. Where all engines are paused at once, a whole queue goes. Change: shut out are engines on probation until their quarantine ends, as before; a pause isn't.

--- a/crates/command/tests/effects.rs
+++ b/crates/command/tests/effects.rs
@@ -85,6 +85,27 @@
     }
 }
 
+/// Turned away unseen, and the same said once more some time later, when the next attempt is out: no class takes the
+/// second word for the end of that.
+#[test]
+fn a_second_answer_that_comes_late() {
+    for class in CLASSES {
+        let mut stage = asked(class, "15000", |_| ());
+        let mut end = stage.begun();
+        end.answer(ID, "BUSY", "-", "").unwrap();
+        let mut again =
+            stage.engine.accept().unwrap_or_else(|e| panic!("{class}: {e} {:?}", stage.gateway.counters()));
+        assert_eq!(next(&mut again, "serve").id(), ID);
+        end.answer(ID, "BUSY", "-", "").unwrap();
+        end.answer(ID, "OK", "count=1", "x\ty\tz\n").unwrap();
+        stage.gateway.until("full", 1);
+        again.answer(ID, "OK", "count=1", "a\tb\tc\n").unwrap();
+        let answer = stage.client.answer().unwrap();
+        assert_eq!(answer, Answer::Result { id: 1, body: b"a\tb\tc\n".to_vec() }, "{class}");
+        assert_eq!(stage.gateway.counters()["sent"], 2);
+    }
+}
+
 /// Refused connections prove that nothing ran: each class goes on to the engine that is there.
 #[test]
 fn a_connection_that_is_refused() {
--- a/src/decide/shedding.rs
+++ b/src/decide/shedding.rs
@@ -5,8 +5,9 @@
 impl Gateway {
     /// What can't meet its aim gives way: when a request would be late, the one worth least per work goes.
     pub(super) fn shed(&mut self) {
-        // Work a microsecond that this gateway's share of the usable engines gets done.
-        let usable = self.engines.values().filter(|e| e.open() && self.now >= e.quarantined_until);
+        // Work a microsecond that this gateway's share of the engines gets done that aren't shut out for long.
+        let away = |e: &Engine| e.probation > 0 && self.now < e.quarantined_until;
+        let usable = self.engines.values().filter(|e| e.open() && !away(e));
         let cores = |e: &Engine| self.kind(e).cores * self.warmth(e) / self.set.peers;
         let rate = usable.map(|e| e.threads.max(cores(e)) / e.stretch.max(0.5)).sum::<f64>().max(LEARN);
         let mut ahead = 0.0;
