An attempt whose time is up is given up on the wire, also where cancels are forbidden

Ruled out: the key's rest (2 s lay between, it is 0.5 s), a late dial (no `Unsent` among them).

Change: what is given up because its time is up is told to the engine (`cancel`), whatever the settings say of cancels that are a choice: those the module still doesn't make. `begins` and the rest are untouched. Test on a real socket, red before: left [serve 1, serve 2], right [serve 1, cancel 1, serve 2].

--- a/crates/command/tests/effects.rs
+++ b/crates/command/tests/effects.rs
@@ -191,3 +191,30 @@
         assert!(matches!(client.answer().unwrap(), Answer::Result { .. }));
     }
 }
+
+/// Cancels are forbidden, and an attempt's time is up: it is given up on the wire too, before the next of its order is
+/// sent, which would else find it out there.
+#[test]
+fn an_attempt_whose_time_is_up_is_given_up_before_the_next_of_its_order() {
+    let (bulletin, engines) = stand_ins(1);
+    let mut configured = config(bulletin.address(), &addresses(&engines));
+    configured["settings"]["grades"][1]["sequential"] = json!(true);
+    configured["settings"]["limits"]["may-cancel"] = json!(false);
+    let gateway = Running::start(&configured);
+    let mut client = gateway.client();
+    let second = "0000000000000002";
+    for (number, id, wait) in [(1, ID, "500"), (2, second, "15000")] {
+        let key = format!("{id}{id}");
+        let mut given = fields(id, wait);
+        given.extend([("k", key.as_str()), ("o", "0000ccb1d26c6c8b")]);
+        client.call(number, "load", &given, QUERY).unwrap();
+    }
+    let mut end = engines[0].accept().unwrap();
+    let said: Vec<_> =
+        std::iter::from_fn(|| end.command().ok()).filter(|own| own.verb() != "weigh").take(3).collect();
+    let said: Vec<_> = said.iter().map(|own| (own.verb(), own.id())).collect();
+    assert_eq!(said, [("serve", ID), ("cancel", ID), ("serve", second)]);
+    end.answer(second, "OK", "count=1", "a\tb\tc\n").unwrap();
+    assert!(matches!(client.answer().unwrap(), Answer::Error { id: 1, .. }));
+    assert!(matches!(client.answer().unwrap(), Answer::Result { id: 2, .. }));
+}
--- a/crates/gateway/src/engines.rs
+++ b/crates/gateway/src/engines.rs
@@ -310,14 +310,13 @@
     }
 
     /// Gives an attempt up. What still waits to be written is never sent: nothing may go out for a request
-    /// after its answer. True: the engine may have seen it. Where engines heed no cancel (`tell` is false)
-    /// its answer is still passed over.
+    /// after its answer. True: the engine may have seen it, and is told, also where it stops nothing for that
+    /// and where only time ends attempts: until then the attempt counts as out there.
     pub fn give_up(
         &mut self,
         now: Micros,
         key: Key,
         id: &str,
-        tell: bool,
         due: &mut Deadlines,
         heard: &mut Vec<Heard>,
     ) -> bool {
@@ -335,8 +334,7 @@
         }
         let out = conn.connection.output.tail();
         match open.stage {
-            Stage::Running if tell => line::write_cancel(out, id),
-            Stage::Running => {}
+            Stage::Running => line::write_cancel(out, id),
             Stage::Reading { .. } | Stage::Spooling { .. } => line::write_release(out, id),
         }
         // Nothing at all has come since: other requests may have an engine that still answers, on another
--- a/crates/gateway/src/engines/tests.rs
+++ b/crates/gateway/src/engines/tests.rs
@@ -28,7 +28,7 @@
     conns.sort();
     assert_eq!((conns[0], counters.dials), (conns[2], 1), "one connection carries all three");
     assert!(engines.weigh(conns[0], "b", 1) && engines.weigh(conns[0], "c", 0));
-    assert!(!engines.give_up(NOW, conns[0], "b", true, &mut due, &mut heard));
+    assert!(!engines.give_up(NOW, conns[0], "b", &mut due, &mut heard));
     let mut expected = Vec::new();
     ["a", "c"].iter().for_each(|id| serve(id).write(&mut expected));
     let conn = engines.table.get_mut(conns[0]).unwrap();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -22,13 +22,13 @@
 use crate::deadlines::{Deadlines, Due};
 use crate::engines::{self, Engines};
 use crate::keeping::{Keeping, Ready, Sending, Waiting};
-use crate::link::Link;
 use crate::requests::{self, place, Attempt, Call, Names, NotTaken, Requests};
 use crate::sharing::About;
 use crate::shutdown::{Left, Phase as Stage, Shutdown, Step};
 use crate::spooling::{Spooling, Told as Word, Waiter};
 use crate::table::Key;
 use crate::tap::Tap;
+use crate::link::Link;
 
 mod acting;
 mod calling;
@@ -60,7 +60,6 @@
     coming: std::collections::BTreeSet<Key>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
-    may_cancel: bool,
     may_advise: bool,
     longest_wait: Micros,
     /// Names of engines by their numbers, and what the list said last of each.
@@ -129,7 +128,13 @@
         let mut gateway = Gateway {
             clients: Clients::new(events, config.listen, config.sockets, config.memory_mb, tap.is_on())?,
             engines: Engines::new(events, limits),
-            link: Link::new(events, config.bulletin, config.known.no, config.host.dial_timeout, config.seed),
+            link: Link::new(
+                events,
+                config.bulletin,
+                config.known.no,
+                config.host.dial_timeout,
+                config.seed,
+            ),
             requests: Requests::new(config.memory_mb),
             names,
             due: Deadlines::new(),
@@ -140,7 +145,6 @@
             coming: Default::default(),
             events: VecDeque::new(),
             actions: Vec::new(),
-            may_cancel: config.settings.may_cancel,
             may_advise: config.settings.may_advise,
             longest_wait: config.host.longest_wait,
             engine_names: BTreeMap::new(),
@@ -449,7 +453,7 @@
         }
         let Some(conn) = tried.conn else { return };
         let (now, due, heard) = (self.clock.now(), &mut self.due, &mut self.from_engines);
-        let sent = self.engines.give_up(now, conn, &request.id, self.may_cancel, due, heard);
+        let sent = self.engines.give_up(now, conn, &request.id, due, heard);
         self.over(key, attempt, if sent { outcome } else { Outcome::Unsent }, false, None, None);
     }
 
