--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,7 +28,7 @@
 use crate::spooling::{Spooling, Told as Word, Waiter};
 use crate::table::Key;
 use crate::tap::Tap;
-use crate::link::Link;
+use crate::watch::Watch;
 
 mod acting;
 mod calling;
@@ -49,7 +49,7 @@
     due: Deadlines,
     clients: Clients,
     engines: Engines,
-    link: Link,
+    watch: Watch,
     requests: Requests,
     names: Names,
     pub counters: Counters,
@@ -128,7 +128,7 @@
         let mut gateway = Gateway {
             clients: Clients::new(events, config.listen, config.sockets, config.memory_mb, tap.is_on())?,
             engines: Engines::new(events, limits),
-            link: Link::new(
+            watch: Watch::new(
                 events,
                 config.bulletin,
                 config.known.no,
@@ -159,7 +159,7 @@
         gateway.clients.pages = gateway.spooling.is_some();
         gateway.tell_state();
         config.known.items.into_iter().for_each(|item| gateway.listed(item));
-        gateway.link.call(now, &mut gateway.due, &mut gateway.counters);
+        gateway.watch.call(now, &mut gateway.due, &mut gateway.counters);
         gateway.settle();
         // Behind the list: what was learned is held against the engines that are there now.
         if let Some((lessons, age)) = gateway.keeping.as_mut().and_then(|keeping| keeping.lessons()) {
@@ -227,11 +227,11 @@
             }
             Wake::Bulletin => {
                 let mut items = Vec::new();
-                let before = (self.link.is_heard(), self.counters.list_events);
-                if self.link.read(now, &mut self.due, &mut self.counters, &mut items) {
+                let before = (self.watch.is_heard(), self.counters.list_events);
+                if self.watch.read(now, &mut self.due, &mut self.counters, &mut items) {
                     again.push(wake);
                 }
-                self.tell_link(now, before, &items);
+                self.tell_watch(now, before, &items);
                 items.into_iter().for_each(|item| self.listed(item));
             }
             // Its work is done at the end of each look.
@@ -281,9 +281,9 @@
             Due::Conn(key) => self.engines.conn_due(key, &mut self.due, &mut self.from_engines),
             Due::Probe(key, number) => self.engines.probe_late(key, number, &mut self.from_engines),
             Due::Bulletin => {
-                let before = (self.link.is_heard(), self.counters.list_events);
-                self.link.due(now, &mut self.due, &mut self.counters);
-                self.tell_link(now, before, &[]);
+                let before = (self.watch.is_heard(), self.counters.list_events);
+                self.watch.due(now, &mut self.due, &mut self.counters);
+                self.tell_watch(now, before, &[]);
             }
             Due::Accept => _ = self.accept(),
             // Its steps are taken at the end of each look.
@@ -467,7 +467,7 @@
                 self.counters.reloads += 1;
                 self.tap.host(self.clock.now(), Host::Reloaded { done: true });
                 tracing::info!("reloaded; the bulletin is at {}", config.bulletin);
-                self.link.move_to(config.bulletin, self.clock.now(), &mut self.due);
+                self.watch.move_to(config.bulletin, self.clock.now(), &mut self.due);
             }
             Err(message) => {
                 self.counters.reloads_failed += 1;
--- a/crates/gateway/src/gateway/acting.rs
+++ b/crates/gateway/src/gateway/acting.rs
@@ -40,7 +40,7 @@
                 request.and_then(|key| self.requests.get_mut(key)).map(|r| r.timer.replace(timer));
             }
             // The bulletin tells of changes by itself, whenever it can be reached.
-            Action::Subscribe if self.link.is_up() => self.events.push_back(Event::ListChanges(Vec::new())),
+            Action::Subscribe if self.watch.is_up() => self.events.push_back(Event::ListChanges(Vec::new())),
             Action::Subscribe => self.events.push_back(Event::ListFailed),
             Action::Log(text) => tracing::info!("{}", self.with_names(&text)),
         }
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -67,7 +67,7 @@
 
     /// What peers' lists say of engines that are usable by the own one: they take nothing new.
     pub(super) fn heed_drains(&mut self, drains: Vec<Drain>) {
-        let (number, mut bound) = (self.link.number(), Vec::new());
+        let (number, mut bound) = (self.watch.number(), Vec::new());
         let Some(keeping) = &mut self.keeping else { return };
         for drain in drains {
             let told = self.last_entries.get_mut(&drain.engine).filter(|told| told.phase == Phase::Ready);
--- a/crates/gateway/src/gateway/telling.rs
+++ b/crates/gateway/src/gateway/telling.rs
@@ -26,7 +26,7 @@
                 out: out.map(|attempt| (attempt.engine, attempt.sent_at)),
             })
         });
-        let link = Host::Link { up: self.link.is_heard() };
+        let link = Host::Link { up: self.watch.is_heard() };
         let fleet = self.keeping.iter().flat_map(|keeping| keeping.fleet_state()).map(Host::Fleet);
         self.tap.state(now, engines.chain(connections).chain(open).chain([link]).chain(fleet));
     }
@@ -45,8 +45,8 @@
         }
     }
 
-    pub(super) fn tell_link(&mut self, now: Micros, (was_heard, had): (bool, u64), items: &[Item]) {
-        if self.link.is_heard() != was_heard {
+    pub(super) fn tell_watch(&mut self, now: Micros, (was_heard, had): (bool, u64), items: &[Item]) {
+        if self.watch.is_heard() != was_heard {
             self.tap.host(now, Host::Link { up: !was_heard });
         }
         if had != self.counters.list_events {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,7 +11,6 @@
 mod gateway;
 mod keeping;
 mod lessons;
-mod link;
 mod owning;
 mod requests;
 mod sharing;
@@ -20,6 +19,7 @@
 mod status;
 mod table;
 mod tap;
+mod watch;
 
 use calloop::signals::{Signal, Signals};
 use calloop::EventLoop;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,5 +1,5 @@
-//! The link to the bulletin: keeps one connection open, hands each event on once and in order, and calls
-//! again when the stream ends, skips an event or falls silent.
+//! The watch on the list of engines (service discovery): keeps one connection to the bulletin open, hands each event
+//! on once and in order, and calls again when the stream ends, skips an event or falls silent.
 
 use std::net::SocketAddr;
 
@@ -21,7 +21,7 @@
 const FIRST_PAUSE: Micros = 100_000;
 const LONGEST_PAUSE: Micros = 500_000;
 
-pub struct Link {
+pub struct Watch {
     events: Loop,
     address: SocketAddr,
     connection: Option<(Connection, Reader)>,
@@ -36,14 +36,14 @@
     rng: fastrand::Rng,
 }
 
-impl Link {
+impl Watch {
     /// The list's last event that was heard.
     pub fn number(&self) -> u64 {
         self.last
     }
 
     pub fn new(events: &Loop, address: SocketAddr, last: u64, dial_timeout: Micros, seed: u64) -> Self {
-        Link {
+        Watch {
             events: events.clone(),
             address,
             connection: None,
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Another address, by a new configuration: what is there tells the events that come now, so the old link
+    /// Another address, by a new configuration: what is there tells the events that come now, so the old watch
     /// ends, whatever it is about.
     pub fn move_to(&mut self, address: SocketAddr, now: Micros, due: &mut Deadlines) {
         if self.address != address {
