--- a/crates/fleet-rig/src/cold_sum.rs
+++ b/crates/fleet-rig/src/cold_sum.rs
@@ -1,9 +1,9 @@
-//! What all gateways together send to an engine that has just started: the real decision module, many times, in
-//! virtual time, without any word among them. Engines are simple queues; what is judged is the sum of calls at the
-//! cold ones, beside what the settings allow, and the worth served.
+//! What all gateways together send to an engine that has just started: the real decision module, many
+//! times, in virtual time, without any word among them. Engines are simple queues; what is judged is the
+//! sum of calls at the cold ones, beside what the settings allow, and the worth served.
 //!
-//! Drawn for each seed: sizes, the rule's figures, unequal traffic, a burst, a list that each gateway sees at its
-//! own time, restarts while the engine is cold, dials that come up late.
+//! Drawn for each seed: sizes, the rule's figures, unequal traffic, a burst, a list that each gateway sees
+//! at its own time, restarts while the engine is cold, dials that come up late.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
--- a/crates/gateway/src/clients/closing.rs
+++ b/crates/gateway/src/clients/closing.rs
@@ -1,6 +1,6 @@
-//! How a client's connection ends from this side. Where it may have more to say it is half-closed, read on for a
-//! while and passed over (a lingering close): to close over what is unread would reset it, and take answers along
-//! that are still on their way.
+//! How a client's connection ends from this side. Where it may have more to say it is half-closed, read on
+//! for a while and passed over (a lingering close): to close over what is unread would reset it, and take
+//! answers along that are still on their way.
 
 use super::*;
 
@@ -98,8 +98,8 @@
         heard.extend(client.open.drain(..).filter_map(|(_, request)| request.map(Heard::Left)));
     }
 
-    /// Half-closes the connections that rest. One that has said something by now isn't at rest, and neither is
-    /// one that is half way through a message: that may still be served.
+    /// Half-closes the connections that rest. One that has said something by now isn't at rest, and neither
+    /// is one that is half way through a message: that may still be served.
     pub fn end_resting(
         &mut self,
         now: Micros,
--- a/crates/gateway/src/engines/sending.rs
+++ b/crates/gateway/src/engines/sending.rs
@@ -1,4 +1,5 @@
-//! What goes to engines: attempts, probes, new priorities, wishes for pages; the connection that carries them.
+//! What goes to engines: attempts, probes, new priorities, wishes for pages; the connection that carries
+//! them.
 
 use super::*;
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,5 +1,5 @@
-//! The watch on the list of engines (service discovery): keeps one connection to the bulletin open, hands each event
-//! on once and in order, and calls again when the stream ends, skips an event or falls silent.
+//! The watch on the list of engines (service discovery): keeps one connection to the bulletin open, hands
+//! each event on once and in order, and calls again when the stream ends, skips an event or falls silent.
 
 use std::net::SocketAddr;
 
@@ -80,8 +80,8 @@
         }
     }
 
-    /// Another address, by a new configuration: what is there tells the events that come now, so the old watch
-    /// ends, whatever it is about.
+    /// Another address, by a new configuration: what is there tells the events that come now, so the old
+    /// watch ends, whatever it is about.
     pub fn move_to(&mut self, address: SocketAddr, now: Micros, due: &mut Deadlines) {
         if self.address != address {
             self.address = address;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -1,7 +1,7 @@
-//! Every decision of one gateway. Types, events and actions are in `src/interface.rs`, what is remembered in
-//! `src/state.rs`. A request passes through the files of `src/decide`: arrival, draws, admission, choice, rules
-//! and send, outcome, ending; then health, shedding, the list of engines. The mechanism is that of the BI Batch
-//! Manager paper for many gateways and engines; docs/design.md says what was kept and what changed.
+//! Every decision of one gateway. Types, events and actions are in `src/interface.rs`, what is remembered
+//! in `src/state.rs`. A request passes through arrival, draws, admission, choice, rules and send,
+//! outcome, ending; then health, shedding, the list of engines. The mechanism is that of the BI Batch Manager
+//! paper for many gateways and engines; docs/design.md says what was kept and what changed.
 
 mod admission;
 mod arrival;
--- a/src/decide/rules.rs
+++ b/src/decide/rules.rs
@@ -66,7 +66,7 @@
             return true;
         }
         if self.thin {
-            // Less than a query is given by lot, at odds that make the sum of all gateways fit, chance included.
+            // Less than a query is given by lot, at odds that make the sum of gateways fit, chance included.
             let safe = ((CHANCE * CHANCE * usual + 4.0 * whole).sqrt() - CHANCE * usual.sqrt()) / 2.0;
             let asked = self.traffic.work * window / self.traffic.gap.max(1.0) * self.set.peers;
             return chance(held.req.id ^ mix(engine.entry.engine as u64)) < COLD_MARGIN * safe * safe / asked;
