--- a/crates/command/tests/closing.rs
+++ b/crates/command/tests/closing.rs
@@ -72,6 +72,27 @@
     1 + 1 + 1 + 7 + 1 + 1
 }
 
+/// A long message has begun; its rest comes while the process is held, for longer than a message may take. All of it
+/// is there when the process goes on, more than it reads at one look.
+#[test]
+fn a_message_whose_rest_is_there_is_not_held_to_be_late() {
+    let (_bulletin, engines, mut gateway, mut client) = up();
+    let mut statement = QUERY.to_vec();
+    statement.resize(400_000, b' ');
+    let call = standin::call(1, "report", &fields(SECOND, "15000"), &statement);
+    client.write_raw(&call[..1000]).unwrap();
+    gateway.until("bytes_in", 1000);
+    gateway.pause();
+    client.write_raw(&call[1000..]).unwrap();
+    // The bound on silence is the program's own: the process sleeps through it.
+    std::thread::sleep(std::time::Duration::from_millis(2500));
+    gateway.go_on();
+    let mut end = engines[0].accept().unwrap();
+    let serve = next(&mut end, "serve");
+    end.answer(serve.id(), "OK", "count=1", "a\tb\tc\n").unwrap();
+    assert!(matches!(client.answer().unwrap(), Answer::Result { id: 1, .. }));
+}
+
 /// Signals in all the orders that a supervisor may send them in, at once, with a request open.
 #[test]
 fn signals_that_cross_cost_no_request() {
--- a/crates/command/tests/first_byte.rs
+++ b/crates/command/tests/first_byte.rs
@@ -85,6 +85,29 @@
     }
 }
 
+/// The engine has another address by the time that the dial to its old one comes up: who runs there now is somebody
+/// else, maybe.
+#[test]
+fn nothing_begins_at_an_address_that_an_engine_has_left_during_the_dial() {
+    let (bulletin, mut held, _, mut gateway) = behind_held(0, |_| ());
+    let mut stream = bulletin.accept().unwrap();
+    let moved = Engine::listen("127.0.0.1:0").unwrap();
+    let mut client = gateway.client();
+    client.call(1, "report", &fields(FIRST, "15000"), QUERY).unwrap();
+    gateway.until("dials", 1);
+    let item =
+        json!({"no": 2, "roster": {"seq": 2, "whole": false, "hosts": [host("s-0", moved.address(), "up")]}});
+    stream.event(2, &item.to_string()).unwrap();
+    gateway.until("list_events", 1);
+    held.let_go().unwrap();
+    let closed = held.engine.accept().unwrap().command().map(|command| command.words);
+    assert!(closed.is_err(), "it got {closed:?}");
+    let mut end = moved.accept().unwrap();
+    assert_eq!(next(&mut end, "serve").id(), FIRST);
+    answers(&mut end, FIRST);
+    assert!(matches!(client.answer().unwrap(), Answer::Result { id: 1, .. }));
+}
+
 /// The first try may have run; the engines forget its key while the second one's dial is under way.
 #[test]
 fn a_repeat_does_not_begin_after_its_window() {
