Decisions visit the engines they are about: an index of the table of engines

Need: a request cost more the more engines the list has (90 us at 8, 525 at 4,100 seen from outside): homes, arc, choose, shed, beat, quarantine and full_classes went over all listed engines, a whole list over all pairs of them.

Change: src/engines.rs keeps, for each placement of classes, a ring of its open engines in order of their hashes; the active engines, which are all whose state time alone may change; and sums over the others. What is changed becomes active, what has settled is dropped from the index at a beat. A gateway's subset is a walk of its part of the ring; a change of the list moves the entries it names.

--- a/crates/fleet-rig/src/bin/cold_sum.rs
+++ b/crates/fleet-rig/src/bin/cold_sum.rs
@@ -45,7 +45,7 @@
         fell += over;
         println!(
             "gateways={gateways} seeds={} fell={over} worst={:.2} worst_seed={} worst_over_budget={:.2} \
-             mean={:.2} served={:.4} calls={:.0}",
+             mean={:.2} served={:.4} calls={:.0} decisions={:016x}",
             all.len(),
             all[0].1.over_bound,
             all[0].0,
@@ -53,6 +53,7 @@
             mean(|sum| sum.over_bound),
             mean(|sum| sum.served),
             mean(|sum| sum.calls as f64),
+            all.iter().fold(0u64, |sum, (_, own)| sum.wrapping_add(own.decisions)),
         );
     }
     println!("verdict={}", if fell == 0 { "kept" } else { "broken" });
--- a/crates/fleet-rig/src/cold_sum.rs
+++ b/crates/fleet-rig/src/cold_sum.rs
@@ -7,6 +7,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
+use std::hash::{DefaultHasher, Hash, Hasher};
 
 use eideryard::decide::Gateway;
 use eideryard::interface::*;
@@ -44,6 +45,8 @@
     /// Worth served in time, as a part of all.
     pub served: f64,
     pub calls: usize,
+    /// A hash of every action of every gateway, with its time: equal decisions give equal hashes.
+    pub decisions: u64,
 }
 
 #[derive(Clone, Debug)]
@@ -103,6 +106,7 @@
     means: [f64; 2],
     worth: (f64, f64),
     work: (f64, f64),
+    decisions: DefaultHasher,
 }
 
 /// Plays one seed with so many gateways.
@@ -140,6 +144,7 @@
             means,
             worth: (0.0, 0.0),
             work: (0.0, 0.0),
+            decisions: DefaultHasher::new(),
         };
         for number in 0..engines {
             let born = (number < cold).then_some(BORN);
@@ -281,6 +286,7 @@
         let own = &mut self.gateways[gateway];
         own.module.handle(self.now, event, &mut actions);
         for action in actions {
+            (self.now, gateway, format!("{action:?}")).hash(&mut self.decisions);
             let life = self.gateways[gateway].life;
             match action {
                 Action::Send { request, engine, .. } => self.sends(gateway, request, engine),
@@ -364,7 +370,8 @@
 
     fn sum(&self) -> Sum {
         let mean = self.work.0 / self.work.1.max(1.0);
-        let mut sum = Sum { served: self.worth.0 / self.worth.1.max(1.0), ..Sum::default() };
+        let served = self.worth.0 / self.worth.1.max(1.0);
+        let mut sum = Sum { served, decisions: self.decisions.finish(), ..Sum::default() };
         for engine in &self.engines[..self.cold] {
             sum.calls += engine.calls.len();
             let (mut from, mut work) = (0, 0.0);
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -1,6 +1,7 @@
 //! The list of engines: entries for the module, and what peers' lists forbid.
 
 use super::*;
+use std::collections::BTreeSet;
 
 impl Gateway {
     pub(super) fn listed(&mut self, item: Item) {
@@ -25,10 +26,9 @@
             self.engines.listed(entry.engine, address, entry.booted_at, due, heard);
         }
         if roster.whole {
-            for engine in self.engines.ids() {
-                if entries.iter().all(|entry| entry.engine != engine) {
-                    self.engines.unlisted(engine, &mut self.due, &mut self.from_engines);
-                }
+            let told: BTreeSet<EngineId> = entries.iter().map(|entry| entry.engine).collect();
+            for engine in self.engines.ids().into_iter().filter(|engine| !told.contains(engine)) {
+                self.engines.unlisted(engine, &mut self.due, &mut self.from_engines);
             }
         }
         let event = if roster.whole { Event::FullList(entries) } else { Event::ListChanges(entries) };
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -18,10 +18,11 @@
 mod shares;
 mod shedding;
 
+use crate::engines::Engines;
 use crate::interface::*;
 use crate::state::*;
 use rules::may_place;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 // Tuned values. Each is a ratio of something told in the settings or learned, or a count of observations.
 
@@ -81,7 +82,7 @@
     set: Settings,
     rng: fastrand::Rng,
     now: Micros,
-    engines: BTreeMap<EngineId, Engine>,
+    pub(crate) engines: Engines,
     requests: BTreeMap<RequestId, Held>,
     queue: BTreeMap<(Micros, RequestId), usize>, // Class of each that is held, by due time
     /// For each key of an ordered class: its requests in the order taken, and until when it rests.
@@ -108,7 +109,7 @@
             place: set.index.map_or_else(|| rng.f64(), |index| index / set.peers),
             rng,
             now,
-            engines: BTreeMap::new(),
+            engines: Engines::new(&set.classes, &set.kinds),
             requests: BTreeMap::new(),
             queue: BTreeMap::new(),
             keys: BTreeMap::new(),
@@ -176,11 +177,10 @@
         self.traffic.forget(since);
         self.traffic.groups.retain(|_, (_, at)| self.traffic.arrivals - *at < GROUP_FADED * GROUP_MEMORY);
         let since = now.saturating_sub(self.set.fall_window);
-        for engine in self.engines.values_mut() {
+        self.engines.pass_time(now, |engine| {
             engine.observe(now, memory, None);
             engine.loading.retain(|_, at| *at + memory as Micros > now);
             engine.cold_sends.retain(|(at, ..)| *at >= since);
-        }
-        self.engines.retain(|_, engine| engine.listed || !engine.out.is_empty());
+        });
     }
 }
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -34,13 +34,12 @@
 
     /// Classes whose lightest query has no room anywhere: most of a long queue needs no closer look.
     pub(super) fn full_classes(&self) -> Vec<bool> {
-        let full = |(class, set): (usize, &Class)| {
+        let full = |class: usize| {
             let req = Request { class, group: u64::MAX, ..Default::default() };
             let held = Held { req, memory: f64::MIN_POSITIVE, ..Default::default() };
-            let takes = |e: &Engine| e.open() && may_place(set, &e.entry) && self.has_room(&held, e);
-            !self.thin && !self.engines.values().any(takes)
+            !self.thin && !self.subset(class).any(|(_, id)| self.has_room(&held, &self.engines[&id]))
         };
-        self.set.classes.iter().enumerate().map(full).collect()
+        (0..self.set.classes.len()).map(full).collect()
     }
 
     /// Both bounds, binding only while the engine shows pressure; an idle gateway may send one of any size.
@@ -79,12 +78,10 @@
     /// Where shares are thin they are pooled: what this gateway has out on all engines is held against its
     /// share of them all. In a jam nothing comes back, so the pool stays taken and no gateway adds to it.
     pub(super) fn pool_has_room(&self, held: &Held) -> bool {
-        let (mut threads, mut memory, mut cores, mut room) = (0.0, held.memory, 0.0, 0.0);
-        for engine in self.engines.values().filter(|engine| engine.open()) {
-            (threads, memory) = (threads + engine.threads, memory + engine.memory);
-            cores += POOL * self.kind(engine).cores / self.set.peers;
-            room += START_ROOM * self.kind(engine).memory_mb / self.set.peers;
-        }
+        let whole = |e: &Engine| (POOL * self.kind(e).cores, START_ROOM * self.kind(e).memory_mb);
+        let (cores, room) = self.engines.sums_of_open(self.set.peers, whole);
+        let out = self.engines.active().filter(|engine| engine.open());
+        let (threads, memory) = out.fold((0.0, held.memory), |(t, m), e| (t + e.threads, m + e.memory));
         threads == 0.0 || threads < cores && (memory <= room || self.is_dashboard(held.req.class))
     }
 
@@ -97,7 +94,7 @@
     }
 
     pub(super) fn kind(&self, engine: &Engine) -> &Kind {
-        &self.set.kinds[(engine.entry.kind as usize).min(self.set.kinds.len() - 1)]
+        &self.set.kinds[self.engines.kind_of(engine)]
     }
 
     /// The part of its capacity that an engine is held to have: it grows from a cold start on.
--- a/src/decide/choice.rs
+++ b/src/decide/choice.rs
@@ -13,23 +13,18 @@
         // An engine that erred on it isn't asked for it again while there are others.
         let erred = |id: &EngineId| held.erred_at().any(|other| other == *id);
         let others = order.iter().any(|id| !erred(id));
-        let near = |e: &EngineId| (!self.thin || held.asked.contains(e)) && (!self.few || order.contains(e));
-        let among = |id: &EngineId| near(id) && !(others && erred(id));
+        let among = if self.thin { &held.asked } else { &order };
         let able = |e: &Engine| e.asked_at == 0 && self.rules_allow(held, e) && self.has_room(held, e);
-        let able = self.engines.iter().filter(|(id, e)| among(id) && able(e));
-        let priced = able.map(|(&id, e)| (self.cost(held, e, &order[..homes]), id));
+        let known = among.iter().filter(|&id| !(others && erred(id))).filter_map(|id| self.engines.get(id));
+        let priced = known.filter(|e| able(e)).map(|e| (self.cost(held, e, &order[..homes]), e.entry.engine));
         priced.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1))).map(|(_, id)| id)
     }
 
     /// All open engines, highest hash of group and engine first, and how many of them are home to the group:
     /// every gateway finds the same without talking. Where shares are thin, a hot group has more homes.
     pub(super) fn homes(&self, held: &Held) -> (Vec<EngineId>, usize) {
-        let (group, class) = (held.req.group, &self.set.classes[held.req.class]);
-        let open = self.engines.iter().filter(|(_, e)| e.open() && may_place(class, &e.entry));
-        let own = |id: EngineId| mix(group ^ mix(id as u64));
-        let ring = open.map(|(&id, _)| id).collect();
-        let own_arc = if self.few { self.arc(ring) } else { ring };
-        let mut order: Vec<_> = own_arc.into_iter().map(|id| (own(id), id)).collect();
+        let (group, class) = (held.req.group, held.req.class);
+        let mut order: Vec<_> = self.subset(class).map(|(hash, id)| (mix(group ^ hash), id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
         let seen = GROUP_MEMORY * (1.0 + GROUP_PRIOR - (-self.traffic.arrivals / GROUP_MEMORY).exp());
         let part = self.traffic.groups.get(&group).map_or(0.0, |(count, _)| count / seen);
--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -46,10 +46,9 @@
 
     /// Shuts an engine out for a while, longer at each relapse; then it is on probation.
     pub(super) fn quarantine(&mut self, engine_id: EngineId, symptom: &str) {
-        let listed = self.engines.values().filter(|e| e.listed);
-        let away = listed.clone().filter(|e| e.probation > 0).count();
+        let away = self.engines.active().filter(|e| e.listed && e.probation > 0).count();
         // When most engines look bad at once the cause is shared: shutting them out would leave nothing.
-        let shared = (away + 1) as f64 > MOST_QUARANTINED * listed.count() as f64;
+        let shared = (away + 1) as f64 > MOST_QUARANTINED * self.engines.listed_count() as f64;
         let (now, memory) = (self.now, self.latency);
         let Some(engine) = self.engines.get_mut(&engine_id) else { return };
         if now < engine.quarantined_until {
@@ -75,13 +74,13 @@
         let notes = self.set.note_period as f64;
         let longest = |e: &Engine| e.out.values().map(|c| c.ideal).fold(0.0, f64::max) * e.stretch;
         let limit = |e: &Engine| if notes > 0.0 { notes } else { longest(e).max(self.latency / SILENCE) };
-        let busy = self.engines.iter().filter(|(_, e)| !e.out.is_empty());
+        let busy = self.engines.active().filter(|e| !e.out.is_empty());
         let quiet = |e: &Engine| (self.now - e.last_heard) as f64 > SILENCE * limit(e);
-        let mute = busy.clone().filter(|(_, e)| quiet(e));
+        let mute = busy.clone().filter(|e| quiet(e));
         if mute.clone().count() as f64 > MOST_QUARANTINED * busy.count() as f64 {
             return;
         }
-        for engine_id in mute.map(|(&id, _)| id).collect::<Vec<_>>() {
+        for engine_id in mute.map(|e| e.entry.engine).collect::<Vec<_>>() {
             self.quarantine(engine_id, "silent");
             let Some(engine) = self.engines.get_mut(&engine_id).filter(|e| e.probation > 0) else { continue };
             engine.silent = true;
--- a/src/decide/lessons.rs
+++ b/src/decide/lessons.rs
@@ -6,7 +6,7 @@
     /// What a later life of this gateway may want to know.
     pub fn lessons(&self) -> Lessons {
         let classes = self.learned.iter().map(Learned::lesson).collect();
-        let engines = self.engines.values().filter(|own| own.listed).map(Engine::lesson).collect();
+        let engines = self.engines.listed().map(Engine::lesson).collect();
         Lessons { classes, engines, level: self.traffic.level }
     }
 
--- a/src/decide/shares.rs
+++ b/src/decide/shares.rs
@@ -10,7 +10,7 @@
         let cores = self.set.kinds.iter().map(|kind| kind.cores).fold(0.0, f64::max);
         let widest = self.set.classes.iter().map(|class| class.threads).fold(1.0, f64::max);
         let (fit, peers) = (START_BOUND * cores / widest, self.set.peers);
-        let open = self.engines.values().filter(|engine| engine.open()).count() as f64;
+        let open = self.engines.open_count() as f64;
         let arcs = !self.set.counts_by_probe && fit * open >= LEAST_ARC * HOMES as f64 * peers;
         (self.few, self.thin) = (peers > fit && arcs, peers > fit && !arcs);
         let wide = (fit * open / peers).round().max(HOMES as f64);
@@ -24,13 +24,16 @@
         }
     }
 
-    /// This gateway's arc of a ring of engines; what is closed for a while has its successor stand in.
-    pub(super) fn arc(&self, mut ring: Vec<EngineId>) -> Vec<EngineId> {
-        ring.sort_unstable_by_key(|&id| mix(id as u64));
-        let count = ring.len();
-        let wide = ((count as f64 / self.set.peers / self.share).round() as usize).max(HOMES);
-        ring.rotate_left(((self.place * count as f64) as usize).min(count.saturating_sub(1)));
-        let usable = |id: &EngineId| self.now >= self.engines[id].quarantined_until;
-        ring.into_iter().filter(usable).take(wide).collect()
+    /// The open engines that a class is placed among, in the order of the ring: all, or this gateway's arc,
+    /// where the successor stands in for what is closed for a while.
+    pub(super) fn subset(&self, class: usize) -> impl Iterator<Item = (u64, EngineId)> + '_ {
+        let ring = self.engines.ring(class);
+        let count = ring.len() as f64;
+        let wide = ((count / self.set.peers / self.share).round() as usize).max(HOMES);
+        let own_arc = (wide, (self.place * count) as usize);
+        let (wide, begin) = if self.few { own_arc } else { (ring.len(), 0) };
+        let (before, from) = ring.split_at(begin.min(ring.len().saturating_sub(1)));
+        let usable = |id: &EngineId| !self.few || self.now >= self.engines[id].quarantined_until;
+        from.iter().chain(before).copied().filter(move |(_, id)| usable(id)).take(wide)
     }
 }
--- a/src/decide/shedding.rs
+++ b/src/decide/shedding.rs
@@ -7,9 +7,10 @@
     pub(super) fn shed(&mut self) {
         // Work a microsecond that this gateway's share of the engines gets done that aren't shut out.
         let away = |e: &Engine| e.probation > 0 && self.now < e.quarantined_until;
-        let usable = self.engines.values().filter(|e| e.open() && !away(e));
+        let usable = self.engines.active().filter(|e| e.open() && !away(e));
         let cores = |e: &Engine| self.kind(e).cores * self.warmth(e) / self.set.peers;
-        let rate = usable.map(|e| e.threads.max(cores(e)) / e.stretch.max(0.5)).sum::<f64>().max(LEARN);
+        let active: f64 = usable.map(|e| e.threads.max(cores(e)) / e.slowness()).sum();
+        let rate = (active + self.engines.resting_cores() / self.set.peers).max(LEARN);
         let mut ahead = 0.0;
         // Worth per work, a positive figure: its bits sort as it does.
         let mut kept: BTreeMap<(u64, RequestId), f64> = BTreeMap::new();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,6 @@
 //! [`decide::Gateway`] makes every decision; [`interface`] holds the types that go in and out of it.
 
 pub mod decide;
+mod engines;
 pub mod interface;
 mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,11 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
+/// Off its best by less, an engine's stretch counts as settled.
+const SETTLED: f64 = 1e-9;
+/// A queue in front of an engine is never held to be shorter than at this stretch.
+const LEAST_STRETCH: f64 = 0.5;
+
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum State {
     Out,
@@ -127,6 +132,18 @@
         self.listed && self.entry.phase == Phase::Ready
     }
 
+    /// Times longer than alone that work takes there.
+    pub(crate) fn slowness(&self) -> f64 {
+        self.stretch.max(LEAST_STRETCH)
+    }
+
+    /// Time alone changes nothing of it: it holds no work, is warm and well, and what it showed has faded.
+    pub(crate) fn rests(&self, now: Micros) -> bool {
+        let idle = self.out.is_empty() && self.cold_sends.is_empty() && self.loading.is_empty();
+        let well = self.listed && self.probation == 0 && now >= self.cold_until;
+        idle && well && self.ideal <= 1.0 && (self.stretch - self.best).abs() < SETTLED
+    }
+
     pub(crate) fn tally(&mut self) {
         self.threads = self.out.values().map(|charge| charge.threads).sum();
         self.memory = self.out.values().map(|charge| charge.memory).sum();
