Rig: a scale run with hollow and real gateways, slopes and predictions

Hollow gateways run the cores that ship (decision module, codec of the watch, replication, leases, detector and frames); real ones are processes of the program before stand-ins. Sizes that the machine can't carry end before anything starts. Counts are checked, never times: visits a decision, bytes of a list change, messages a claim, answers, crashes.

--- a/crates/command/tests/closing.rs
+++ b/crates/command/tests/closing.rs
@@ -4,7 +4,7 @@
 mod common;
 
 use common::standin::{self, Answer, Bulletin, Client};
-use common::{addresses, answer_all, called, config, fields, next, stand_ins, up, Running, QUERY};
+use common::{addresses, called, config, fields, next, stand_ins, up, Running, QUERY};
 use rustix::process::Signal;
 use serde_json::json;
 use std::io::ErrorKind;
@@ -129,7 +129,7 @@
     let mut few = config(bulletin.address(), &addresses(&engines));
     few["limits"]["sockets"] = json!(64);
     let gateway = Running::start(&few);
-    answer_all(engines.remove(0), 1, "a\tb\tc\n".into());
+    engines.remove(0).answer_all(1, "a\tb\tc\n".into());
     let mut idle: Vec<Client> = (0..32).map(|_| gateway.client()).collect();
     for client in &mut idle {
         client.ask_health(1).unwrap();
@@ -152,7 +152,7 @@
     let mut small = config(bulletin.address(), &addresses(&engines));
     small["limits"]["memory_mb"] = json!(1);
     let mut gateway = Running::start(&small);
-    answer_all(engines.remove(0), 8, "a\tb\tc\n".repeat(1000));
+    engines.remove(0).answer_all(8, "a\tb\tc\n".repeat(1000));
     let mut deaf = gateway.client();
     let mut number = 0u64;
     while gateway.counters()["deaf"] == 0 {
@@ -184,7 +184,7 @@
     let address = bulletin.address();
     drop(bulletin);
     let mut gateway = Running::start_within(&few, LIMIT);
-    engines.drain(..).for_each(|engine| answer_all(engine, 1, "a\tb\tc\n".into()));
+    engines.drain(..).for_each(|engine| engine.answer_all(1, "a\tb\tc\n".into()));
     let ask = |_| {
         let mut client = gateway.client();
         client.ask_health(1).unwrap();
--- a/crates/command/tests/common/mod.rs
+++ b/crates/command/tests/common/mod.rs
@@ -295,24 +295,3 @@
     let serve = next(&mut end, "serve");
     (end, serve)
 }
-
-/// Answers all that comes to an engine with so many pages of one kind, as long as the test runs.
-pub fn answer_all(engine: Engine, pages: usize, page: String) {
-    std::thread::spawn(move || {
-        while let Ok(mut end) = engine.accept() {
-            let page = page.clone();
-            std::thread::spawn(move || {
-                while let Ok(command) = end.command() {
-                    let _ = match command.verb() {
-                        "serve" => end.answer(command.id(), "OK", &format!("count={pages}"), &page),
-                        "gauges" | "health" => end.answer(command.id(), "UP", "report=inflight:0", ""),
-                        "read" => {
-                            end.answer(command.id(), "ROWS", &format!("pos={}", command.words[2]), &page)
-                        }
-                        _ => Ok(()),
-                    };
-                }
-            });
-        }
-    });
-}
--- a/crates/command/tests/drawn.rs
+++ b/crates/command/tests/drawn.rs
@@ -5,7 +5,7 @@
 mod common;
 
 use common::standin::Answer;
-use common::{addresses, answer_all, config, stand_ins, Running};
+use common::{addresses, config, stand_ins, Running};
 use serde_json::{json, Value};
 
 const SEEDS: u64 = 12;
@@ -63,7 +63,7 @@
         let (bulletin, engines) = stand_ins(2);
         let (own, classes) = drawn(&mut rng, config(bulletin.address(), &addresses(&engines)));
         let gateway = Running::start(&own);
-        engines.into_iter().for_each(|engine| answer_all(engine, 1, "a\tb\tc\n".into()));
+        engines.into_iter().for_each(|engine| engine.answer_all(1, "a\tb\tc\n".into()));
         let mut client = gateway.client();
         let mut served = vec![0; classes.len()];
         for number in 1..=ASKED {
--- a/crates/command/tests/gateway.rs
+++ b/crates/command/tests/gateway.rs
@@ -4,9 +4,7 @@
 mod common;
 
 use common::standin::{self, Answer, Client, Engine};
-use common::{
-    addresses, answer_all, called, config, fields, host, next, refused_start, stand_ins, up, Running, QUERY,
-};
+use common::{addresses, called, config, fields, host, next, refused_start, stand_ins, up, Running, QUERY};
 use serde_json::json;
 use std::io::ErrorKind;
 
@@ -527,7 +525,7 @@
     const ROUNDS: u64 = 12;
     let (_bulletin, mut engines, mut gateway, mut deaf) = up();
     // Longest results, of eight pages each, far more than the buffers of a connection take.
-    answer_all(engines.remove(0), 8, "a\tb\tc\n".repeat(1000));
+    engines.remove(0).answer_all(8, "a\tb\tc\n".repeat(1000));
     for number in 0..32 * ROUNDS {
         let id = format!("{number:016x}");
         deaf.call(number, "report", &fields(&id, "15000"), QUERY).unwrap();
@@ -631,7 +629,7 @@
     few["limits"]["sockets"] = json!(50);
     let mut gateway = Running::start(&few);
     let mut client = gateway.client();
-    engines.into_iter().for_each(|engine| answer_all(engine, 1, "a\tb\tc\n".into()));
+    engines.into_iter().for_each(|engine| engine.answer_all(1, "a\tb\tc\n".into()));
     // An idle connection gives way to one that is needed.
     for number in 1..=12u64 {
         let id = format!("{number:016x}");
--- /dev/null
+++ b/crates/command/tests/scale.rs
@@ -0,0 +1,37 @@
+//! A small scale run with processes of the program: each request is answered, whatever the list's length.
+
+use eideryard_fleet_rig::scale::measure::Axis;
+use eideryard_fleet_rig::scale::run::Run;
+use eideryard_fleet_rig::scale::sizes::Sizes;
+use std::path::Path;
+
+#[test]
+fn real_gateways_serve_all_and_their_cost_is_measured() {
+    let sizes = Sizes {
+        gateways: vec![17],
+        engines: vec![8, 80],
+        clients: vec![0, 20],
+        rate: vec![100.0],
+        changes: 4,
+        seed: 1,
+        repeats: 2,
+        real: 2,
+        hollow: 1,
+        seconds: 0.3,
+        plots: None,
+        program: None,
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_eideryard"));
+    let run = Run {
+        sizes: &sizes,
+        program: Some(program),
+        predicted: &mut |_, _, _, _| (),
+        outcome: Default::default(),
+    };
+    let outcome = run.play().expect("processes start and end");
+    assert_eq!(outcome.broken, []);
+    let count = |name, axis| outcome.collected.find(name, axis).map_or(0, |series| series.points.len());
+    assert_eq!(count("process.request", Axis::Engines), 2);
+    assert_eq!(count("process.memory", Axis::Clients), 2);
+    assert_eq!(count("process.list", Axis::Engines), 2);
+}
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -3,18 +3,24 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode};
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use eideryard_fleet_rig::check::Rule;
 use eideryard_fleet_rig::minimize::minimize;
 use eideryard_fleet_rig::plan::{self, Case, Plan};
 use eideryard_fleet_rig::run::{self, Ran};
+use eideryard_fleet_rig::scale::run::Run;
+use eideryard_fleet_rig::scale::sizes::{Machine, Sizes};
+use eideryard_fleet_rig::scale::{plots, report};
 
 /// A plan of which a run kept the rules is played once more before a fault of it is held to be needed.
 const TRIES: usize = 2;
 
 #[derive(Parser)]
 #[command(about = "Several gateways with faults between them, and a verdict on all that happened")]
+#[command(args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 struct Arguments {
+    #[command(subcommand)]
+    measured: Option<Measured>,
     /// What is drawn; left out where --scenario says what is played.
     #[arg(value_enum, required_unless_present = "scenario")]
     case: Option<Case>,
@@ -45,8 +51,20 @@
     plan: bool,
 }
 
+/// What is measured, in place of a case that is played.
+#[derive(Subcommand)]
+enum Measured {
+    /// How costs grow with the size of the fleet, with slopes and predictions
+    Scale(Sizes),
+}
+
 fn main() -> ExitCode {
-    match play(&Arguments::parse()) {
+    let arguments = Arguments::parse();
+    let ended = match &arguments.measured {
+        Some(Measured::Scale(sizes)) => scale(sizes),
+        None => play(&arguments),
+    };
+    match ended {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(1),
         Err(message) => {
@@ -69,6 +87,31 @@
         .map_err(|e| format!("{e}; build it with 'cargo build --release', or name one with --program"))
 }
 
+fn scale(sizes: &Sizes) -> Result<bool, String> {
+    let machine = Machine::own().map_err(|e| format!("the machine's limits can't be read: {e}"))?;
+    sizes.check(machine).map_err(|e| e.to_string())?;
+    let program = match &sizes.program {
+        _ if sizes.real == 0 => None,
+        Some(program) => Some(program.clone()),
+        None => Some(built()?),
+    };
+    let mut predicted = |name: &str, axis, at: f64, value: f64| {
+        println!("predicted before it is measured: {name} by {axis:?} at {at}: {}", report::short(value))
+    };
+    let run =
+        Run { sizes, program: program.as_deref(), predicted: &mut predicted, outcome: Default::default() };
+    let outcome = run.play().map_err(|e| e.to_string())?;
+    report::lines(&outcome).iter().for_each(|line| println!("{line}"));
+    println!("\n{}", report::table(&outcome));
+    if let Some(directory) = &sizes.plots {
+        let drawn = plots::draw(&outcome, directory).map_err(|e| format!("{}: {e}", directory.display()))?;
+        println!("drawn: {}", drawn.join(", "));
+    }
+    outcome.broken.iter().for_each(|broken| println!("broken: {}: {}", broken.rule, broken.what));
+    println!("{}", report::verdict(&outcome, sizes.seed));
+    Ok(outcome.broken.is_empty())
+}
+
 fn play(arguments: &Arguments) -> Result<bool, String> {
     let plan = match (&arguments.scenario, arguments.case) {
         (Some(path), _) => {
--- a/crates/fleet-rig/src/owned.rs
+++ b/crates/fleet-rig/src/owned.rs
@@ -15,7 +15,7 @@
 const LOOK: Micros = 4 * MS;
 /// An owner works once a second.
 const WORKS: Micros = S;
-const LASTS: Micros = 24 * S;
+pub const LASTS: Micros = 24 * S;
 /// A part of the gateways goes for good then.
 const GOES: Micros = 12 * S;
 
--- a/crates/fleet-rig/src/processes.rs
+++ b/crates/fleet-rig/src/processes.rs
@@ -146,6 +146,20 @@
         self.running.iter_mut().filter_map(of).collect()
     }
 
+    /// Processor time of all threads of one that runs, by the system's own account.
+    pub fn processor_time(&self, name: &str) -> Option<Duration> {
+        processor_time(self.running.get(name)?.child.id())
+    }
+
+    /// Memory that one holds, by the system's own account.
+    pub fn resident_bytes(&self, name: &str) -> Option<u64> {
+        let process = self.running.get(name)?.child.id();
+        let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().ok()?;
+        Some(kilobytes << 10)
+    }
+
     /// Waits until one has ended, if it runs, and notes how. False: it had to be killed.
     pub async fn ended(&mut self, name: &str) -> io::Result<bool> {
         let Some(mut running) = self.running.remove(name) else { return Ok(true) };
--- /dev/null
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -0,0 +1,164 @@
+//! Sizes of a scale run, and what of them the machine can't carry.
+
+use clap::Args;
+use thiserror::Error;
+
+/// Processes of a run in all: the real gateways, at the most.
+pub const MOST_PROCESSES: usize = 300;
+/// Part of the machine's memory that a run may take.
+const MEMORY_PART: f64 = 0.5;
+/// Bytes of a hollow gateway for each engine, and of a real one beside its clients: above what was measured.
+const HOLLOW_BYTES_AN_ENGINE: u64 = 2_000;
+const REAL_BYTES: u64 = 24 << 20;
+/// Bytes of a real gateway for each idle client, above what was measured.
+const BYTES_A_CLIENT: u64 = 24_000;
+/// Descriptors that this process needs beside one for each client and its connections to gateways.
+const SPARE_DESCRIPTORS: u64 = 512;
+/// Engines of a size whose connections end in this process, for each real gateway.
+const CONNECTIONS_A_GATEWAY: u64 = 128;
+
+#[derive(Args, Clone, Debug)]
+pub struct Sizes {
+    /// Gateways of the fleet, at the middle number of engines.
+    #[arg(long, value_delimiter = ',', default_values_t = [17, 100, 400])]
+    pub gateways: Vec<usize>,
+    /// Engines of the fleet, with gateways in proportion.
+    #[arg(long, value_delimiter = ',', default_values_t = [8, 80, 400])]
+    pub engines: Vec<usize>,
+    /// Idle clients of one gateway.
+    #[arg(long, value_delimiter = ',', default_values_t = [0, 500])]
+    pub clients: Vec<usize>,
+    /// Requests a second of one gateway.
+    #[arg(long, value_delimiter = ',', default_values_t = [50.0, 450.0])]
+    pub rate: Vec<f64>,
+    /// Changes of the list of engines, each told for itself.
+    #[arg(long, default_value_t = 20)]
+    pub changes: usize,
+    /// What all random numbers come of.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Measurements of each point.
+    #[arg(long, default_value_t = 5)]
+    pub repeats: usize,
+    /// Real gateways at each point; each is a repeat. 0: none are started.
+    #[arg(long, default_value_t = 10)]
+    pub real: usize,
+    /// Hollow gateways in this process at each point.
+    #[arg(long, default_value_t = 8)]
+    pub hollow: usize,
+    /// Seconds for which a real point is measured.
+    #[arg(long, default_value_t = 0.5)]
+    pub seconds: f64,
+    /// Where plots go; without it none are drawn.
+    #[arg(long)]
+    pub plots: Option<std::path::PathBuf>,
+    /// The program that is measured; without it the one of this checkout, which is built first.
+    #[arg(long)]
+    pub program: Option<std::path::PathBuf>,
+}
+
+/// What the machine gives.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    pub memory_bytes: u64,
+    pub descriptors: u64,
+}
+
+#[derive(Debug, Error, PartialEq)]
+pub enum SizeError {
+    #[error("--{0} names no size; give at least one")]
+    Empty(&'static str),
+    #[error("--{flag} has {value}, which must be over 0; take it out")]
+    NotPositive { flag: &'static str, value: f64 },
+    #[error("--engines {engines} has no gateways: --gateways is 0 there; give at least one gateway")]
+    WithoutGateways { engines: usize },
+    #[error("--repeats {0} is too few for a spread; ask for at least 2")]
+    Repeats(usize),
+    #[error("--real {asked} processes are over the limit of {limit}; ask for --real {limit} at the most")]
+    Processes { asked: usize, limit: usize },
+    #[error(
+        "the sizes take about {asked_mb} MB, over the limit of {limit_mb} MB, half of the machine's memory; \
+         ask for --hollow {hollow} or fewer, or for fewer --clients or --real"
+    )]
+    Memory { asked_mb: u64, limit_mb: u64, hollow: usize },
+    #[error(
+        "the sizes take about {asked} descriptors, over the limit of {limit}; ask for --clients {clients} or \
+         fewer, or raise the limit (ulimit -n)"
+    )]
+    Descriptors { asked: u64, limit: u64, clients: u64 },
+}
+
+impl Machine {
+    /// This machine, by the system's own account.
+    pub fn own() -> std::io::Result<Self> {
+        let told = std::fs::read_to_string("/proc/meminfo")?;
+        let line = told.lines().find_map(|line| line.strip_prefix("MemTotal:")).unwrap_or("0 kB");
+        let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().map_err(std::io::Error::other)?;
+        let limits = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+        Ok(Machine { memory_bytes: kilobytes << 10, descriptors: limits.current.unwrap_or(u64::MAX) })
+    }
+}
+
+impl Sizes {
+    /// Real gateways that clients rest at: those together may have as many as the descriptors allow.
+    pub fn gateways_with_clients(&self) -> usize {
+        self.real.min(self.repeats)
+    }
+
+    /// Turns away what can't be played, before anything starts.
+    pub fn check(&self, machine: Machine) -> Result<(), SizeError> {
+        self.check_numbers()?;
+        if self.real > MOST_PROCESSES {
+            return Err(SizeError::Processes { asked: self.real, limit: MOST_PROCESSES });
+        }
+        let most = |sizes: &[usize]| sizes.iter().copied().max().unwrap_or(0) as u64;
+        let (engines, clients) = (most(&self.engines), most(&self.clients));
+        let resting = clients * self.gateways_with_clients() as u64;
+        let real = self.real as u64 * (REAL_BYTES + engines * HOLLOW_BYTES_AN_ENGINE);
+        let fixed = real + 2 * resting * BYTES_A_CLIENT;
+        let asked = fixed + self.hollow as u64 * engines * HOLLOW_BYTES_AN_ENGINE;
+        let limit = (machine.memory_bytes as f64 * MEMORY_PART) as u64;
+        if asked > limit {
+            let each = (engines * HOLLOW_BYTES_AN_ENGINE).max(1);
+            let hollow = (limit.saturating_sub(fixed) / each) as usize;
+            return Err(SizeError::Memory { asked_mb: asked >> 20, limit_mb: limit >> 20, hollow });
+        }
+        let gateways = (self.real as u64).max(1);
+        let fixed = SPARE_DESCRIPTORS + gateways * CONNECTIONS_A_GATEWAY;
+        if fixed + resting > machine.descriptors {
+            let clients =
+                machine.descriptors.saturating_sub(fixed) / self.gateways_with_clients().max(1) as u64;
+            let limit = machine.descriptors;
+            return Err(SizeError::Descriptors { asked: fixed + resting, limit, clients });
+        }
+        Ok(())
+    }
+
+    fn check_numbers(&self) -> Result<(), SizeError> {
+        let lengths = [
+            ("gateways", self.gateways.len()),
+            ("engines", self.engines.len()),
+            ("clients", self.clients.len()),
+            ("rate", self.rate.len()),
+        ];
+        if let Some((flag, _)) = lengths.iter().find(|(_, length)| *length == 0) {
+            return Err(SizeError::Empty(flag));
+        }
+        if self.gateways.contains(&0) {
+            return Err(SizeError::WithoutGateways { engines: self.engines[0] });
+        }
+        if let Some(&value) = self.rate.iter().find(|rate| **rate <= 0.0 || !rate.is_finite()) {
+            return Err(SizeError::NotPositive { flag: "rate", value });
+        }
+        if self.engines.contains(&0) {
+            return Err(SizeError::NotPositive { flag: "engines", value: 0.0 });
+        }
+        if self.hollow == 0 {
+            return Err(SizeError::NotPositive { flag: "hollow", value: 0.0 });
+        }
+        if self.repeats < 2 {
+            return Err(SizeError::Repeats(self.repeats));
+        }
+        Ok(())
+    }
+}
--- a/crates/fleet-rig/src/simulated.rs
+++ b/crates/fleet-rig/src/simulated.rs
@@ -26,7 +26,7 @@
 /// Gateways look at what time brings this often.
 const LOOK: Micros = 250 * MS;
 /// Clients ask within this time; then the fleet comes to rest.
-const ASKS: Micros = 20 * S;
+pub const ASKS: Micros = 20 * S;
 const RESTS: Micros = 14 * S;
 
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +60,8 @@
     pub bytes: u64,
     pub caught_up_bytes: u64,
     pub mended: u64,
+    /// Entries at the keeper that held most.
+    pub most_held: u64,
     /// The longest that a keeper took to vote again, in milliseconds.
     pub longest_catch_up_ms: u64,
     /// From the first claim to its verdict, at the worst where it was granted.
@@ -509,6 +511,7 @@
             }
             outputs.extend(then);
         }
+        self.figures.most_held = self.figures.most_held.max(own.disk.len() as u64);
         self.perform(keeper, outputs);
     }
 
@@ -713,6 +716,7 @@
         self.bytes += other.bytes;
         self.caught_up_bytes += other.caught_up_bytes;
         self.mended += other.mended;
+        self.most_held = self.most_held.max(other.most_held);
         self.longest_catch_up_ms = self.longest_catch_up_ms.max(other.longest_catch_up_ms);
         self.longest_claim_ms = self.longest_claim_ms.max(other.longest_claim_ms);
     }
--- a/crates/fleet-rig/src/timeline.rs
+++ b/crates/fleet-rig/src/timeline.rs
@@ -38,7 +38,8 @@
 
     /// The next event up to a time, which it is then.
     pub fn next(&mut self, until: Micros) -> Option<E> {
-        let Reverse((at, number)) = self.order.pop().filter(|Reverse((at, _))| *at <= until)?;
+        self.order.peek().filter(|Reverse((at, _))| *at <= until)?;
+        let Reverse((at, number)) = self.order.pop()?;
         self.now = at;
         self.events.remove(&number)
     }
--- a/crates/standin/src/scripted.rs
+++ b/crates/standin/src/scripted.rs
@@ -84,6 +84,17 @@
         self.listener.local_addr().expect("a listening socket has an address")
     }
 
+    /// Answers all that comes with so many pages of one kind, on threads of its own, until nobody has dialled
+    /// for [`PATIENCE`].
+    pub fn answer_all(self, pages: usize, page: String) {
+        std::thread::spawn(move || {
+            while let Ok(mut end) = self.accept() {
+                let page = page.clone();
+                std::thread::spawn(move || while end.answer_next(pages, &page).is_ok() {});
+            }
+        });
+    }
+
     pub fn accept(&self) -> io::Result<EngineEnd> {
         let (stream, _) = self.listener.accept()?;
         Ok(EngineEnd { lines: BufReader::new(patient(stream)?) })
@@ -133,6 +144,17 @@
         self.lines.get_mut().write_all(text.as_bytes())
     }
 
+    /// Answers the next command, a query with so many pages.
+    fn answer_next(&mut self, pages: usize, page: &str) -> io::Result<()> {
+        let command = self.command()?;
+        match command.verb() {
+            "serve" => self.answer(command.id(), "OK", &format!("count={pages}"), page),
+            "gauges" | "health" => self.answer(command.id(), "UP", "report=inflight:0", ""),
+            "read" => self.answer(command.id(), "ROWS", &format!("pos={}", command.words[2]), page),
+            _ => Ok(()),
+        }
+    }
+
     pub fn write_raw(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.lines.get_mut().write_all(bytes)
     }
--- a/src/engines.rs
+++ b/src/engines.rs
@@ -154,10 +154,11 @@
     /// Changes what the list says of an engine; a new one is added first.
     pub(crate) fn relist(&mut self, entry: Entry, now: Micros, change: impl FnOnce(&mut Engine)) {
         self.visit();
-        if !self.table.contains_key(&entry.engine) {
-            self.table.insert(entry.engine, Engine { listed: false, ..Engine::new(entry) });
-            self.active.insert(entry.engine);
-        }
+        let active = &mut self.active;
+        self.table.entry(entry.engine).or_insert_with(|| {
+            active.insert(entry.engine);
+            Engine { listed: false, ..Engine::new(entry) }
+        });
         self.activate(&entry.engine);
         self.count(entry.engine, false);
         if let Some(engine) = self.table.get_mut(&entry.engine) {
