Lists walk over names only where an engine goes; rig and stand-ins split by job

Cause: the scale run showed 233 us of processor time for each change of the list at 4,100 engines (350 us before the index), of which codec and module take 2.5 us: listing.rs walked over the names of all engines at each change. Now it does so where the list takes an engine away or is whole. The rig's real clients ask five at a time (one waits some milliseconds for each answer) and resting ones connect at once.

Moves alone: simulated.rs by links, processes, requests, figures and tests; cold_sum's settings; the scripted client.

--- a/crates/fleet-rig/src/scale/processes.rs
+++ b/crates/fleet-rig/src/scale/processes.rs
@@ -43,6 +43,8 @@
 /// Requests before anything is counted, and their rate: connections to engines are made then.
 const WARM_UP_REQUESTS: usize = 200;
 const WARM_UP_RATE: f64 = 500.0;
+/// Clients that ask one gateway: an answer takes some milliseconds, and each client waits for it.
+const ASKING: usize = 5;
 /// How long a list event may take to be handled, before processor time is read.
 const SETTLES: Duration = Duration::from_millis(400);
 
@@ -102,6 +104,15 @@
     pub unanswered: u64,
 }
 
+impl Answers {
+    fn add(&mut self, other: &Answers) {
+        self.asked += other.asked;
+        self.served += other.served;
+        self.refused += other.refused;
+        self.unanswered += other.unanswered;
+    }
+}
+
 /// One gateway's part of a measurement.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sample {
@@ -201,39 +212,54 @@
     pub fn rest(&self, gateways: usize, clients: usize) -> io::Result<Vec<Client>> {
         let addresses = self.nodes.iter().take(gateways).map(|node| node.address);
         let each = addresses.flat_map(|address| std::iter::repeat_n(address, clients));
-        each.map(rests).collect()
+        let mut resting: Vec<Client> = each.map(Client::connect).collect::<io::Result<_>>()?;
+        // One that never asked would be ended after a while.
+        resting.iter_mut().try_for_each(|client| client.ask_health(1))?;
+        for client in &mut resting {
+            client.answer()?;
+        }
+        Ok(resting)
     }
 
-    /// Asks each gateway at a rate for some time, from a client of its own.
+    /// Asks each gateway at a rate for some time, from clients of its own.
     pub fn ask(&self, rate: f64, lasts: Duration) -> io::Result<Vec<Sample>> {
-        let count = (rate * lasts.as_secs_f64()).ceil() as usize;
-        let clients = self.connect()?;
-        let clients = self.drive(clients, WARM_UP_REQUESTS, WARM_UP_RATE)?;
+        let count = (rate * lasts.as_secs_f64() / ASKING as f64).ceil() as usize;
+        let drivers = self.connect()?;
+        let drivers = self.drive(drivers, WARM_UP_REQUESTS / ASKING, WARM_UP_RATE)?;
         let before = self.processor_times()?;
-        let clients = self.drive(clients, count, rate)?;
+        let drivers = self.drive(drivers, count, rate)?;
         let after = self.processor_times()?;
-        let sample = |((node, driver), (before, after)): ((&Node, Driver), (Duration, Duration))| Sample {
-            micros_a_request: (after - before).as_secs_f64() * 1e6 / count as f64,
-            resident_bytes: self.processes.resident_bytes(&node.name).unwrap_or(0) as f64,
-            answers: driver.answers,
-        };
-        let times = before.into_iter().zip(after);
-        Ok(self.nodes.iter().zip(clients).zip(times).map(sample).collect())
+        let mut samples = Vec::new();
+        for (at, node) in self.nodes.iter().enumerate() {
+            let spent = (after[at] - before[at]).as_secs_f64() * 1e6;
+            let mut answers = Answers::default();
+            drivers[at * ASKING..][..ASKING].iter().for_each(|driver| answers.add(&driver.answers));
+            samples.push(Sample {
+                micros_a_request: spent / (count * ASKING) as f64,
+                resident_bytes: self.processes.resident_bytes(&node.name).unwrap_or(0) as f64,
+                answers,
+            });
+        }
+        Ok(samples)
     }
 
+    /// Clients that ask, those of one gateway side by side.
     fn connect(&self) -> io::Result<Vec<Driver>> {
-        let driver = |(number, node): (usize, &Node)| {
-            Ok(Driver {
-                client: Client::connect(node.address)?,
-                next: (number as u64) << 32,
-                answers: Answers::default(),
-            })
-        };
-        self.nodes.iter().enumerate().map(driver).collect()
+        let mut drivers = Vec::new();
+        for (number, node) in self.nodes.iter().enumerate() {
+            for own in 0..ASKING {
+                let next = (number * ASKING + own) as u64;
+                let client = Client::connect(node.address)?;
+                drivers.push(Driver { client, next: next << 32, answers: Answers::default() });
+            }
+        }
+        Ok(drivers)
     }
 
+    /// Each client asks so often, all of a gateway together at the rate.
     fn drive(&self, drivers: Vec<Driver>, count: usize, rate: f64) -> io::Result<Vec<Driver>> {
-        let start = |driver: Driver| std::thread::spawn(move || driver.run(count, rate));
+        let own_rate = rate / ASKING as f64;
+        let start = |driver: Driver| std::thread::spawn(move || driver.run(count, own_rate));
         let threads: Vec<JoinHandle<Driver>> = drivers.into_iter().map(start).collect();
         let ended =
             |thread: JoinHandle<Driver>| thread.join().map_err(|_| io::Error::other("a client panicked"));
@@ -286,14 +312,6 @@
     }
 }
 
-/// A client that never asked would be ended after a while.
-fn rests(address: SocketAddr) -> io::Result<Client> {
-    let mut client = Client::connect(address)?;
-    client.ask_health(1)?;
-    client.answer()?;
-    Ok(client)
-}
-
 /// One client that asks at a rate and waits for each answer.
 struct Driver {
     client: Client,
--- /dev/null
+++ b/crates/fleet-rig/src/simulated/links.rs
@@ -0,0 +1,104 @@
+//! Links between gateways and keepers: made, broken, what goes over them, and what cores ask for.
+
+use super::*;
+
+impl Fleet {
+    pub(super) fn link(&mut self, link: (usize, usize), up: bool) {
+        let ends_up = self.gateways[link.0].up && self.gateways[link.1].up;
+        let Some(own) = self.links.get_mut(&link) else { return };
+        if own.0 == up || (up && (!ends_up || self.time.now < own.2)) {
+            return;
+        }
+        own.0 = up;
+        own.1 += u64::from(up);
+        let ends = [(link.0, Peer::Keeper(link.1)), (link.1, Peer::Asker(link.0 as u64))];
+        for (at, peer) in ends {
+            if self.gateways[at].up {
+                let outputs = self.gateways[at].core.link(self.time.now, peer, up);
+                self.perform(at, outputs);
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, link: (usize, usize), to_keeper: bool, message: Message) {
+        let about = self.traced.map(key_of).is_some_and(|key| match &message {
+            Message::Claim { key: own, .. } | Message::Update { key: own, .. } => *own == key,
+            Message::Part { entries, .. } => entries.iter().any(|entry| entry.key == key),
+            Message::Claimed { .. } | Message::NotNow { .. } => false,
+            _ => false,
+        });
+        if about {
+            self.tell(None, || {
+                format!("{link:?} to keeper {to_keeper}: {message:?}").chars().take(400).collect()
+            });
+        }
+        let Some((true, epoch, _)) = self.links.get(&link).copied() else { return };
+        self.figures.messages += 1;
+        self.figures.bytes += 8 + postcard::to_stdvec(&message).map_or(0, |bytes| bytes.len()) as u64;
+        // One in fifty takes long, and what comes behind it as long.
+        let delay = match self.rng.random_bool(0.02) {
+            true => self.rng.random_range(10 * MS..300 * MS),
+            false => self.rng.random_range(200..2 * MS),
+        };
+        let event = Event::Deliver { link, epoch, to_keeper, message };
+        self.time.send((link, to_keeper), delay, event);
+    }
+
+    pub(super) fn perform(&mut self, at: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send(Peer::Keeper(keeper), message) => self.send((at, keeper), true, message),
+                Output::Send(Peer::Asker(asker), message) => self.send((asker as usize, at), false, message),
+                Output::Store { key, copy, then } => {
+                    let own = &mut self.gateways[at];
+                    own.unflushed.push((key, copy, then));
+                    if !std::mem::replace(&mut own.flushing, true) {
+                        let start = own.start;
+                        let takes = self.rng.random_range(300..4 * MS);
+                        self.at(takes, Event::Flush { keeper: at, start });
+                    }
+                }
+                Output::OwnVote { number, seen } => {
+                    let verdict = self.gateways[at].core.own_vote(self.time.now, number, &seen);
+                    self.perform(at, verdict.into_iter().collect());
+                }
+                Output::Verdict(number, verdict) => self.decided(at, number, verdict),
+                Output::Drained(_) | Output::Hints { .. } => {}
+                Output::Votes => {
+                    self.tell(None, || format!("{at} votes"));
+                    let own = &mut self.gateways[at];
+                    own.voted = true;
+                    let took = self.time.now - own.voted_at.replace(0).unwrap_or(self.time.now);
+                    self.figures.longest_catch_up_ms = self.figures.longest_catch_up_ms.max(took / MS);
+                    let askers: Vec<_> =
+                        self.links.keys().filter(|(_, keeper)| *keeper == at).copied().collect();
+                    askers
+                        .into_iter()
+                        .for_each(|link| self.send(link, false, Message::Stands { votes: true }));
+                }
+            }
+        }
+    }
+
+    pub(super) fn flush(&mut self, keeper: usize, start: u64) {
+        let own = &mut self.gateways[keeper];
+        if own.start != start || !own.up {
+            return;
+        }
+        if own.paused_until > self.time.now {
+            let wait = own.paused_until - self.time.now;
+            return self.at(wait, Event::Flush { keeper, start });
+        }
+        own.flushing = false;
+        let mut outputs = Vec::new();
+        for (key, copy, then) in std::mem::take(&mut own.unflushed) {
+            match copy {
+                Some(copy) => _ = own.disk.insert(key, copy),
+                None => _ = own.disk.remove(&key),
+            }
+            outputs.extend(then);
+        }
+        self.figures.most_held = self.figures.most_held.max(own.disk.len() as u64);
+        self.perform(keeper, outputs);
+    }
+}
--- a/crates/gateway/src/gateway/listing.rs
+++ b/crates/gateway/src/gateway/listing.rs
@@ -31,18 +31,28 @@
                 self.engines.unlisted(engine, &mut self.due, &mut self.from_engines);
             }
         }
+        let takes_away = roster.whole || entries.iter().any(|entry| entry.phase == Phase::Gone);
         let event = if roster.whole { Event::FullList(entries) } else { Event::ListChanges(entries) };
         // What the list ended comes after the list itself.
         self.events.push_back(event);
         self.hear_engines();
         self.clients.well |= self.shutdown.phase() == Stage::Serving && !self.engine_names.is_empty();
-        // Engines come under new names all day: a name stays as long as its engine or a connection to it.
+        if takes_away {
+            self.forget_engines();
+        }
+        if let Some(keeping) = &mut self.keeping {
+            keeping.engines(self.clock.now());
+        }
+    }
+
+    /// Engines come under new names all day: a name stays as long as its engine or a connection to it, and
+    /// goes with the next list that takes an engine away. Other changes of the list need no walk over all.
+    fn forget_engines(&mut self) {
         self.engine_names.retain(|&engine, _| self.engines.knows(engine));
         self.last_listed.retain(|&engine, _| self.engines.knows(engine));
         self.last_entries.retain(|&engine, _| self.engines.knows(engine));
         if let Some(keeping) = &mut self.keeping {
             keeping.forget_engines(|engine| self.engines.knows(engine));
-            keeping.engines(self.clock.now());
         }
     }
 
