--- a/crates/fleet-rig/src/scale/decisions.rs
+++ b/crates/fleet-rig/src/scale/decisions.rs
@@ -35,7 +35,9 @@
 /// What a fleet of hollow gateways is made of.
 #[derive(Clone, Copy, Debug)]
 pub struct Fleet {
+    /// Gateways in all.
     pub gateways: usize,
+    /// Engines that the list names.
     pub engines: usize,
     /// Of the gateways, how many are played.
     pub hollow: usize,
@@ -45,15 +47,20 @@
     pub overloaded: bool,
     /// Only probes tell how many queries an engine holds, so each gateway looks at all engines.
     pub probed: bool,
+    /// What all random numbers come of.
     pub seed: u64,
 }
 
 /// What the decisions of all hollow gateways took.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cost {
+    /// Requests that were counted.
     pub requests: u64,
+    /// Attempts sent.
     pub sent: u64,
+    /// Requests that ended without an attempt.
     pub refused: u64,
+    /// Requests without an end.
     pub unanswered: u64,
     /// Engines looked at.
     pub visits: u64,
@@ -61,18 +68,22 @@
     pub time: Duration,
     /// Memory that the gateways and their lists take.
     pub bytes: u64,
+    /// Gateways that were played.
     pub gateways: u64,
 }
 
 impl Cost {
+    /// Engines looked at for a request.
     pub fn visits_a_request(&self) -> f64 {
         self.visits as f64 / self.requests.max(1) as f64
     }
 
+    /// Processor time of the module for a request.
     pub fn micros_a_request(&self) -> f64 {
         self.time.as_secs_f64() * 1e6 / self.requests.max(1) as f64
     }
 
+    /// Memory of one gateway's module.
     pub fn bytes_a_gateway(&self) -> f64 {
         self.bytes as f64 / self.gateways.max(1) as f64
     }
--- a/crates/fleet-rig/src/scale/discovery.rs
+++ b/crates/fleet-rig/src/scale/discovery.rs
@@ -1,4 +1,4 @@
-//! Hollow watches: what the list of engines costs a gateway, in bytes and processor time, whole and by changes.
+//! Hollow watches: what the list of engines costs a gateway in bytes and processor time, whole and by changes.
 //!
 //! The codec of the watch and the decision module are those that ship. Left out: the socket, and the names of
 //! engines that the process keeps; the real gateways have them.
@@ -18,6 +18,7 @@
 /// What one list event took.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cost {
+    /// Bytes on the watch.
     pub bytes: u64,
     /// To read the event from the stream.
     pub read: Duration,
--- a/crates/fleet-rig/src/scale/fit.rs
+++ b/crates/fleet-rig/src/scale/fit.rs
@@ -15,6 +15,7 @@
 pub enum Law {
     /// It doesn't.
     Flat,
+    /// With the size itself.
     Linear,
     /// With the logarithm of the size.
     Logarithmic,
@@ -32,9 +33,11 @@
 /// A line through the points of a series.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Slope {
+    /// The law that was taken.
     pub law: Law,
     /// Growth for one more of the axis, or of what its law makes of it.
     pub slope: f64,
+    /// What the line gives where its law gives nothing.
     pub intercept: f64,
     /// Root of the mean square distance of single values from the line.
     pub scatter: f64,
@@ -45,14 +48,18 @@
 /// The greatest point of a series, predicted from all smaller ones and then measured.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize)]
 pub struct Prediction {
+    /// The greatest size.
     pub at: f64,
+    /// What the smaller sizes say of it.
     pub predicted: f64,
+    /// What was measured there.
     pub measured: f64,
     /// Distance of the two as a part of the measured one.
     pub error: f64,
 }
 
 impl Prediction {
+    /// Whether it is a basis for a figure.
     pub fn holds(&self) -> bool {
         self.error <= MOST_ERROR
     }
@@ -68,6 +75,7 @@
 }
 
 impl Slope {
+    /// What the line gives at a size.
     pub fn value(&self, at: f64) -> f64 {
         self.intercept + self.slope * transformed(self.law, at)
     }
--- a/crates/fleet-rig/src/scale/measure.rs
+++ b/crates/fleet-rig/src/scale/measure.rs
@@ -5,7 +5,9 @@
 /// The size at which something was measured.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct Size {
+    /// Gateways of the fleet.
     pub gateways: usize,
+    /// Engines of the fleet.
     pub engines: usize,
     /// Idle clients of one gateway.
     pub clients: usize,
@@ -19,10 +21,15 @@
 pub enum Axis {
     /// Engines, with gateways in proportion.
     Engines,
+    /// Gateways alone.
     Gateways,
+    /// Idle clients of a gateway.
     Clients,
+    /// Requests a second of a gateway.
     Rate,
+    /// Keepers that vote.
     Keepers,
+    /// Keyed requests.
     Keyed,
 }
 
@@ -41,22 +48,31 @@
 /// A figure at several sizes, of which one quantity varies.
 #[derive(Clone, Debug, Serialize)]
 pub struct Series {
+    /// Name of the figure.
     pub name: &'static str,
+    /// Its unit.
     pub unit: &'static str,
+    /// How it was come by.
     pub source: Source,
+    /// What varies.
     pub axis: Axis,
+    /// Measurements, from the least size to the greatest.
     pub points: Vec<Point>,
 }
 
 /// The repeats of one measurement.
 #[derive(Clone, Debug, Serialize)]
 pub struct Point {
+    /// The size on the axis.
     pub at: f64,
+    /// The whole size.
     pub size: Size,
+    /// A value for each repeat.
     pub values: Vec<f64>,
 }
 
 impl Point {
+    /// The middle value, or the mean of the two in the middle.
     pub fn median(&self) -> f64 {
         let mut sorted = self.values.clone();
         sorted.sort_unstable_by(f64::total_cmp);
@@ -79,14 +95,18 @@
 /// Collects the points of several figures that are measured together.
 #[derive(Default)]
 pub struct Collected {
+    /// Figures by name and axis.
     pub series: Vec<Series>,
 }
 
 /// What identifies a figure.
 #[derive(Clone, Copy, Debug)]
 pub struct Figure {
+    /// Its name.
     pub name: &'static str,
+    /// Its unit.
     pub unit: &'static str,
+    /// How it is come by.
     pub source: Source,
 }
 
@@ -106,6 +126,7 @@
         }
     }
 
+    /// A figure along an axis, if it was measured.
     pub fn find(&self, name: &str, axis: Axis) -> Option<&Series> {
         self.series.iter().find(|own| own.name == name && own.axis == axis)
     }
--- a/crates/fleet-rig/src/scale/mod.rs
+++ b/crates/fleet-rig/src/scale/mod.rs
@@ -7,6 +7,8 @@
 //!
 //! Bounds: [`sizes::Sizes::check`] turns away what doesn't fit the machine before anything starts.
 
+#![warn(missing_docs)]
+
 pub mod checks;
 pub mod decisions;
 pub mod discovery;
--- a/crates/fleet-rig/src/scale/processes.rs
+++ b/crates/fleet-rig/src/scale/processes.rs
@@ -98,9 +98,13 @@
 /// What the answers of one client were.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Answers {
+    /// Requests that were asked.
     pub asked: u64,
+    /// Those that got what they asked for.
     pub served: u64,
+    /// Those that were refused.
     pub refused: u64,
+    /// Those without an answer.
     pub unanswered: u64,
 }
 
@@ -116,8 +120,11 @@
 /// One gateway's part of a measurement.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Sample {
+    /// Processor time for a request.
     pub micros_a_request: f64,
+    /// Memory that the process held.
     pub resident_bytes: f64,
+    /// What its clients were answered.
     pub answers: Answers,
 }
 
@@ -126,7 +133,9 @@
 pub struct Control {
     /// Part of a core without any request.
     pub idle_share: f64,
+    /// Processor time for a change of one engine.
     pub micros_a_change: f64,
+    /// Processor time for a whole list.
     pub micros_a_whole_list: f64,
     /// Processor time from the start of the process until it listened.
     pub micros_to_start: f64,
@@ -208,7 +217,7 @@
         self.nodes.iter().map(|node| self.processor_time(&node.name)).collect()
     }
 
-    /// Lets clients that have asked once rest at each of the first gateways, for as long as what is given back.
+    /// Lets clients that have asked once rest at each of the first gateways, as long as what is given back.
     pub fn rest(&self, gateways: usize, clients: usize) -> io::Result<Vec<Client>> {
         let addresses = self.nodes.iter().take(gateways).map(|node| node.address);
         let each = addresses.flat_map(|address| std::iter::repeat_n(address, clients));
--- a/crates/fleet-rig/src/scale/replication.rs
+++ b/crates/fleet-rig/src/scale/replication.rs
@@ -14,12 +14,17 @@
 /// What the keyed requests of a fleet cost its keepers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Claims {
+    /// Messages for a keyed request, in all directions.
     pub messages_a_request: f64,
+    /// Bytes for a keyed request, in all directions.
     pub bytes_a_request: f64,
     /// Entries at the keeper that held most, for each request a second.
     pub held_a_rate: f64,
+    /// Requests without an end.
     pub unanswered: u64,
+    /// Keys that took effect twice.
     pub effects_twice: u64,
+    /// Keys whose replicas differ at the end.
     pub differ: u64,
 }
 
@@ -45,10 +50,13 @@
 /// What the leases of a fleet's tasks cost, and how long tasks go without an owner.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Leases {
+    /// Messages of the whole fleet.
     pub messages_a_second: f64,
     /// From the loss of owners to the last task with a new one.
     pub owned_again_ms: u64,
+    /// Work of a late owner that counted.
     pub stale_applied: u64,
+    /// Terms with two owners.
     pub two_owners: u64,
 }
 
@@ -68,6 +76,7 @@
 pub struct Heartbeats {
     /// Sent by this end, headers included.
     pub bytes_a_second: f64,
+    /// Sent by this end.
     pub messages_a_second: f64,
     /// Processor time of the detector and the frames for a second of one link.
     pub time_a_second: Duration,
--- a/crates/fleet-rig/src/scale/report.rs
+++ b/crates/fleet-rig/src/scale/report.rs
@@ -10,8 +10,11 @@
 
 /// The fleet ahead that slopes are taken to.
 pub const TARGET_GATEWAYS: f64 = 1_700.0;
+/// Engines there.
 pub const TARGET_ENGINES: f64 = 4_100.0;
+/// Idle clients of a gateway there.
 pub const TARGET_CLIENTS: f64 = 4_120.0;
+/// Requests a second of a gateway there.
 pub const TARGET_RATE: f64 = 447.0;
 
 #[derive(Serialize)]
@@ -92,7 +95,7 @@
 /// One row for each series: its figures, its slope, and what was predicted of its greatest point.
 pub fn table(outcome: &Outcome) -> String {
     let mut text = String::from(
-        "figure | axis | unit | medians by size | law | slope | intercept | scatter | predicted, measured, error\n",
+        "figure | axis | unit | medians by size | law | slope | intercept | scatter | predicted, measured\n",
     );
     for series in &outcome.collected.series {
         let medians: Vec<String> =
--- a/crates/fleet-rig/src/scale/run.rs
+++ b/crates/fleet-rig/src/scale/run.rs
@@ -16,7 +16,7 @@
 
 /// Engines for each gateway, as the target has them.
 pub const ENGINES_A_GATEWAY: f64 = 2.4;
-/// Requests that each gateway's probed decisions are counted over need this many fewer gateways: each is dear.
+/// Probed decisions are dear: one in so many hollow gateways plays them.
 const PROBED_PART: usize = 4;
 const KEEPERS: [usize; 3] = [3, 5, 7];
 /// Keyed requests of the simulated fleet within its 20 s.
@@ -31,15 +31,20 @@
 /// Something that was counted and must not be.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Broken {
+    /// The rule.
     pub rule: &'static str,
+    /// What was counted.
     pub what: String,
 }
 
 /// A prediction of one figure.
 #[derive(Clone, Debug, Serialize)]
 pub struct Predicted {
+    /// The figure.
     pub name: &'static str,
+    /// What varies.
     pub axis: Axis,
+    /// The prediction and what came of it.
     #[serde(flatten)]
     pub prediction: Prediction,
 }
@@ -47,10 +52,15 @@
 /// All that a run measured.
 #[derive(Default)]
 pub struct Outcome {
+    /// Figures.
     pub collected: Collected,
+    /// Predictions, each made before its point was measured.
     pub predictions: Vec<Predicted>,
+    /// What must not be.
     pub broken: Vec<Broken>,
+    /// Requests of all gateways.
     pub requests: u64,
+    /// Those without an end.
     pub unanswered: u64,
 }
 
@@ -62,9 +72,13 @@
 
 /// Plays everything; `predicted` is handed each prediction before its point is measured.
 pub struct Run<'a> {
+    /// What is played.
     pub sizes: &'a Sizes,
+    /// The program for real gateways; without it there are none.
     pub program: Option<&'a Path>,
+    /// Is handed name, axis, size and value of a prediction.
     pub predicted: &'a mut dyn FnMut(&str, Axis, f64, f64),
+    /// What was measured so far.
     pub outcome: Outcome,
 }
 
@@ -75,37 +89,31 @@
     sorted
 }
 
+fn places(counts: &[usize], size: impl Fn(usize) -> Size) -> Vec<Place> {
+    ascending(counts).into_iter().map(|count| (count as f64, size(count))).collect()
+}
+
 fn in_proportion(engines: usize) -> usize {
     ((engines as f64 / ENGINES_A_GATEWAY).round() as usize).max(1)
 }
 
 impl Run<'_> {
+    /// Plays all sweeps and checks the counts.
     pub fn play(mut self) -> io::Result<Outcome> {
         let middle = self.middle();
-        let engines = ascending(&self.sizes.engines);
-        let by_engines: Vec<Place> = engines
-            .iter()
-            .map(|&engines| (engines as f64, Size { engines, gateways: in_proportion(engines), ..middle }))
-            .collect();
-        let by_gateways: Vec<Place> = ascending(&self.sizes.gateways)
-            .into_iter()
-            .map(|gateways| (gateways as f64, Size { gateways, ..middle }))
-            .collect();
+        let sizes = self.sizes;
+        let by_engines =
+            places(&sizes.engines, |engines| Size { engines, gateways: in_proportion(engines), ..middle });
+        let by_gateways = places(&sizes.gateways, |gateways| Size { gateways, ..middle });
+        let by_clients = places(&sizes.clients, |clients| Size { clients, ..middle });
         let by_rate: Vec<Place> =
-            ascending(&self.sizes.rate).into_iter().map(|rate| (rate, Size { rate, ..middle })).collect();
-        let by_clients: Vec<Place> = ascending(&self.sizes.clients)
-            .into_iter()
-            .map(|clients| (clients as f64, Size { clients, ..middle }))
-            .collect();
+            ascending(&sizes.rate).into_iter().map(|rate| (rate, Size { rate, ..middle })).collect();
         self.sweep(Axis::Gateways, &by_gateways, Self::hollow_by_gateways)?;
         self.sweep(Axis::Rate, &by_rate, Self::hollow)?;
         self.sweep(Axis::Gateways, &by_gateways, Self::shared)?;
         let most = by_gateways.last().map_or(0, |place| place.1.gateways);
-        let leased: Vec<Place> = LEASED
-            .into_iter()
-            .filter(|gateways| *gateways <= most)
-            .map(|gateways| (gateways as f64, Size { gateways, ..middle }))
-            .collect();
+        let leased: Vec<usize> = LEASED.into_iter().filter(|gateways| *gateways <= most).collect();
+        let leased = places(&leased, |gateways| Size { gateways, ..middle });
         self.sweep(Axis::Gateways, &leased, Self::leases)?;
         self.sweep(Axis::Keepers, &KEEPERS.map(|keepers| (keepers as f64, middle)), Self::keepers)?;
         self.sweep(Axis::Keyed, &KEYED.map(|keyed| (keyed as f64, middle)), Self::keyed)?;
--- a/crates/fleet-rig/src/scale/sizes.rs
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -17,6 +17,7 @@
 /// Engines of a size whose connections end in this process, for each real gateway.
 const CONNECTIONS_A_GATEWAY: u64 = 128;
 
+/// What a run is asked to play.
 #[derive(Args, Clone, Debug)]
 pub struct Sizes {
     /// Gateways of the fleet, at the middle number of engines.
@@ -60,32 +61,69 @@
 /// What the machine gives.
 #[derive(Clone, Copy, Debug)]
 pub struct Machine {
+    /// Memory in all.
     pub memory_bytes: u64,
+    /// Descriptors that this process may have.
     pub descriptors: u64,
 }
 
+/// Why sizes can't be played.
 #[derive(Debug, Error, PartialEq)]
 pub enum SizeError {
+    /// A list of sizes is empty.
     #[error("--{0} names no size; give at least one")]
     Empty(&'static str),
+    /// A size is nothing.
     #[error("--{flag} has {value}, which must be over 0; take it out")]
-    NotPositive { flag: &'static str, value: f64 },
+    NotPositive {
+        /// The flag.
+        flag: &'static str,
+        /// Its value.
+        value: f64,
+    },
+    /// Nobody uses the engines.
     #[error("--engines {engines} has no gateways: --gateways is 0 there; give at least one gateway")]
-    WithoutGateways { engines: usize },
+    WithoutGateways {
+        /// Engines that were asked for.
+        engines: usize,
+    },
+    /// Too few for a spread.
     #[error("--repeats {0} is too few for a spread; ask for at least 2")]
     Repeats(usize),
+    /// Too many processes.
     #[error("--real {asked} processes are over the limit of {limit}; ask for --real {limit} at the most")]
-    Processes { asked: usize, limit: usize },
+    Processes {
+        /// Processes that were asked for.
+        asked: usize,
+        /// The most there may be.
+        limit: usize,
+    },
+    /// More memory than a run may take.
     #[error(
         "the sizes take about {asked_mb} MB, over the limit of {limit_mb} MB, half of the machine's memory; \
          ask for --hollow {hollow} or fewer, or for fewer --clients or --real"
     )]
-    Memory { asked_mb: u64, limit_mb: u64, hollow: usize },
+    Memory {
+        /// Memory that the sizes take.
+        asked_mb: u64,
+        /// The most that they may.
+        limit_mb: u64,
+        /// Hollow gateways that fit.
+        hollow: usize,
+    },
+    /// More descriptors than this process may have.
     #[error(
         "the sizes take about {asked} descriptors, over the limit of {limit}; ask for --clients {clients} or \
          fewer, or raise the limit (ulimit -n)"
     )]
-    Descriptors { asked: u64, limit: u64, clients: u64 },
+    Descriptors {
+        /// Descriptors that the sizes take.
+        asked: u64,
+        /// The most that they may.
+        limit: u64,
+        /// Idle clients that fit.
+        clients: u64,
+    },
 }
 
 impl Machine {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -101,6 +101,7 @@
     actions: Vec<Action>,
 }
 impl Gateway {
+    /// One that knows its settings and nothing else; equal seeds and events give equal actions.
     pub fn new(set: Settings, seed: u64, now: Micros) -> Self {
         let latency = (STRETCH_MEMORY * set.warm_within as f64).max(1.0);
         let fresh = Learned { work_ratio: 1.0, memory_ratio: 1.0, work: 0.0, memory: None };
@@ -130,6 +131,7 @@
         own
     }
 
+    /// Takes an event in, and puts what comes of it behind `actions`.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
         let quiet = matches!(event, Event::Arrived(_) | Event::Noted { .. } | Event::StreamBegan { .. });
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -55,8 +55,7 @@
         let jammed = self.now < engine.pressed_until || engine.stretch > CLIP * engine.best;
         let jam = if self.set.may_cancel { jammed } else { engine.under_pressure(self.now) };
         let ahead = |charge: &&Charge| jam || self.thin || !dashboard || self.is_dashboard(charge.class);
-        let own: f64 = engine.out.values().filter(ahead).map(|charge| charge.threads).sum();
-        let before = own + others;
+        let before = engine.out.values().filter(ahead).map(|charge| charge.threads).sum::<f64>() + others;
         let threads = before + self.set.classes[held.req.class].threads;
         // Latency shows seconds after the sends that cause it; threads over cores imply it at once.
         let pressure = self.thin || engine.under_pressure(self.now) || threads > IMPLIED * cores;
--- a/src/decide/listing.rs
+++ b/src/decide/listing.rs
@@ -21,7 +21,7 @@
         let warm_at = entry.booted_at + self.set.warm_within;
         self.engines.relist(entry, self.now, |engine| {
             if entry.booted_at > engine.entry.booted_at {
-                // A restart: what was learned of the process before it is void, what it is charged with is not.
+                // A restart: what was learned of the process before is void, what it is charged with is not.
                 let (out, threads, memory) = (std::mem::take(&mut engine.out), engine.threads, engine.memory);
                 *engine = Engine { out, threads, memory, ..Engine::new(entry) };
             }
--- a/src/decide/shares.rs
+++ b/src/decide/shares.rs
@@ -30,8 +30,7 @@
         let ring = self.engines.ring(class);
         let count = ring.len() as f64;
         let wide = ((count / self.set.peers / self.share).round() as usize).max(HOMES);
-        let own_arc = (wide, (self.place * count) as usize);
-        let (wide, begin) = if self.few { own_arc } else { (ring.len(), 0) };
+        let (wide, begin) = if self.few { (wide, (self.place * count) as usize) } else { (ring.len(), 0) };
         let (before, from) = ring.split_at(begin.min(ring.len().saturating_sub(1)));
         let usable = |id: &EngineId| !self.few || self.now >= self.engines[id].quarantined_until;
         from.iter().chain(before).copied().filter(move |(_, id)| usable(id)).take(wide)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -2,6 +2,8 @@
 //!
 //! [`decide::Gateway`] makes every decision; [`interface`] holds the types that go in and out of it.
 
+#![warn(missing_docs)]
+
 pub mod decide;
 mod engines;
 pub mod interface;
