--- a/crates/fleet-rig/src/scale/discovery.rs
+++ b/crates/fleet-rig/src/scale/discovery.rs
@@ -1,4 +1,4 @@
-//! Hollow watches: what the list of engines costs a gateway, whole and by changes, in bytes and processor time.
+//! Hollow watches: what the list of engines costs a gateway, whole and by changes, in bytes and time.
 //!
 //! The codec of the watch and the decision module are those that ship. Left out: the socket, and the names of
 //! engines that the process keeps; the real gateways have them.
