--- /dev/null
+++ b/crates/fleet-rig/src/classes.rs
@@ -0,0 +1,21 @@
+//! Classes of the simulated fleets.
+
+use eideryard::interface::{Class, Effect, Micros, Scope};
+
+/// A class of requests that are safe to repeat and may run anywhere.
+pub fn safe_class(aim: Micros, threads: f64) -> Class {
+    Class {
+        aim,
+        aim_stretch: 2.0,
+        worth: 1.0,
+        effect: Effect::Safe,
+        scope: Scope::All,
+        window: 0,
+        ordered: false,
+        zones_only: None,
+        kinds_only: None,
+        threads,
+        is_load: false,
+        waits_for_load: false,
+    }
+}
--- a/crates/fleet-rig/src/cold_sum/settings.rs
+++ b/crates/fleet-rig/src/cold_sum/settings.rs
@@ -1,24 +1,11 @@
 //! Settings of a drawn fleet.
 
 use super::*;
+use crate::classes::safe_class;
 
 pub(super) fn settings(rng: &mut StdRng, gateways: usize, cores: f64) -> Settings {
-    let class = |aim: Micros, threads: f64| Class {
-        aim,
-        aim_stretch: 2.0,
-        worth: 1.0,
-        effect: Effect::Safe,
-        scope: Scope::All,
-        window: 0,
-        ordered: false,
-        zones_only: None,
-        kinds_only: None,
-        threads,
-        is_load: false,
-        waits_for_load: false,
-    };
     Settings {
-        classes: vec![class(800_000, THREADS[0]), class(3 * S, THREADS[1])],
+        classes: vec![safe_class(800_000, THREADS[0]), safe_class(3 * S, THREADS[1])],
         tenants: Vec::new(),
         kinds: vec![Kind { cores, memory_mb: 16_000.0 }],
         peers: gateways as f64,
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -12,6 +12,7 @@
 //! `eideryard_standin::history`, and what a link holds in [`relay`].
 
 pub mod check;
+pub mod classes;
 pub mod cold_sum;
 pub mod config;
 pub mod directories;
--- a/crates/fleet-rig/src/scale/decisions.rs
+++ b/crates/fleet-rig/src/scale/decisions.rs
@@ -11,6 +11,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::classes::safe_class;
 use crate::timeline::{Micros, Timeline};
 
 const SECOND: Micros = 1_000_000;
@@ -275,22 +276,8 @@
 }
 
 fn settings(fleet: &Fleet, index: usize) -> Settings {
-    let class = |threads: f64| Class {
-        aim: SECOND,
-        aim_stretch: 2.0,
-        worth: 1.0,
-        effect: Effect::Safe,
-        scope: Scope::All,
-        window: 0,
-        ordered: false,
-        zones_only: None,
-        kinds_only: None,
-        threads,
-        is_load: false,
-        waits_for_load: false,
-    };
     Settings {
-        classes: vec![class(1.0), class(WIDEST)],
+        classes: vec![safe_class(SECOND, 1.0), safe_class(SECOND, WIDEST)],
         tenants: Vec::new(),
         kinds: vec![Kind { cores: CORES, memory_mb: 64_000.0 }],
         peers: fleet.gateways as f64,
--- a/crates/fleet-rig/src/scale/run.rs
+++ b/crates/fleet-rig/src/scale/run.rs
@@ -21,8 +21,8 @@
 const KEEPERS: [usize; 3] = [3, 5, 7];
 /// Keyed requests of the simulated fleet within its 20 s.
 const KEYED: [usize; 3] = [200, 400, 800];
-/// Gateways of the simulated fleets with leases, which look at every task every few milliseconds: more take
-/// minutes.
+/// Gateways of the simulated fleets with leases. They look at every task every few milliseconds, so the time
+/// that they take grows with the square of their size.
 const LEASED: [usize; 4] = [10, 20, 40, 80];
 /// One of so many gateways is lost in the simulated fleet with leases.
 const LOST_ONE_OF: usize = 7;
