--- a/crates/command/tests/scale.rs
+++ b/crates/command/tests/scale.rs
@@ -17,21 +17,24 @@
         repeats: 2,
         real: 2,
         hollow: 1,
+        beside: 3,
         seconds: 0.3,
         plots: None,
         program: None,
     };
     let program = Path::new(env!("CARGO_BIN_EXE_eideryard"));
-    let run = Run {
-        sizes: &sizes,
-        program: Some(program),
-        predicted: &mut |_, _, _, _| (),
-        outcome: Default::default(),
-    };
-    let outcome = run.play().expect("processes start and end");
+    let outcome =
+        Run::new(&sizes, Some(program), &mut |_, _, _, _| ()).play().expect("processes start and end");
     assert_eq!(outcome.broken, []);
     let count = |name, axis| outcome.collected.find(name, axis).map_or(0, |series| series.points.len());
     assert_eq!(count("process.request", Axis::Engines), 2);
     assert_eq!(count("process.memory", Axis::Clients), 2);
     assert_eq!(count("process.list", Axis::Engines), 2);
+    // Configuration changes reached all processes, and hollow gateways followed the same list beside them.
+    assert_eq!(count("process.reload", Axis::Engines), 2);
+    assert_eq!(count("reload.in_force", Axis::Reloads), 2);
+    assert_eq!((count("together.change", Axis::Engines), count("together.list", Axis::Engines)), (2, 2));
+    // Keepers took keyed requests of other gateways.
+    assert_eq!(count("keeper.claim.time", Axis::Claims), 4);
+    assert_eq!(count("keeper.links.time", Axis::Links), 1);
 }
--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -3,10 +3,10 @@
 //!
 //! [`plan`] draws faults from a seed, or takes a scenario's; [`world`] plays them: gateways as
 //! [`processes`] in [`directories`] of their own, every connection through a [`relay`] of [`links`].
-//! [`voters`] tells which gateways vote together, [`check`] judges the history of all sides and [`minimize`] drops the faults that a break does not need;
-//! both are pure, as [`plan`] is. [`run`] joins them. [`simulated`] is a fleet of hundreds in virtual time,
-//! with the program's own cores, [`owned`] the same for tasks and their owners,
-//! both on one [`timeline`]. [`scale`] measures how costs grow with the size of a fleet.
+//! [`voters`] tells which gateways vote together, [`check`] judges the history of all sides, and [`minimize`]
+//! drops the faults that a break does not need; all are pure, as [`plan`] is. [`run`] joins them.
+//! [`simulated`] is a fleet of hundreds in virtual time, with the program's own cores, [`owned`] the same for
+//! tasks and their owners, both on one [`timeline`]. [`scale`] measures how costs grow with the size of a fleet.
 //!
 //! Bounds: 12 gateways by default are the most that are started, the history is bounded in
 //! `eideryard_standin::history`, and what a link holds in [`relay`].
--- a/crates/fleet-rig/src/main.rs
+++ b/crates/fleet-rig/src/main.rs
@@ -98,9 +98,7 @@
     let mut predicted = |name: &str, axis, at: f64, value: f64| {
         println!("predicted before it is measured: {name} by {axis:?} at {at}: {}", report::short(value))
     };
-    let run =
-        Run { sizes, program: program.as_deref(), predicted: &mut predicted, outcome: Default::default() };
-    let outcome = run.play().map_err(|e| e.to_string())?;
+    let outcome = Run::new(sizes, program.as_deref(), &mut predicted).play().map_err(|e| e.to_string())?;
     report::lines(&outcome).iter().for_each(|line| println!("{line}"));
     println!("\n{}", report::table(&outcome));
     if let Some(directory) = &sizes.plots {
--- a/crates/fleet-rig/src/owned.rs
+++ b/crates/fleet-rig/src/owned.rs
@@ -2,7 +2,7 @@
 //! that delay and break, processes that stand still or end. Everything comes of a seed; figures are of
 //! simulated servers and called so.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use eideryard_ownership::{Core, Message, Output, Plan, Task, Token};
 use rand::rngs::StdRng;
@@ -18,6 +18,11 @@
 pub const LASTS: Micros = 24 * S;
 /// A part of the gateways goes for good then.
 const GOES: Micros = 12 * S;
+/// A new owner is wanted within this.
+pub const NEW_OWNER_WITHIN: Micros = 6 * S;
+/// A task that has a new owner by then got it by its first vote: the last work of the old one was a second
+/// ago at the most, its lease ends after two, and the first that votes waits some hundred milliseconds.
+const FIRST_VOTE_BY: Micros = 3 * S;
 
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -43,6 +48,11 @@
     /// Until all tasks had an owner, from the beginning and from when some went, in milliseconds.
     pub owned_after_ms: u64,
     pub again_after_ms: u64,
+    /// Tasks whose owner went, those of them that needed more than one vote for another owner, and those that
+    /// had none after [`NEW_OWNER_WITHIN`].
+    pub tasks_lost: u64,
+    pub voted_again: u64,
+    pub owned_late: u64,
     /// Tasks that changed hands since, beyond those whose owner went, in percent of all.
     pub moved_percent: u64,
     /// Tasks of the gateway that owns most.
@@ -79,6 +89,8 @@
     gateways: Vec<Gateway>,
     owned: BTreeMap<Task, usize>,
     before: BTreeMap<Task, usize>,
+    /// Tasks whose owner went and that have no other yet.
+    lost: BTreeSet<Task>,
     figures: Figures,
 }
 
@@ -95,6 +107,7 @@
             gateways: Vec::new(),
             owned: BTreeMap::new(),
             before: BTreeMap::new(),
+            lost: BTreeSet::new(),
             figures: Figures::default(),
         };
         for at in 0..size.gateways {
@@ -148,6 +161,9 @@
         while let Some(event) = self.time.next(until) {
             self.happens(event);
         }
+        let never = self.lost.len() as u64;
+        self.figures.voted_again += never;
+        self.figures.owned_late += never;
         let moved = self.before.iter().filter(|(task, owner)| {
             self.gateways[**owner].up && self.owned.get(task).is_some_and(|now| now != *owner)
         });
@@ -214,6 +230,9 @@
                 }
                 let gateways = &self.gateways;
                 self.owned.retain(|_, owner| gateways[*owner].up);
+                let is_lost = |task: &Task| !self.owned.contains_key(task);
+                self.lost = self.before.keys().copied().filter(is_lost).collect();
+                self.figures.tasks_lost = self.lost.len() as u64;
             }
         }
     }
@@ -283,6 +302,7 @@
                 Output::Fenced { .. } => self.figures.fenced += 1,
                 Output::Won { task, .. } => {
                     self.owned.insert(task, at);
+                    self.owned_again(task);
                     let all = self.owned.len() == self.size.tasks as usize;
                     let took =
                         if self.time.now > S + GOES { self.time.now - S - GOES } else { self.time.now - S };
@@ -303,6 +323,15 @@
         }
     }
 
+    /// Counts how long a task whose owner went was without one.
+    fn owned_again(&mut self, task: Task) {
+        if self.lost.remove(&task) {
+            let took = self.time.now - S - GOES;
+            self.figures.voted_again += u64::from(took > FIRST_VOTE_BY);
+            self.figures.owned_late += u64::from(took > NEW_OWNER_WITHIN);
+        }
+    }
+
     fn flush(&mut self, keeper: usize, start: u64) {
         let own = &mut self.gateways[keeper];
         if own.start != start || !own.up {
@@ -338,6 +367,9 @@
         self.messages += other.messages;
         self.owned_after_ms = self.owned_after_ms.max(other.owned_after_ms);
         self.again_after_ms = self.again_after_ms.max(other.again_after_ms);
+        self.tasks_lost += other.tasks_lost;
+        self.voted_again += other.voted_again;
+        self.owned_late += other.owned_late;
         self.moved_percent = self.moved_percent.max(other.moved_percent);
         self.most_owned = self.most_owned.max(other.most_owned);
     }
--- a/crates/fleet-rig/src/processes.rs
+++ b/crates/fleet-rig/src/processes.rs
@@ -72,7 +72,7 @@
         let start = self.starts.entry(name.to_string()).or_default();
         *start += 1;
         let start = *start;
-        let path = programs.directory.join(format!("{name}-{start}.json"));
+        let path = configuration(programs, name, start);
         std::fs::write(&path, serde_json::to_string_pretty(config)?)?;
         let log = programs.directory.join(format!("{name}-{start}.log"));
         let child = Command::new(&programs.program)
@@ -105,6 +105,16 @@
         }
     }
 
+    /// Puts another configuration in the place of the one that a gateway started with. It takes it up when it
+    /// is told to.
+    pub fn configure(&self, programs: &Programs, name: &str, config: &serde_json::Value) -> io::Result<()> {
+        let start = self.running.get(name).map_or(0, |running| running.start);
+        let path = configuration(programs, name, start);
+        let new = path.with_extension("new");
+        std::fs::write(&new, serde_json::to_string_pretty(config)?)?;
+        std::fs::rename(new, path)
+    }
+
     /// Where the gateways of its fleet reach one, as its log says.
     pub fn peers_reach(&self, name: &str) -> Option<SocketAddr> {
         let log = &self.running.get(name)?.log;
@@ -197,6 +207,11 @@
     }
 }
 
+/// The file that one start of a gateway takes its configuration from.
+fn configuration(programs: &Programs, name: &str, start: usize) -> PathBuf {
+    programs.directory.join(format!("{name}-{start}.json"))
+}
+
 /// Of a process that still runs, by the system's own account.
 fn processor_time(process: u32) -> Option<Duration> {
     let mut sum = 0;
--- a/crates/fleet-rig/src/scale/checks.rs
+++ b/crates/fleet-rig/src/scale/checks.rs
@@ -7,8 +7,9 @@
 const MOST_GROWTH: f64 = 0.25;
 
 /// Counts that must not grow with the size of the fleet, and along which axis.
-const FLAT: [(&str, Axis); 4] = [
+const FLAT: [(&str, Axis); 5] = [
     ("decision.visits", Axis::Engines),
+    ("together.visits", Axis::Engines),
     ("held.visits", Axis::Engines),
     ("list.change.bytes", Axis::Engines),
     ("claim.messages", Axis::Keyed),
--- a/crates/fleet-rig/src/scale/decisions.rs
+++ b/crates/fleet-rig/src/scale/decisions.rs
@@ -3,26 +3,18 @@
 //! Engines answer after the work that a request names, however many run there: what is measured is the
 //! gateway's own cost. Left out: sockets, buffers, codecs; the real gateways have them.
 
-use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eideryard::decide::Gateway;
 use eideryard::interface::*;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 
+use super::node::Node;
 use crate::classes::safe_class;
-use crate::timeline::{Micros, Timeline};
 
-const SECOND: Micros = 1_000_000;
+pub(super) const SECOND: Micros = 1_000_000;
 /// Virtual time that is played before anything is counted, and while it is.
 const WARM_UP: Micros = 2 * SECOND;
 const COUNTED: Micros = 4 * SECOND;
-/// Work of a request where engines keep up, and where they don't.
-const LIGHT_WORK: f64 = 20_000.0;
-const HEAVY_WORK: f64 = 2_500_000.0;
-const WAIT: Micros = 4 * SECOND;
-const GROUPS: u64 = 200;
 /// Cores of an engine, and threads of the widest class: what decides how many engines a subset has.
 pub const CORES: f64 = 16.0;
 const WIDEST: f64 = 2.0;
@@ -31,7 +23,7 @@
 /// Zones of the target.
 const ZONES: u32 = 7;
 /// Engines start so long before the run: all are warm.
-const STARTED: Micros = 1_000 * SECOND;
+pub(super) const STARTED: Micros = 1_000 * SECOND;
 
 /// What a fleet of hollow gateways is made of.
 #[derive(Clone, Copy, Debug)]
@@ -90,56 +82,57 @@
     }
 }
 
-enum Happens {
-    Arrives,
-    Timer(u64),
-    Ends { request: RequestId, attempt: usize },
-}
-
-struct Asked {
-    attempts: usize,
-    sent_at: Micros,
-    over: bool,
-}
-
-struct Node {
-    module: Gateway,
-    time: Timeline<Happens, ()>,
-    rng: StdRng,
-    asked: HashMap<RequestId, Asked>,
-    next: RequestId,
-    spent: Duration,
-}
-
 /// Plays a fleet's hollow gateways one after the other.
 pub fn play(fleet: Fleet) -> Cost {
     let list = list(fleet.engines);
     let mut cost = Cost { gateways: fleet.hollow as u64, ..Cost::default() };
     for index in 0..fleet.hollow {
-        Node::new(&fleet, index, &list).run(&fleet, &mut cost);
+        let mut node = Node::new(fleet, place_of(&fleet, index), &list);
+        play_one(&mut node, &mut cost);
     }
     cost
 }
 
+/// Every hollow gateway has another place among all of the fleet.
+fn place_of(fleet: &Fleet, index: usize) -> usize {
+    index * fleet.gateways / fleet.hollow
+}
+
+fn play_one(node: &mut Node, cost: &mut Cost) {
+    node.asks_until(STARTED + WARM_UP + COUNTED);
+    node.play_until(STARTED + WARM_UP);
+    let before = node.counted();
+    node.play_until(STARTED + WARM_UP + COUNTED);
+    let after = node.counted();
+    cost.requests += after.requests - before.requests;
+    cost.visits += after.visits - before.visits;
+    cost.time += after.spent - before.spent;
+    cost.refused += node.refused();
+    cost.sent += node.sent();
+    node.finish();
+    cost.unanswered += node.unanswered();
+}
+
 /// The fleet's hollow gateways side by side, with their lists and nothing to do.
 pub fn idle(fleet: Fleet) -> Cost {
     let list = list(fleet.engines);
     let before = allocated_bytes();
-    let nodes: Vec<Node> = (0..fleet.hollow).map(|index| Node::new(&fleet, index, &list)).collect();
+    let nodes: Vec<Node> =
+        (0..fleet.hollow).map(|index| Node::new(fleet, place_of(&fleet, index), &list)).collect();
     let bytes = allocated_bytes().saturating_sub(before);
     Cost { bytes, gateways: nodes.len() as u64, ..Cost::default() }
 }
 
 /// The entries of so many warm engines, spread over the zones.
 pub fn list(engines: usize) -> Vec<Entry> {
-    let entry = |number: usize| Entry {
-        engine: self::number(number),
-        zone: number as u32 % ZONES,
-        ..Entry::default()
-    };
     (0..engines).map(entry).collect()
 }
 
+/// One of them.
+pub fn entry(engine: usize) -> Entry {
+    Entry { engine: number(engine), zone: engine as u32 % ZONES, ..Entry::default() }
+}
+
 /// Numbers of engines look drawn, as those that come of names do.
 pub fn number(engine: usize) -> EngineId {
     (engine as u32).wrapping_mul(0x9e37_79b1)
@@ -150,124 +143,6 @@
     Gateway::new(settings(fleet, 0), fleet.seed, STARTED)
 }
 
-impl Node {
-    fn new(fleet: &Fleet, index: usize, list: &[Entry]) -> Self {
-        // Every node has another place on the ring.
-        let place = index * fleet.gateways / fleet.hollow;
-        let set = settings(fleet, place % fleet.gateways);
-        let seed = fleet.seed.wrapping_add(place as u64);
-        let mut node = Node {
-            module: Gateway::new(set, seed, STARTED),
-            time: Timeline::new(STARTED),
-            rng: StdRng::seed_from_u64(seed),
-            asked: HashMap::new(),
-            next: 0,
-            spent: Duration::ZERO,
-        };
-        node.handle(fleet, Event::FullList(list.to_vec()));
-        node
-    }
-
-    fn run(&mut self, fleet: &Fleet, cost: &mut Cost) {
-        self.arrival(fleet);
-        self.play_until(fleet, STARTED + WARM_UP);
-        let (requests, visits) = (self.next, self.module.visits());
-        self.spent = Duration::ZERO;
-        self.play_until(fleet, STARTED + WARM_UP + COUNTED);
-        cost.requests += self.next - requests;
-        cost.visits += self.module.visits() - visits;
-        cost.time += self.spent;
-        cost.refused += self.asked.values().filter(|asked| asked.over && asked.attempts == 0).count() as u64;
-        cost.sent += self.asked.values().map(|asked| asked.attempts as u64).sum::<u64>();
-        // What is still open gets its time.
-        self.play_until(fleet, STARTED + WARM_UP + COUNTED + WAIT + SECOND);
-        cost.unanswered += self.asked.values().filter(|asked| !asked.over).count() as u64;
-    }
-
-    fn play_until(&mut self, fleet: &Fleet, until: Micros) {
-        while let Some(happens) = self.time.next(until) {
-            match happens {
-                Happens::Arrives => self.arrives(fleet),
-                Happens::Timer(tag) => self.handle(fleet, Event::Timer { tag }),
-                Happens::Ends { request, attempt } => self.ends(fleet, request, attempt),
-            }
-        }
-    }
-
-    fn arrival(&mut self, fleet: &Fleet) {
-        let wait = -(1.0 - self.rng.random::<f64>()).ln() / fleet.rate * SECOND as f64;
-        if self.time.now < STARTED + WARM_UP + COUNTED {
-            self.time.at(wait as Micros + 1, Happens::Arrives);
-        }
-    }
-
-    fn arrives(&mut self, fleet: &Fleet) {
-        self.arrival(fleet);
-        self.next += 1;
-        self.asked.insert(self.next, Asked { attempts: 0, sent_at: 0, over: false });
-        let work = if fleet.overloaded { HEAVY_WORK } else { LIGHT_WORK };
-        let request = Request {
-            id: self.next,
-            class: self.rng.random_range(0..2),
-            deadline: self.time.now + WAIT,
-            work: Some(work),
-            memory_mb: Some(40.0),
-            group: self.rng.random_range(0..GROUPS),
-            ..Request::default()
-        };
-        self.handle(fleet, Event::Arrived(request));
-    }
-
-    fn ends(&mut self, fleet: &Fleet, request: RequestId, attempt: usize) {
-        let Some(asked) = self.asked.get_mut(&request) else { return };
-        asked.over = true;
-        let spent = self.time.now - asked.sent_at;
-        let bill = Some(Bill { work: spent as f64, memory_mb: 40.0 });
-        let (outcome, complete, told) = (Outcome::Answered, true, false);
-        let ended = Ended { request, attempt, outcome, spent, complete, told, bill, report: None };
-        self.handle(fleet, Event::Ended(ended));
-    }
-
-    fn handle(&mut self, fleet: &Fleet, event: Event) {
-        let mut actions = Vec::new();
-        let began = Instant::now();
-        self.module.handle(self.time.now, event, &mut actions);
-        self.spent += began.elapsed();
-        for action in actions {
-            match action {
-                Action::Send { request, .. } => self.sends(fleet, request),
-                Action::SetTimer { after, tag } => self.time.at(after.max(1), Happens::Timer(tag)),
-                Action::Refuse { request, .. } | Action::Fail { request } => {
-                    self.asked.entry(request).and_modify(|asked| asked.over = true);
-                }
-                Action::Probe { engine } => {
-                    let report = LoadReport { in_flight: Some(1.0), ..LoadReport::default() };
-                    let probed = Probed { engine, outcome: Outcome::Answered, report: Some(report) };
-                    self.handle(fleet, Event::Probed(probed));
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn sends(&mut self, fleet: &Fleet, request: RequestId) {
-        let now = self.time.now;
-        let Some(asked) = self.asked.get_mut(&request) else { return };
-        let attempt = asked.attempts;
-        (asked.attempts, asked.sent_at) = (attempt + 1, now);
-        let began = Instant::now();
-        let begins = self.module.begins(now, request, attempt);
-        self.spent += began.elapsed();
-        let takes = if fleet.overloaded { HEAVY_WORK } else { LIGHT_WORK } as Micros;
-        if begins {
-            return self.time.at(takes, Happens::Ends { request, attempt });
-        }
-        let (outcome, spent, complete, told) = (Outcome::Unsent, 0, false, false);
-        let ended = Ended { request, attempt, outcome, spent, complete, told, bill: None, report: None };
-        self.handle(fleet, Event::Ended(ended));
-    }
-}
-
 /// Memory that this process has allocated, by the allocator's own account.
 fn allocated_bytes() -> u64 {
     // SAFETY: the call only reads the allocator's counters.
@@ -275,7 +150,7 @@
     (counted.uordblks + counted.hblkhd) as u64
 }
 
-fn settings(fleet: &Fleet, index: usize) -> Settings {
+pub(super) fn settings(fleet: &Fleet, index: usize) -> Settings {
     Settings {
         classes: vec![safe_class(SECOND, 1.0), safe_class(SECOND, WIDEST)],
         tenants: Vec::new(),
--- a/crates/fleet-rig/src/scale/discovery.rs
+++ b/crates/fleet-rig/src/scale/discovery.rs
@@ -7,13 +7,17 @@
 
 use eideryard::decide::Gateway;
 use eideryard::interface::{Entry, Event, Micros, Phase};
-use eideryard_bulletin::{Heard, Item, Reader, State};
+use eideryard_bulletin::{Heard, Item, Listed, Reader, Roster, State};
 use serde_json::{json, Value};
 
 use super::decisions::{self, Fleet};
 
 /// When the list is handled: nothing of it depends on this.
 const NOW: Micros = 1_000_000_000;
+/// Of usual length.
+const ADDRESS: &str = "10.11.12.13:45678";
+/// Changes in a row are of engines so far apart in the list.
+const STRIDE: usize = 7_919;
 
 /// What one list event took.
 #[derive(Clone, Copy, Debug, Default)]
@@ -38,42 +42,80 @@
     format!("id: {number}\ndata: {item}\n\n")
 }
 
+/// Engines that an event of the list names, as the module takes them.
+pub struct Told {
+    /// Whether these are all engines there are.
+    pub whole: bool,
+    /// The engines.
+    pub entries: Vec<Entry>,
+}
+
+impl Told {
+    /// What the module is handed of it.
+    pub fn event(self) -> Event {
+        match self.whole {
+            true => Event::FullList(self.entries),
+            false => Event::ListChanges(self.entries),
+        }
+    }
+}
+
+/// A watch without a socket: reads events as the program's own does.
+pub struct Watch {
+    reader: Reader,
+}
+
+impl Watch {
+    /// One whose answer has begun.
+    pub fn begun() -> Self {
+        let mut reader = Reader::default();
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+        reader.take(head.as_bytes(), &mut Vec::new()).expect("a good head");
+        Watch { reader }
+    }
+
+    /// What so many bytes of the stream say.
+    pub fn take(&mut self, text: &str) -> Vec<Told> {
+        let mut heard = Vec::new();
+        self.reader.take(text.as_bytes(), &mut heard).expect("a good event");
+        let items = heard.iter().filter_map(item);
+        items.filter_map(|item| item.roster.as_ref().map(told)).collect()
+    }
+}
+
 /// The whole list of so many engines, and then the mean of so many changes of one engine each.
 pub fn play(fleet: Fleet, changes: usize) -> (Cost, Cost) {
-    let hosts: Vec<Value> =
-        (0..fleet.engines).map(|number| host(number, "10.11.12.13:45678", "up")).collect();
-    let mut module = decisions::module(&fleet);
-    let mut reader = Reader::default();
-    let mut heard = Vec::new();
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
-    reader.take(head.as_bytes(), &mut heard).expect("a good head");
-    let whole = handle(&mut module, &mut reader, &event(1, true, &hosts), true);
+    let hosts = hosts(fleet.engines);
+    let (mut module, mut watch) = (decisions::module(&fleet), Watch::begun());
+    let whole = handle(&mut module, &mut watch, &event(1, true, &hosts));
     let mut sum = Cost::default();
     for change in 0..changes {
         let health = if change % 2 == 0 { "draining" } else { "up" };
-        let engine = host(change / 2 * 7919 % fleet.engines, "10.11.12.13:45678", health);
-        let cost = handle(&mut module, &mut reader, &event(change as u64 + 2, false, &[engine]), false);
+        let engine = host(change / 2 * STRIDE % fleet.engines, ADDRESS, health);
+        let cost = handle(&mut module, &mut watch, &event(change as u64 + 2, false, &[engine]));
         sum.bytes += cost.bytes;
         sum.read += cost.read;
         sum.handled += cost.handled;
     }
     let count = changes.max(1) as u32;
-    (
-        whole,
-        Cost { bytes: sum.bytes / u64::from(count), read: sum.read / count, handled: sum.handled / count },
-    )
+    let change =
+        Cost { bytes: sum.bytes / u64::from(count), read: sum.read / count, handled: sum.handled / count };
+    (whole, change)
+}
+
+/// All engines of a fleet as service discovery lists them.
+pub fn hosts(engines: usize) -> Vec<Value> {
+    (0..engines).map(|number| host(number, ADDRESS, "up")).collect()
 }
 
-fn handle(module: &mut Gateway, reader: &mut Reader, text: &str, whole: bool) -> Cost {
-    let mut heard = Vec::new();
+fn handle(module: &mut Gateway, watch: &mut Watch, text: &str) -> Cost {
     let began = Instant::now();
-    reader.take(text.as_bytes(), &mut heard).expect("a good event");
-    let items: Vec<Item> = heard.iter().filter_map(item).collect();
+    let told = watch.take(text);
     let read = began.elapsed();
-    let entries: Vec<Entry> = items.iter().flat_map(entries).collect();
-    let event = if whole { Event::FullList(entries) } else { Event::ListChanges(entries) };
     let began = Instant::now();
-    module.handle(NOW, event, &mut Vec::new());
+    for told in told {
+        module.handle(NOW, told.event(), &mut Vec::new());
+    }
     Cost { bytes: text.len() as u64, read, handled: began.elapsed() }
 }
 
@@ -84,13 +126,13 @@
     }
 }
 
-fn entries(item: &Item) -> Vec<Entry> {
-    let hosts = item.roster.iter().flat_map(|roster| &roster.hosts);
-    let phase = |health: State| if health == State::Up { Phase::Ready } else { Phase::Draining };
-    let entry = |host: &eideryard_bulletin::Listed| Entry {
-        engine: decisions::number(host.host.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0)),
-        phase: phase(host.health),
-        ..Entry::default()
-    };
-    hosts.map(entry).collect()
+fn told(roster: &Roster) -> Told {
+    Told { whole: roster.whole, entries: roster.hosts.iter().map(entry).collect() }
+}
+
+/// Zones are those of [`decisions::list`]: a hollow gateway has one order of engines whoever told it of them.
+fn entry(listed: &Listed) -> Entry {
+    let number = listed.host.rsplit('-').next().and_then(|digits| digits.parse().ok()).unwrap_or(0);
+    let phase = if listed.health == State::Up { Phase::Ready } else { Phase::Draining };
+    Entry { phase, ..decisions::entry(number) }
 }
--- /dev/null
+++ b/crates/fleet-rig/src/scale/discovery_server.rs
@@ -0,0 +1,104 @@
+//! A stand-in for service discovery: tells all watches the same events, those of real gateways over sockets
+//! and those of hollow ones over channels.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use eideryard_standin::scripted::{Bulletin, BulletinEnd};
+use serde_json::Value;
+
+use super::discovery;
+
+/// A comment on each watch says that it lives.
+const COMMENT_EVERY: Duration = Duration::from_millis(500);
+/// Events that a hollow watch has not taken yet; one that lags by more is left behind, which its count shows.
+const MOST_UNREAD: usize = 4_096;
+
+/// The number of the list that gateways start with.
+pub const FIRST_NUMBER: u64 = 1;
+
+type Watches = Arc<Mutex<Vec<BulletinEnd>>>;
+
+/// Service discovery at one address.
+pub struct DiscoveryServer {
+    /// Where gateways watch it.
+    pub address: SocketAddr,
+    watches: Watches,
+    hollow: Vec<SyncSender<Arc<str>>>,
+    stop: Arc<AtomicBool>,
+    number: u64,
+}
+
+fn locked(watches: &Watches) -> MutexGuard<'_, Vec<BulletinEnd>> {
+    watches.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl DiscoveryServer {
+    /// Listens at an address of the system's choice.
+    pub fn start() -> io::Result<Self> {
+        let listener = Bulletin::listen("127.0.0.1:0")?;
+        let server = DiscoveryServer {
+            address: listener.address(),
+            watches: Watches::default(),
+            hollow: Vec::new(),
+            stop: Arc::default(),
+            number: FIRST_NUMBER,
+        };
+        let (watches, stop) = (server.watches.clone(), server.stop.clone());
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let Ok(end) = listener.accept() else { return };
+                locked(&watches).push(end);
+            }
+        });
+        let (watches, stop) = (server.watches.clone(), server.stop.clone());
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                locked(&watches).retain_mut(|watch| watch.comment().is_ok());
+                std::thread::sleep(COMMENT_EVERY);
+            }
+        });
+        Ok(server)
+    }
+
+    /// A watch without a socket, which is told what all others are.
+    pub fn watch(&mut self) -> Receiver<Arc<str>> {
+        let (sender, receiver) = sync_channel(MOST_UNREAD);
+        self.hollow.push(sender);
+        receiver
+    }
+
+    /// Tells all watches of these engines: that they are all there are, or that these have changed.
+    pub fn tell(&mut self, whole: bool, hosts: &[Value]) {
+        self.number += 1;
+        let event: Arc<str> = discovery::event(self.number, whole, hosts).into();
+        locked(&self.watches).retain_mut(|watch| watch.write_raw(event.as_bytes()).is_ok());
+        self.hollow.retain(|hollow| hollow.try_send(event.clone()).is_ok());
+    }
+
+    /// Real watches that stand.
+    pub fn watch_count(&self) -> usize {
+        locked(&self.watches).len()
+    }
+
+    /// Takes over from another address: events go on behind its last number.
+    pub fn take_over(&mut self, other: &mut DiscoveryServer) {
+        self.number = other.number;
+        self.hollow = std::mem::take(&mut other.hollow);
+    }
+
+    /// Forgets the watches of gateways that have moved elsewhere.
+    pub fn close_watches(&self) {
+        locked(&self.watches).clear();
+    }
+}
+
+impl Drop for DiscoveryServer {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/fleet-rig/src/scale/keepers.rs
@@ -0,0 +1,186 @@
+//! Real keepers: processes of the program that share their intents, under links of hollow gateways and under
+//! keyed requests of real ones.
+//!
+//! A hollow gateway here is the links' own thread with nothing behind it: it sends heartbeats, answers them,
+//! and claims nothing.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use eideryard_gateway::links::{classes_print, Said};
+use eideryard_peers::hub::Hub;
+use eideryard_peers::{Heard, Hello, Plan};
+use eideryard_standin::scripted::unused_address;
+
+use super::clients::{Answers, Asks};
+use super::measure::Size;
+use super::processes::{Ended, Fleet};
+
+/// Keepers of the fleet, and gateways beside them that clients ask.
+pub const KEEPERS: usize = 3;
+const ASKED: usize = 2;
+/// Links that others than hollow gateways make to a keeper, and some to spare.
+pub const SPARE_LINKS: usize = 10;
+const FLEET: &str = "scale";
+/// Keepers that start for the first time vote after the longest time that they may have forgotten something.
+const VOTES_WITHIN: Duration = Duration::from_secs(20);
+const LINKS_WITHIN: Duration = Duration::from_secs(10);
+const LOOKS_EVERY: Duration = Duration::from_millis(20);
+
+/// What keepers took while nobody asked for anything.
+#[derive(Clone, Debug, Default)]
+pub struct Idle {
+    /// Processor time of each keeper in a second.
+    pub micros_a_second: Vec<f64>,
+    /// Memory that each held.
+    pub resident_bytes: Vec<f64>,
+}
+
+/// What keyed requests took.
+#[derive(Clone, Debug, Default)]
+pub struct Claimed {
+    /// Processor time of each keeper for a keyed request of another gateway.
+    pub micros_a_claim: Vec<f64>,
+    /// Processor time of each asked gateway for a keyed request.
+    pub micros_a_request: Vec<f64>,
+    /// What their clients were answered.
+    pub answers: Answers,
+}
+
+/// Three keepers, two gateways that are asked, and links of hollow ones.
+pub struct KeeperFleet {
+    fleet: Fleet,
+    addresses: Vec<SocketAddr>,
+    links: Vec<Hub<Said>>,
+}
+
+fn operator_lines(number: usize, directory: &Path, addresses: &[SocketAddr]) -> Vec<String> {
+    let store = directory.join(format!("g{number}.store"));
+    let listen = addresses.get(number).map_or("127.0.0.1:0".to_string(), SocketAddr::to_string);
+    let mut lines = vec![
+        format!("store-dir \"{}\"", store.display()),
+        format!("fleet {FLEET} {{"),
+        format!("    listen {listen}"),
+    ];
+    lines.extend(addresses.iter().enumerate().map(|(at, address)| format!("    keeper g{at} {address}")));
+    lines.push("}".into());
+    lines
+}
+
+impl KeeperFleet {
+    /// Starts the processes, and waits until a keyed request is served.
+    pub fn start(program: &Path, size: Size) -> io::Result<Self> {
+        let addresses: Vec<SocketAddr> = (0..KEEPERS).map(|_| unused_address()).collect();
+        let operator = |number: usize, directory: &Path| operator_lines(number, directory, &addresses);
+        let fleet = Fleet::start_with(program, KEEPERS + ASKED, size, &operator)?;
+        let own = KeeperFleet { fleet, addresses, links: Vec::new() };
+        own.until_served()?;
+        own.fleet.warm_up(KEEPERS, Asks::Keyed)?;
+        Ok(own)
+    }
+
+    fn until_served(&self) -> io::Result<()> {
+        let until = Instant::now() + VOTES_WITHIN;
+        while Instant::now() < until {
+            if self.fleet.serves_keyed(KEEPERS)? {
+                return Ok(());
+            }
+            std::thread::sleep(LOOKS_EVERY);
+        }
+        Err(io::Error::other(format!("no keyed request was served within {VOTES_WITHIN:?}")))
+    }
+
+    /// Adds links of hollow gateways until there are so many, each to all keepers.
+    pub fn link(&mut self, links: usize) -> io::Result<()> {
+        let before = self.links.len();
+        for number in before..links {
+            self.links.push(self.hollow(number)?);
+        }
+        let until = Instant::now() + LINKS_WITHIN;
+        let mut up = 0;
+        while up < (self.links.len() - before) * KEEPERS && Instant::now() < until {
+            std::thread::sleep(LOOKS_EVERY);
+            up += self.links[before..].iter_mut().map(links_that_came_up).sum::<usize>();
+        }
+        let wanted = (self.links.len() - before) * KEEPERS;
+        if up < wanted {
+            let what = format!("{up} of {wanted} links to keepers came up within {LINKS_WITHIN:?}");
+            return Err(io::Error::other(what));
+        }
+        Ok(())
+    }
+
+    fn hollow(&self, number: usize) -> io::Result<Hub<Said>> {
+        let settings = self.fleet.settings()?;
+        let hello = Hello {
+            version: eideryard_peers::hello::VERSION,
+            fleet: FLEET.into(),
+            name: format!("h{number}"),
+            keepers: (0..KEEPERS).map(|at| format!("g{at}")).collect(),
+            classes: classes_print(&settings.classes),
+            identity: number as u64 + 1,
+            start: 1,
+        };
+        let keepers = self.addresses.iter().enumerate();
+        let keepers = keepers.map(|(at, address)| (at, format!("g{at}"), *address)).collect();
+        Hub::start(Plan { hello, listen: None, keepers, seed: number as u64 }, Box::new(|| ()))
+    }
+
+    /// What keepers take while clients ask for nothing.
+    pub fn idle(&mut self, lasts: Duration) -> io::Result<Idle> {
+        let (before, began) = (self.fleet.processor_times()?, Instant::now());
+        std::thread::sleep(lasts);
+        let micros_a_second = self.micros_since(&before, began.elapsed())?;
+        self.drain_links();
+        Ok(Idle { micros_a_second, resident_bytes: self.fleet.resident_bytes()[..KEEPERS].to_vec() })
+    }
+
+    /// What keepers and asked gateways take for keyed requests, so many a second in all, beyond what the
+    /// keepers take anyway.
+    pub fn claims(&mut self, idle: &Idle, rate: f64, lasts: Duration) -> io::Result<Claimed> {
+        let drivers = self.fleet.connect(KEEPERS, Asks::Keyed)?;
+        let (before, began) = (self.fleet.processor_times()?, Instant::now());
+        let samples = self.fleet.measure(KEEPERS, drivers, rate / ASKED as f64, lasts)?;
+        let taken = self.micros_since(&before, began.elapsed())?;
+        let seconds = began.elapsed().as_secs_f64();
+        let mut answers = Answers::default();
+        samples.iter().for_each(|sample| answers.add(&sample.answers));
+        let of_claim =
+            |(taken, idle): (&f64, &f64)| (taken - idle).max(0.0) * seconds / answers.asked.max(1) as f64;
+        let claimed = Claimed {
+            micros_a_claim: taken.iter().zip(&idle.micros_a_second).map(of_claim).collect(),
+            micros_a_request: samples.iter().map(|sample| sample.micros_a_request).collect(),
+            answers,
+        };
+        self.drain_links();
+        Ok(claimed)
+    }
+
+    /// Processor time of each keeper in a second, since earlier times of all processes.
+    fn micros_since(&self, before: &[Duration], lasted: Duration) -> io::Result<Vec<f64>> {
+        let after = self.fleet.processor_times()?;
+        let spent = before.iter().zip(&after).take(KEEPERS);
+        let micros = |(before, after): (&Duration, &Duration)| {
+            (*after - *before).as_secs_f64() * 1e6 / lasted.as_secs_f64()
+        };
+        Ok(spent.map(micros).collect())
+    }
+
+    /// Hollow gateways take what keepers told them, so that no link is full.
+    fn drain_links(&mut self) {
+        self.links.iter_mut().for_each(|link| _ = links_that_came_up(link));
+    }
+
+    /// Ends all processes.
+    pub fn end(self) -> io::Result<Ended> {
+        drop(self.links);
+        self.fleet.end()
+    }
+}
+
+/// Takes all that a hollow gateway was told; how many of its links came up.
+fn links_that_came_up(hub: &mut Hub<Said>) -> usize {
+    std::iter::from_fn(|| hub.take()).filter(|heard| matches!(heard, Heard::Up { .. })).count()
+}
--- a/crates/fleet-rig/src/scale/measure.rs
+++ b/crates/fleet-rig/src/scale/measure.rs
@@ -29,8 +29,16 @@
     Rate,
     /// Keepers that vote.
     Keepers,
-    /// Keyed requests.
+    /// Keyed requests of a simulated fleet.
     Keyed,
+    /// Keyed requests a second of a real fleet.
+    Claims,
+    /// Entries that a keeper holds.
+    Held,
+    /// Links of other gateways to a real keeper.
+    Links,
+    /// Changes of the configuration, one after the other.
+    Reloads,
 }
 
 /// How a figure was come by.
--- a/crates/fleet-rig/src/scale/processes.rs
+++ b/crates/fleet-rig/src/scale/processes.rs
@@ -4,24 +4,33 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use eideryard::interface::Settings;
+use eideryard_settings::Tree;
 use eideryard_standin::scenario::Scenario;
-use eideryard_standin::scripted::{Answer, Bulletin, BulletinEnd, Client, Engine};
+use eideryard_standin::scripted::{Client, Engine};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 
+use super::clients::{Answers, Asks, Driver, CLIENTS_A_GATEWAY};
 use super::discovery;
+use super::discovery_server::{DiscoveryServer, FIRST_NUMBER};
 use super::measure::Size;
 use crate::config::{self, Place};
-use crate::processes::{Processes, Programs};
+use crate::processes::{Ending, Processes, Programs};
 
 const ZONES: usize = 7;
 const SCENARIO: &str = "
 time 1s
+class report {
+    effect safe
+}
+class booking {
+    effect keyed
+    scope cell
+    window 1s
+}
 engine e-1 {
     cores 16
     memory 64GB
@@ -36,86 +45,9 @@
     wait 4s
 }
 ";
-const CLASS: &str = "report";
-const QUERY: &[u8] = b"SELECT * FROM sales_17.orders";
-/// A comment on each watch says that it lives.
-const COMMENT_EVERY: Duration = Duration::from_millis(500);
 /// Requests before anything is counted, and their rate: connections to engines are made then.
 const WARM_UP_REQUESTS: usize = 200;
 const WARM_UP_RATE: f64 = 500.0;
-/// Clients that ask one gateway: an answer takes some milliseconds, and each client waits for it.
-const ASKING: usize = 5;
-/// How long a list event may take to be handled, before processor time is read.
-const SETTLES: Duration = Duration::from_millis(400);
-
-/// Service discovery: tells all watches the same events.
-struct Discovery {
-    address: SocketAddr,
-    watches: Arc<Mutex<Vec<BulletinEnd>>>,
-    stop: Arc<AtomicBool>,
-    number: u64,
-}
-
-impl Discovery {
-    fn start() -> io::Result<Self> {
-        let listener = Bulletin::listen("127.0.0.1:0")?;
-        let watches = Arc::new(Mutex::new(Vec::new()));
-        let stop = Arc::new(AtomicBool::new(false));
-        let discovery = Discovery { address: listener.address(), watches, stop, number: 1 };
-        let (watches, stop) = (discovery.watches.clone(), discovery.stop.clone());
-        std::thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
-                let Ok(end) = listener.accept() else { return };
-                watches.lock().unwrap_or_else(PoisonError::into_inner).push(end);
-            }
-        });
-        let (watches, stop) = (discovery.watches.clone(), discovery.stop.clone());
-        std::thread::spawn(move || {
-            while !stop.load(Ordering::Relaxed) {
-                let mut all = watches.lock().unwrap_or_else(PoisonError::into_inner);
-                all.retain_mut(|watch| watch.comment().is_ok());
-                drop(all);
-                std::thread::sleep(COMMENT_EVERY);
-            }
-        });
-        Ok(discovery)
-    }
-
-    fn tell(&mut self, whole: bool, hosts: &[Value]) {
-        self.number += 1;
-        let event = discovery::event(self.number, whole, hosts);
-        let mut all = self.watches.lock().unwrap_or_else(PoisonError::into_inner);
-        all.retain_mut(|watch| watch.write_raw(event.as_bytes()).is_ok());
-    }
-}
-
-impl Drop for Discovery {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-    }
-}
-
-/// What the answers of one client were.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Answers {
-    /// Requests that were asked.
-    pub asked: u64,
-    /// Those that got what they asked for.
-    pub served: u64,
-    /// Those that were refused.
-    pub refused: u64,
-    /// Those without an answer.
-    pub unanswered: u64,
-}
-
-impl Answers {
-    fn add(&mut self, other: &Answers) {
-        self.asked += other.asked;
-        self.served += other.served;
-        self.refused += other.refused;
-        self.unanswered += other.unanswered;
-    }
-}
 
 /// One gateway's part of a measurement.
 #[derive(Clone, Copy, Debug, Default)]
@@ -128,97 +60,141 @@
     pub answers: Answers,
 }
 
-/// What one gateway took while nothing was asked, and for list events.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Control {
-    /// Part of a core without any request.
-    pub idle_share: f64,
-    /// Processor time for a change of one engine.
-    pub micros_a_change: f64,
-    /// Processor time for a whole list.
-    pub micros_a_whole_list: f64,
-    /// Processor time from the start of the process until it listened.
-    pub micros_to_start: f64,
+/// Clients that rest at gateways, and what their coming took.
+pub struct Resting {
+    /// The clients, as long as they are to rest.
+    pub clients: Vec<Client>,
+    /// Processor time of each gateway for one client: its connection and its first question.
+    pub micros_a_client: Vec<f64>,
 }
 
-struct Node {
-    name: String,
-    address: SocketAddr,
-    started: Duration,
+pub(super) struct Node {
+    pub name: String,
+    pub address: SocketAddr,
+    /// Processor time until it listened.
+    pub started: Duration,
+    pub config: Value,
 }
 
 /// So many gateways that know the same list.
 pub struct Fleet {
     runtime: tokio::runtime::Runtime,
-    processes: Processes,
-    nodes: Vec<Node>,
-    discovery: Discovery,
-    hosts: Vec<Value>,
+    pub(super) programs: Programs,
+    pub(super) processes: Processes,
+    pub(super) nodes: Vec<Node>,
+    pub(super) discovery: DiscoveryServer,
+    pub(super) hosts: Vec<Value>,
+    size: Size,
+    /// The lines of each gateway's operator's file, if they have one.
+    operator: Vec<String>,
     _directory: tempfile::TempDir,
 }
 
+/// What gateways counted themselves, once they have ended.
+#[derive(Debug, Default)]
+pub struct Ended {
+    /// Those that ended by themselves, or had to be killed.
+    pub crashed: Vec<String>,
+    /// Each one's counters.
+    pub endings: Vec<Ending>,
+}
+
 impl Fleet {
-    /// Starts so many processes of the fleet's gateways.
+    /// Starts so many processes of the fleet's gateways, with equal distances between their places among all.
     pub fn start(program: &Path, processes: usize, size: Size) -> io::Result<Self> {
+        Self::start_with(program, processes, size, &|_, _| Vec::new())
+    }
+
+    /// The same, each with an operator's file of these lines, by its number and its directory.
+    pub fn start_with(
+        program: &Path,
+        processes: usize,
+        size: Size,
+        operator: &dyn Fn(usize, &Path) -> Vec<String>,
+    ) -> io::Result<Self> {
         let engine = Engine::listen("127.0.0.1:0")?;
         let address = engine.address().to_string();
         engine.answer_all(1, "a\tb\tc\n".into());
         let hosts: Vec<Value> =
             (0..size.engines).map(|number| discovery::host(number, &address, "up")).collect();
         let directory = tempfile::tempdir()?;
+        let programs = Programs {
+            program: PathBuf::from(program),
+            directory: directory.path().into(),
+            ..Programs::default()
+        };
+        let lines = (0..processes).map(|number| operator(number, directory.path()).join("\n")).collect();
         let mut fleet = Fleet {
             runtime: tokio::runtime::Builder::new_current_thread().enable_all().build()?,
+            programs,
             processes: Processes::default(),
             nodes: Vec::new(),
-            discovery: Discovery::start()?,
+            discovery: DiscoveryServer::start()?,
             hosts,
+            size,
+            operator: lines,
             _directory: directory,
         };
-        let programs = Programs {
-            program: PathBuf::from(program),
-            directory: fleet._directory.path().into(),
-            ..Programs::default()
-        };
         for number in 0..processes {
-            fleet.start_one(&programs, &format!("g{number}"), size)?;
+            fleet.start_one(number, number * size.gateways.max(processes) / processes)?;
         }
         Ok(fleet)
     }
 
-    fn start_one(&mut self, programs: &Programs, name: &str, size: Size) -> io::Result<()> {
-        let config = self.config(name, size)?;
-        let started = self.processes.start(programs, name, &config, &[]);
+    /// Starts the gateway of this number at a place among all gateways of the fleet.
+    fn start_one(&mut self, number: usize, place: usize) -> io::Result<()> {
+        let name = format!("g{number}");
+        let config = self.config(&name, place)?;
+        let arguments = self.operator_file(number, &name)?;
+        let started = self.processes.start(&self.programs, &name, &config, &arguments);
         let (address, _) = self.runtime.block_on(started)?;
-        let started = self.processor_time(name)?;
-        self.nodes.push(Node { name: name.into(), address, started });
+        let started = self.processor_time(&name)?;
+        self.nodes.push(Node { name, address, started, config });
         Ok(())
     }
 
-    fn config(&self, name: &str, size: Size) -> io::Result<Value> {
+    fn operator_file(&self, number: usize, name: &str) -> io::Result<Vec<String>> {
+        let lines = &self.operator[number];
+        if lines.is_empty() {
+            return Ok(Vec::new());
+        }
+        let path = self.programs.directory.join(format!("{name}.conf"));
+        std::fs::write(&path, lines)?;
+        Ok(vec!["--operator".into(), path.display().to_string()])
+    }
+
+    fn config(&self, name: &str, place: usize) -> io::Result<Value> {
         let scenario = Scenario::read("scale", SCENARIO).map_err(|e| io::Error::other(e.to_string()))?;
-        let known = json!({"no": 1, "items": [
-            {"no": 1, "roster": {"seq": 1, "whole": true, "hosts": self.hosts}}]});
+        let known = json!({"no": FIRST_NUMBER, "items": [
+            {"no": FIRST_NUMBER, "roster": {"seq": 1, "whole": true, "hosts": self.hosts}}]});
         let listen = SocketAddr::from(([127, 0, 0, 1], 0));
-        let place = Place { listen, bulletin: self.discovery.address, known };
-        let mut config = config::config(&scenario, "g1", place);
+        let mut config =
+            config::config(&scenario, "g1", Place { listen, bulletin: self.discovery.address, known });
         config["name"] = json!(name);
-        config["settings"]["peers-total"] = json!(size.gateways);
+        config["settings"]["peers-total"] = json!(self.size.gateways);
+        config["settings"]["self-index"] = json!(place);
         let zones: Vec<String> = (0..ZONES).map(|zone| format!("zone-{zone}")).collect();
         config["settings"]["zones"] = json!(zones);
         Ok(config)
     }
 
     fn processor_time(&self, name: &str) -> io::Result<Duration> {
-        let gone = || io::Error::other(format!("gateway {name} has ended; see its log with --keep"));
+        let gone = || io::Error::other(format!("gateway {name} has ended"));
         self.processes.processor_time(name).ok_or_else(gone)
     }
 
-    fn processor_times(&self) -> io::Result<Vec<Duration>> {
+    pub(super) fn processor_times(&self) -> io::Result<Vec<Duration>> {
         self.nodes.iter().map(|node| self.processor_time(&node.name)).collect()
     }
 
+    pub(super) fn resident_bytes(&self) -> Vec<f64> {
+        let of = |node: &Node| self.processes.resident_bytes(&node.name).unwrap_or(0) as f64;
+        self.nodes.iter().map(of).collect()
+    }
+
     /// Lets clients that have asked once rest at each of the first gateways, as long as what is given back.
-    pub fn rest(&self, gateways: usize, clients: usize) -> io::Result<Vec<Client>> {
+    pub fn rest(&self, gateways: usize, clients: usize) -> io::Result<Resting> {
+        let before = self.processor_times()?;
         let addresses = self.nodes.iter().take(gateways).map(|node| node.address);
         let each = addresses.flat_map(|address| std::iter::repeat_n(address, clients));
         let mut resting: Vec<Client> = each.map(Client::connect).collect::<io::Result<_>>()?;
@@ -227,87 +203,74 @@
         for client in &mut resting {
             client.answer()?;
         }
-        Ok(resting)
+        let after = self.processor_times()?;
+        let spent = before.iter().zip(&after).take(gateways);
+        let of_client = |(before, after): (&Duration, &Duration)| {
+            (*after - *before).as_secs_f64() * 1e6 / clients.max(1) as f64
+        };
+        Ok(Resting { clients: resting, micros_a_client: spent.map(of_client).collect() })
     }
 
     /// Asks each gateway at a rate for some time, from clients of its own.
     pub fn ask(&self, rate: f64, lasts: Duration) -> io::Result<Vec<Sample>> {
-        let count = (rate * lasts.as_secs_f64() / ASKING as f64).ceil() as usize;
-        let drivers = self.connect()?;
-        let drivers = self.drive(drivers, WARM_UP_REQUESTS / ASKING, WARM_UP_RATE)?;
-        let before = self.processor_times()?;
-        let drivers = self.drive(drivers, count, rate)?;
-        let after = self.processor_times()?;
-        let mut samples = Vec::new();
-        for (at, node) in self.nodes.iter().enumerate() {
-            let spent = (after[at] - before[at]).as_secs_f64() * 1e6;
-            let mut answers = Answers::default();
-            drivers[at * ASKING..][..ASKING].iter().for_each(|driver| answers.add(&driver.answers));
-            samples.push(Sample {
-                micros_a_request: spent / (count * ASKING) as f64,
-                resident_bytes: self.processes.resident_bytes(&node.name).unwrap_or(0) as f64,
-                answers,
-            });
-        }
-        Ok(samples)
+        let drivers = self.warm_up(0, Asks::Safe)?;
+        self.measure(0, drivers, rate, lasts)
     }
 
-    /// Clients that ask, those of one gateway side by side.
-    fn connect(&self) -> io::Result<Vec<Driver>> {
+    /// Clients of the gateways from a number on, in the order of these.
+    pub fn connect(&self, first: usize, asks: Asks) -> io::Result<Vec<Driver>> {
         let mut drivers = Vec::new();
-        for (number, node) in self.nodes.iter().enumerate() {
-            for own in 0..ASKING {
-                let next = (number * ASKING + own) as u64;
-                let client = Client::connect(node.address)?;
-                drivers.push(Driver { client, next: next << 32, answers: Answers::default() });
-            }
+        for node in &self.nodes[first..] {
+            drivers.extend(Driver::connect(node.address, asks)?);
         }
         Ok(drivers)
     }
 
-    /// Each client asks so often, all of a gateway together at the rate.
-    fn drive(&self, drivers: Vec<Driver>, count: usize, rate: f64) -> io::Result<Vec<Driver>> {
-        let own_rate = rate / ASKING as f64;
-        let start = |driver: Driver| std::thread::spawn(move || driver.run(count, own_rate));
-        let threads: Vec<JoinHandle<Driver>> = drivers.into_iter().map(start).collect();
-        let ended =
-            |thread: JoinHandle<Driver>| thread.join().map_err(|_| io::Error::other("a client panicked"));
-        threads.into_iter().map(ended).collect()
+    /// Lets such clients ask so often that their gateways have connections to engines.
+    pub fn warm_up(&self, first: usize, asks: Asks) -> io::Result<Vec<Driver>> {
+        let drivers = self.connect(first, asks)?;
+        Driver::drive(drivers, WARM_UP_REQUESTS / CLIENTS_A_GATEWAY, WARM_UP_RATE)
     }
 
-    /// What the gateways take without requests, for changes of one engine each, and for a whole list.
-    pub fn control(&mut self, changes: usize, lasts: Duration) -> io::Result<Vec<Control>> {
-        std::thread::sleep(SETTLES);
+    /// Lets the clients of the gateways from a number on ask at a rate for some time.
+    pub fn measure(
+        &self,
+        first: usize,
+        drivers: Vec<Driver>,
+        rate: f64,
+        lasts: Duration,
+    ) -> io::Result<Vec<Sample>> {
+        let count = (rate * lasts.as_secs_f64() / CLIENTS_A_GATEWAY as f64).ceil() as usize;
         let before = self.processor_times()?;
-        std::thread::sleep(lasts);
-        let idle = self.processor_times()?;
-        for change in 0..changes {
-            let mut host = self.hosts[change / 2 % self.hosts.len()].clone();
-            host["health"] = json!(if change % 2 == 0 { "draining" } else { "up" });
-            self.discovery.tell(false, &[host]);
-        }
-        std::thread::sleep(SETTLES);
-        let changed = self.processor_times()?;
-        self.discovery.tell(true, &self.hosts);
-        std::thread::sleep(SETTLES);
-        let told = self.processor_times()?;
-        let control = |at: usize| {
-            let idle_share = (idle[at] - before[at]).as_secs_f64() / lasts.as_secs_f64();
-            // What the process does anyway in that time is no part of the list's cost.
-            let own =
-                |spent: Duration| (spent.as_secs_f64() - idle_share * SETTLES.as_secs_f64()).max(0.0) * 1e6;
-            Control {
-                idle_share,
-                micros_a_change: own(changed[at] - idle[at]) / changes.max(1) as f64,
-                micros_a_whole_list: own(told[at] - changed[at]),
-                micros_to_start: self.nodes[at].started.as_secs_f64() * 1e6,
-            }
+        let drivers = Driver::drive(drivers, count, rate)?;
+        let after = self.processor_times()?;
+        let resident = self.resident_bytes();
+        let sample = |(at, own): (usize, &[Driver])| {
+            let mut answers = Answers::default();
+            own.iter().for_each(|driver| answers.add(&driver.answers));
+            let spent = (after[first + at] - before[first + at]).as_secs_f64() * 1e6;
+            let micros_a_request = spent / (count * CLIENTS_A_GATEWAY) as f64;
+            Sample { micros_a_request, resident_bytes: resident[first + at], answers }
         };
-        Ok((0..self.nodes.len()).map(control).collect())
+        Ok(drivers.chunks(CLIENTS_A_GATEWAY).enumerate().map(sample).collect())
+    }
+
+    /// Asks one gateway for one keyed request; whether it was served.
+    pub fn serves_keyed(&self, gateway: usize) -> io::Result<bool> {
+        let mut drivers = Driver::connect(self.nodes[gateway].address, Asks::Keyed)?;
+        drivers.truncate(1);
+        let drivers = Driver::drive(drivers, 1, WARM_UP_RATE)?;
+        Ok(drivers[0].answers.served > 0)
     }
 
-    /// Ends all gateways; names those that ended by themselves, or had to be killed.
-    pub fn end(mut self) -> io::Result<Vec<String>> {
+    /// The settings that all gateways of the fleet share.
+    pub fn settings(&self) -> io::Result<Settings> {
+        let tree = Tree::from_json(&self.nodes[0].config["settings"]);
+        eideryard_settings::settings(&tree).map_err(|e| io::Error::other(e.to_string()))
+    }
+
+    /// Ends all gateways.
+    pub fn end(mut self) -> io::Result<Ended> {
         let mut crashed = self.processes.crashed();
         for node in &self.nodes {
             self.processes.signal(&node.name, Signal::TERM);
@@ -317,38 +280,14 @@
                 crashed.push(node.name.clone());
             }
         }
-        Ok(crashed)
+        Ok(Ended { crashed, endings: std::mem::take(&mut self.processes.endings) })
     }
 }
 
-/// One client that asks at a rate and waits for each answer.
-struct Driver {
-    client: Client,
-    next: u64,
-    answers: Answers,
-}
-
-impl Driver {
-    fn run(mut self, count: usize, rate: f64) -> Self {
-        let mut at = Instant::now();
-        for _ in 0..count {
-            at += Duration::from_secs_f64(1.0 / rate);
-            std::thread::sleep(at.saturating_duration_since(Instant::now()));
-            self.answers.asked += 1;
-            match self.ask() {
-                Ok(Answer::Result { .. } | Answer::Part { .. }) => self.answers.served += 1,
-                Ok(_) => self.answers.refused += 1,
-                Err(_) => self.answers.unanswered += 1,
-            }
-        }
-        self
-    }
-
-    fn ask(&mut self) -> io::Result<Answer> {
-        self.next += 1;
-        let id = format!("{:016x}", self.next);
-        let fields = [("i", id.as_str()), ("d", "4000"), ("t", "acme"), ("h", "1.0"), ("ram", "1")];
-        self.client.call(self.next & u64::from(u32::MAX), CLASS, &fields, QUERY)?;
-        self.client.answer()
+impl Ended {
+    /// What each gateway counted under a name; nothing where it left no counters.
+    pub fn counted(&self, name: &str) -> Vec<u64> {
+        let of = |ending: &Ending| ending.counters.as_ref().and_then(|own| own.get(name).copied());
+        self.endings.iter().map(|ending| of(ending).unwrap_or(0)).collect()
     }
 }
--- a/crates/fleet-rig/src/scale/replication.rs
+++ b/crates/fleet-rig/src/scale/replication.rs
@@ -1,10 +1,14 @@
 //! Shared state among gateways: what claims of keyed requests, leases of tasks and heartbeats cost, in the
 //! simulated fleets of the cores that ship.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eideryard_peers::detector::{Detector, BEAT};
 use eideryard_peers::frame::{self, Carried};
+use eideryard_replica::copies::Limits;
+use eideryard_replica::entry::{Origin, Phase, Travelling};
+use eideryard_replica::{Core, Message, Micros, Output, Peer, Plan};
+use rustix::time::{clock_gettime, ClockId};
 
 use crate::{owned, simulated};
 
@@ -47,6 +51,71 @@
     }
 }
 
+/// Claims that are timed at a keeper's core.
+const TIMED_CLAIMS: u64 = 2_000;
+/// How long the timed core keeps entries, and its catch-up in bytes a second: nothing runs out meanwhile.
+const KEPT: Micros = 60_000_000;
+const CATCH_UP: u64 = 2 << 20;
+
+/// Processor time of a keeper's core, its frames included, for a claim of another gateway, with so many
+/// entries held.
+pub fn micros_a_vote(entries: u64) -> f64 {
+    let plan = Plan {
+        keepers: 3,
+        own: Some(0),
+        longest: KEPT,
+        limits: Limits { entries: (entries + TIMED_CLAIMS) as usize },
+        bytes_per_s: CATCH_UP,
+        send_without: false,
+    };
+    let origin = Origin { identity: 1, start: 1 };
+    let mut core = Core::start(plan, origin, true, std::iter::empty(), 0);
+    let asker = Peer::Asker(1);
+    core.link(0, asker, true);
+    for number in 0..entries {
+        core.hears(number, asker, claim(number));
+    }
+    let before = thread_time();
+    for number in entries..entries + TIMED_CLAIMS {
+        let mut frame = Vec::new();
+        frame::write(&mut frame, &Carried::Told(claim(number)));
+        let Ok(Some((Carried::Told(message), _))) = frame::read::<Message>(&frame) else { continue };
+        for output in core.hears(number, asker, message) {
+            write_votes(output, &mut frame);
+        }
+    }
+    (thread_time() - before).as_secs_f64() * 1e6 / TIMED_CLAIMS as f64
+}
+
+fn claim(number: u64) -> Message {
+    let record = Travelling {
+        version: 1,
+        phase: Phase::Out,
+        place: None,
+        age: 0,
+        left: KEPT,
+        nominal_ms: KEPT / 1_000,
+    };
+    // Keys as the ledger makes them, of an even spread.
+    let key = number.wrapping_mul(0x9e37_79b9_7f4a_7c15).to_be_bytes().repeat(2);
+    Message::Claim { number, key, origin: Origin { identity: 2, start: 1 }, record }
+}
+
+/// As the host does, each message is written once its entry is durable.
+fn write_votes(output: Output, frame: &mut Vec<u8>) {
+    match output {
+        Output::Send(_, message) => _ = frame::write(frame, &Carried::Told(message)),
+        Output::Store { then, .. } => then.into_iter().for_each(|output| write_votes(output, frame)),
+        _ => {}
+    }
+}
+
+/// Processor time of this thread.
+pub fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// What the leases of a fleet's tasks cost, and how long tasks go without an owner.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Leases {
@@ -54,6 +123,10 @@
     pub messages_a_second: f64,
     /// From the loss of owners to the last task with a new one.
     pub owned_again_ms: u64,
+    /// Part of the lost tasks that needed more than one vote.
+    pub voted_again_share: f64,
+    /// Lost tasks without a new owner within [`owned::NEW_OWNER_WITHIN`].
+    pub owned_late: u64,
     /// Work of a late owner that counted.
     pub stale_applied: u64,
     /// Terms with two owners.
@@ -66,6 +139,8 @@
     Leases {
         messages_a_second: figures.messages as f64 / (owned::LASTS as f64 / 1e6),
         owned_again_ms: figures.again_after_ms,
+        voted_again_share: figures.voted_again as f64 / figures.tasks_lost.max(1) as f64,
+        owned_late: figures.owned_late,
         stale_applied: figures.stale_applied,
         two_owners: figures.two_owners,
     }
@@ -86,7 +161,7 @@
 pub fn heartbeats(links: usize, beats: u64) -> Heartbeats {
     let mut detectors = vec![Detector::new(0); links];
     let (mut bytes, mut messages) = (0u64, 0u64);
-    let began = Instant::now();
+    let before = thread_time();
     for number in 1..=beats {
         let now = number * BEAT;
         for detector in &mut detectors {
@@ -108,6 +183,6 @@
     Heartbeats {
         bytes_a_second: bytes as f64 / seconds,
         messages_a_second: messages as f64 / seconds,
-        time_a_second: began.elapsed().div_f64(seconds),
+        time_a_second: (thread_time() - before).div_f64(seconds),
     }
 }
--- a/crates/fleet-rig/src/scale/report.rs
+++ b/crates/fleet-rig/src/scale/report.rs
@@ -42,7 +42,8 @@
         Axis::Gateways => Some(TARGET_GATEWAYS),
         Axis::Clients => Some(TARGET_CLIENTS),
         Axis::Rate => Some(TARGET_RATE),
-        Axis::Keepers | Axis::Keyed => None,
+        Axis::Links => Some(TARGET_GATEWAYS),
+        Axis::Keepers | Axis::Keyed | Axis::Claims | Axis::Held | Axis::Reloads => None,
     }
 }
 
@@ -68,6 +69,10 @@
         Axis::Rate => "rate",
         Axis::Keepers => "keepers",
         Axis::Keyed => "keyed",
+        Axis::Claims => "claims",
+        Axis::Held => "held",
+        Axis::Links => "links",
+        Axis::Reloads => "reloads",
     }
 }
 
--- /dev/null
+++ b/crates/fleet-rig/src/scale/shared_sweeps.rs
@@ -0,0 +1,139 @@
+//! Sweeps over what gateways share: claims, heartbeats and leases, in simulated fleets of the shipped cores.
+
+use std::io;
+use std::panic::resume_unwind;
+use std::thread::ScopedJoinHandle;
+
+use super::measure::{Axis, Figure, Size, Source};
+use super::replication;
+use super::run::{places, Place, Run};
+use super::sizes::ENGINES_A_GATEWAY;
+
+const KEEPERS: [usize; 3] = [3, 5, 7];
+/// Keyed requests of the simulated fleet within its 20 s.
+const KEYED: [usize; 3] = [200, 400, 800];
+/// Gateways of the simulated fleets with leases. They look at every task every few milliseconds, so the time
+/// that they take grows with the square of their size.
+const LEASED: [usize; 6] = [10, 20, 40, 80, 160, 320];
+/// So many gateways are played in any run, more only where the fleet of the run is so many times as large.
+const LEASED_ALWAYS: usize = 80;
+const LEASED_PART: usize = 5;
+/// One of so many gateways is lost in the simulated fleet with leases.
+const LOST_ONE_OF: usize = 7;
+const HEARTBEATS: u64 = 20;
+/// Entries that a keeper holds; the last are those of 1% keyed requests at the target.
+const HELD: [usize; 4] = [1_000, 10_000, 40_000, 84_000];
+
+const fn figure(source: Source, name: &'static str, unit: &'static str) -> Figure {
+    Figure { name, unit, source }
+}
+
+impl Run<'_> {
+    /// All of them.
+    pub(super) fn shared_sweeps(&mut self) -> io::Result<()> {
+        let middle = self.middle();
+        let by_gateways = places(&self.sizes.gateways, |gateways| Size { gateways, ..middle });
+        let most = by_gateways.last().map_or(0, |place| place.1.gateways);
+        let most_leased = most.min(LEASED_ALWAYS).max(most / LEASED_PART);
+        let leased: Vec<usize> = LEASED.into_iter().filter(|own| *own <= most_leased).collect();
+        let leased = places(&leased, |gateways| Size { gateways, ..middle });
+        self.sweep(Axis::Gateways, &by_gateways, Self::shared)?;
+        self.sweep(Axis::Gateways, &leased, Self::leases)?;
+        self.sweep(Axis::Keepers, &KEEPERS.map(|keepers| (keepers as f64, middle)), Self::claims_by_keepers)?;
+        self.sweep(Axis::Keyed, &KEYED.map(|keyed| (keyed as f64, middle)), Self::claims_by_requests)?;
+        self.sweep(Axis::Held, &HELD.map(|held| (held as f64, middle)), Self::votes)
+    }
+
+    fn votes(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        for _ in self.seeds() {
+            let micros = replication::micros_a_vote(place.0 as u64);
+            self.add(figure(Source::Hollow, "keeper.vote.time", "us a claim"), axis, place, micros);
+        }
+        Ok(())
+    }
+
+    fn shared(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        let gateways = place.1.gateways;
+        self.claims(axis, place, (gateways, KEEPERS[0], KEYED[0]));
+        for _ in self.seeds() {
+            let beats = replication::heartbeats(gateways, HEARTBEATS);
+            let links = gateways as f64;
+            for (figure, value) in [
+                (figure(Source::Hollow, "keeper.heartbeat.bytes", "bytes/s"), links * beats.bytes_a_second),
+                (figure(Source::Hollow, "keeper.heartbeat.messages", "1/s"), links * beats.messages_a_second),
+                (
+                    figure(Source::Hollow, "keeper.heartbeat.time", "us/s"),
+                    links * beats.time_a_second.as_secs_f64() * 1e6,
+                ),
+            ] {
+                self.add(figure, axis, place, value);
+            }
+        }
+        Ok(())
+    }
+
+    /// Counts of simulated fleets come of their seeds alone, so the repeats are played side by side.
+    fn side_by_side<T: Send>(&self, play: impl Fn(u64) -> T + Sync) -> Vec<T> {
+        std::thread::scope(|scope| {
+            let play = &play;
+            let threads: Vec<_> = self.seeds().map(|seed| scope.spawn(move || play(seed))).collect();
+            let joined =
+                |thread: ScopedJoinHandle<T>| thread.join().unwrap_or_else(|panic| resume_unwind(panic));
+            threads.into_iter().map(joined).collect()
+        })
+    }
+
+    fn leases(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        let gateways = place.1.gateways;
+        let tasks = (gateways as f64 * ENGINES_A_GATEWAY) as u32;
+        let play = |seed| replication::leases(gateways, KEEPERS[0], tasks, LOST_ONE_OF, seed);
+        for leases in self.side_by_side(play) {
+            let messages = figure(Source::Simulated, "lease.messages", "1/s");
+            self.add(messages, axis, place, leases.messages_a_second);
+            let again = figure(Source::Simulated, "lease.again", "ms");
+            self.add(again, axis, place, leases.owned_again_ms as f64);
+            let voted = figure(Source::Simulated, "lease.voted_again", "part of lost tasks");
+            self.add(voted, axis, place, leases.voted_again_share);
+            let late = figure(Source::Simulated, "lease.late", "tasks over 6 s");
+            self.add(late, axis, place, leases.owned_late as f64);
+            if leases.stale_applied + leases.two_owners > 0 {
+                self.outcome.broken("one owner", format!("{leases:?} with {gateways} gateways"));
+            }
+        }
+        Ok(())
+    }
+
+    fn claims_by_keepers(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        let size = (self.gateways_of_claims(), place.0 as usize, KEYED[0]);
+        self.claims(axis, place, size);
+        Ok(())
+    }
+
+    fn claims_by_requests(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        let size = (self.gateways_of_claims(), KEEPERS[0], place.0 as usize);
+        self.claims(axis, place, size);
+        Ok(())
+    }
+
+    /// Enough to hold more than the keepers, whatever sizes are asked for.
+    fn gateways_of_claims(&self) -> usize {
+        self.sizes.gateways[0].max(KEEPERS[KEEPERS.len() - 1] + 1)
+    }
+
+    fn claims(&mut self, axis: Axis, place: Place, (gateways, keepers, keyed): (usize, usize, usize)) {
+        let gateways = gateways.max(keepers + 1);
+        let play = |seed| replication::claims(gateways, keepers, keyed, seed);
+        for claims in self.side_by_side(play) {
+            for (figure, value) in [
+                (figure(Source::Simulated, "claim.messages", "a request"), claims.messages_a_request),
+                (figure(Source::Simulated, "claim.bytes", "bytes a request"), claims.bytes_a_request),
+                (figure(Source::Simulated, "claim.held", "entries a request/s"), claims.held_a_rate),
+            ] {
+                self.add(figure, axis, place, value);
+            }
+            if claims.effects_twice + claims.differ + claims.unanswered > 0 {
+                self.outcome.broken("replicas agree", format!("{claims:?} with {gateways} gateways"));
+            }
+        }
+    }
+}
--- a/crates/fleet-rig/src/scale/sizes.rs
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -1,6 +1,7 @@
 //! Sizes of a scale run, and what of them the machine can't carry.
 
 use clap::Args;
+use eideryard_peers::hub::MOST_LINKS;
 use thiserror::Error;
 
 /// Processes of a run in all: the real gateways, at the most.
@@ -17,6 +18,13 @@
 /// Engines of a size whose connections end in this process, for each real gateway.
 const CONNECTIONS_A_GATEWAY: u64 = 128;
 
+/// Descriptors of a hollow gateway that holds links: one for each keeper and two of its thread.
+const DESCRIPTORS_A_LINK: u64 = 5;
+/// Engines for each gateway, as the target has them.
+pub const ENGINES_A_GATEWAY: f64 = 2.4;
+/// Parts of the list's changes as which the configuration changes.
+const RELOAD_PARTS: [usize; 3] = [8, 4, 2];
+
 /// What a run is asked to play.
 #[derive(Args, Clone, Debug)]
 pub struct Sizes {
@@ -47,6 +55,9 @@
     /// Hollow gateways in this process at each point.
     #[arg(long, default_value_t = 8)]
     pub hollow: usize,
+    /// Hollow gateways that stand side by side beside the real ones.
+    #[arg(long, default_value_t = 20)]
+    pub beside: usize,
     /// Seconds for which a real point is measured.
     #[arg(long, default_value_t = 0.5)]
     pub seconds: f64,
@@ -101,7 +112,7 @@
     /// More memory than a run may take.
     #[error(
         "the sizes take about {asked_mb} MB, over the limit of {limit_mb} MB, half of the machine's memory; \
-         ask for --hollow {hollow} or fewer, or for fewer --clients or --real"
+         ask for {hollow} or fewer as --hollow and --beside, or for fewer --clients or --real"
     )]
     Memory {
         /// Memory that the sizes take.
@@ -143,6 +154,11 @@
         self.real.min(self.repeats)
     }
 
+    /// Changes of the configuration, by point of their sweep.
+    pub fn reloads(&self) -> [usize; 3] {
+        RELOAD_PARTS.map(|part| (self.changes / part).max(1))
+    }
+
     /// Turns away what can't be played, before anything starts.
     pub fn check(&self, machine: Machine) -> Result<(), SizeError> {
         self.check_numbers()?;
@@ -154,7 +170,8 @@
         let resting = clients * self.gateways_with_clients() as u64;
         let real = self.real as u64 * (REAL_BYTES + engines * HOLLOW_BYTES_AN_ENGINE);
         let fixed = real + 2 * resting * BYTES_A_CLIENT;
-        let asked = fixed + self.hollow as u64 * engines * HOLLOW_BYTES_AN_ENGINE;
+        let hollow = self.hollow.max(self.beside) as u64;
+        let asked = fixed + hollow * engines * HOLLOW_BYTES_AN_ENGINE;
         let limit = (machine.memory_bytes as f64 * MEMORY_PART) as u64;
         if asked > limit {
             let each = (engines * HOLLOW_BYTES_AN_ENGINE).max(1);
@@ -162,7 +179,8 @@
             return Err(SizeError::Memory { asked_mb: asked >> 20, limit_mb: limit >> 20, hollow });
         }
         let gateways = (self.real as u64).max(1);
-        let fixed = SPARE_DESCRIPTORS + gateways * CONNECTIONS_A_GATEWAY;
+        let links = most(&self.gateways).min(MOST_LINKS as u64) * DESCRIPTORS_A_LINK;
+        let fixed = SPARE_DESCRIPTORS + gateways * CONNECTIONS_A_GATEWAY + links;
         if fixed + resting > machine.descriptors {
             let clients =
                 machine.descriptors.saturating_sub(fixed) / self.gateways_with_clients().max(1) as u64;
--- /dev/null
+++ b/crates/fleet-rig/src/scale/together.rs
@@ -0,0 +1,168 @@
+//! Hollow gateways beside real ones, in one fleet and at one time: they follow the same list by the same
+//! events, each at a place of its own.
+//!
+//! Hollow ones stand side by side in this process and play requests in virtual time, in equal steps, while
+//! clients ask the real ones.
+
+use std::io;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{Receiver, TryRecvError};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use super::decisions::{self, SECOND, STARTED};
+use super::discovery::Watch;
+use super::node::Node;
+use super::replication::thread_time;
+
+/// Virtual time by which all hollow gateways move on together.
+const STEP: u64 = SECOND / 100;
+/// Virtual time that they play at the most.
+const MOST: u64 = 10 * SECOND;
+
+/// What hollow gateways counted.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counted {
+    /// Gateways that stood side by side.
+    pub gateways: u64,
+    /// Requests of all.
+    pub requests: u64,
+    /// Those without an end.
+    pub unanswered: u64,
+    /// Engines looked at.
+    pub visits: u64,
+    /// Time of the modules for requests.
+    pub spent: Duration,
+    /// Events of the list, each counted at each gateway.
+    pub list_events: u64,
+    /// Processor time of codecs and modules for these.
+    pub list_time: Duration,
+    /// Gateways that did not end with the engines that the list names.
+    pub wrong_lists: u64,
+}
+
+impl Counted {
+    /// Engines looked at for a request.
+    pub fn visits_a_request(&self) -> f64 {
+        self.visits as f64 / self.requests.max(1) as f64
+    }
+
+    /// Processor time for an event of the list at one gateway.
+    pub fn micros_a_list_event(&self) -> f64 {
+        self.list_time.as_secs_f64() * 1e6 / self.list_events.max(1) as f64
+    }
+}
+
+/// Hollow gateways on a thread of their own.
+pub struct Together {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<Counted>,
+}
+
+/// Places that real gateways leave, at equal distances, `hollow` at the most.
+pub fn places(gateways: usize, real: usize, hollow: usize) -> Vec<usize> {
+    let taken: Vec<usize> = (0..real).map(|number| number * gateways.max(real) / real).collect();
+    let free: Vec<usize> = (0..gateways).filter(|place| !taken.contains(place)).collect();
+    let count = hollow.min(free.len());
+    (0..count).map(|number| free[number * free.len() / count]).collect()
+}
+
+impl Together {
+    /// Begins once all of them have the list; they follow the events from then on.
+    pub fn start(
+        fleet: decisions::Fleet,
+        places: Vec<usize>,
+        events: Receiver<Arc<str>>,
+    ) -> io::Result<Self> {
+        let stop = Arc::new(AtomicBool::new(false));
+        let (ready, begun) = std::sync::mpsc::channel();
+        let stopped = stop.clone();
+        let thread = std::thread::spawn(move || {
+            let mut nodes = Hollow::start(fleet, &places);
+            // Nobody waits for it where the run has ended early.
+            let _ = ready.send(());
+            nodes.follow(&events, &stopped)
+        });
+        begun.recv().map_err(|_| io::Error::other("hollow gateways didn't start"))?;
+        Ok(Together { stop, thread })
+    }
+
+    /// Lets them take the events that have come, and ends them.
+    pub fn end(self) -> io::Result<Counted> {
+        self.stop.store(true, Ordering::Relaxed);
+        self.thread.join().map_err(|_| io::Error::other("a hollow gateway panicked"))
+    }
+}
+
+struct Hollow {
+    engines: usize,
+    nodes: Vec<(Node, Watch)>,
+    counted: Counted,
+    list_events: u64,
+}
+
+impl Hollow {
+    fn start(fleet: decisions::Fleet, places: &[usize]) -> Self {
+        let list = decisions::list(fleet.engines);
+        let node = |&place: &usize| {
+            let mut node = Node::new(fleet, place, &list);
+            node.asks_until(STARTED + MOST);
+            (node, Watch::begun())
+        };
+        let nodes: Vec<_> = places.iter().map(node).collect();
+        let counted = Counted { gateways: nodes.len() as u64, ..Counted::default() };
+        Hollow { engines: fleet.engines, nodes, counted, list_events: 0 }
+    }
+
+    fn follow(&mut self, events: &Receiver<Arc<str>>, stop: &AtomicBool) -> Counted {
+        let mut now = STARTED;
+        loop {
+            // What was told before the stop is taken.
+            let stops = stop.load(Ordering::Relaxed);
+            self.take_events(events);
+            if stops {
+                return self.end();
+            }
+            match now < STARTED + MOST {
+                true => now += STEP,
+                false => std::thread::sleep(Duration::from_millis(1)),
+            }
+            self.nodes.iter_mut().for_each(|(node, _)| node.play_until(now));
+        }
+    }
+
+    fn take_events(&mut self, events: &Receiver<Arc<str>>) {
+        loop {
+            match events.try_recv() {
+                Ok(text) => self.take_event(&text),
+                Err(TryRecvError::Empty | TryRecvError::Disconnected) => return,
+            }
+        }
+    }
+
+    fn take_event(&mut self, text: &str) {
+        let before = thread_time();
+        for (node, watch) in &mut self.nodes {
+            for told in watch.take(text) {
+                node.listed(told.event());
+                self.counted.list_events += 1;
+            }
+        }
+        self.counted.list_time += thread_time().saturating_sub(before);
+        self.list_events += 1;
+    }
+
+    fn end(&mut self) -> Counted {
+        for (node, _) in &mut self.nodes {
+            node.finish();
+            let own = node.counted();
+            self.counted.requests += own.requests;
+            self.counted.visits += own.visits;
+            self.counted.spent += own.spent;
+            self.counted.unanswered += node.unanswered();
+            self.counted.wrong_lists += u64::from(node.listed_engines() != self.engines);
+        }
+        self.counted
+    }
+}
--- a/crates/fleet-rig/tests/scale.rs
+++ b/crates/fleet-rig/tests/scale.rs
@@ -6,8 +6,10 @@
 use eideryard_fleet_rig::scale::measure::{Axis, Collected, Figure, Point, Series, Size, Source};
 use eideryard_fleet_rig::scale::run::Run;
 use eideryard_fleet_rig::scale::sizes::{Machine, SizeError, Sizes};
+use eideryard_fleet_rig::scale::together::{self, Together};
 use eideryard_fleet_rig::scale::{discovery, replication, report};
 use eideryard_fleet_rig::timeline::Timeline;
+use std::sync::mpsc::sync_channel;
 
 const MACHINE: Machine = Machine { memory_bytes: 8 << 30, descriptors: 20_000 };
 
@@ -22,6 +24,7 @@
         repeats: 2,
         real: 0,
         hollow: 2,
+        beside: 2,
         seconds: 0.1,
         plots: None,
         program: None,
@@ -38,7 +41,7 @@
         (Sizes { repeats: 1, ..sizes() }, &["--repeats 1", "at least 2"]),
         (Sizes { hollow: 0, ..sizes() }, &["--hollow", "over 0"]),
         (Sizes { real: 400, ..sizes() }, &["400 processes", "limit of 300", "--real 300"]),
-        (Sizes { hollow: 4_000, ..sizes() }, &["MB", "limit of 4096 MB", "--hollow "]),
+        (Sizes { hollow: 4_000, ..sizes() }, &["MB", "limit of 4096 MB", "--hollow and --beside"]),
         (
             Sizes { real: 10, repeats: 5, clients: vec![4_120], ..sizes() },
             &["descriptors", "limit of 20000", "--clients "],
@@ -99,8 +102,7 @@
     let sizes = sizes();
     let mut before = Vec::new();
     let mut predicted = |name: &str, axis: Axis, _: f64, _: f64| before.push(format!("{name} {axis:?}"));
-    let run = Run { sizes: &sizes, program: None, predicted: &mut predicted, outcome: Default::default() };
-    let outcome = run.play().expect("hollow gateways need no machine");
+    let outcome = Run::new(&sizes, None, &mut predicted).play().expect("hollow gateways need no machine");
     assert_eq!(outcome.broken, [], "{}", report::table(&outcome));
     assert!(outcome.requests > 1_000 && outcome.unanswered == 0);
     assert_eq!(outcome.predictions.len(), before.len(), "each was predicted before it was measured");
@@ -120,6 +122,29 @@
     assert!(grown(probed).is_some(), "{probed:?}");
 }
 
+#[test]
+fn hollow_gateways_side_by_side_follow_the_list_of_the_real_ones() {
+    assert_eq!(together::places(10, 2, 3), [1, 3, 7], "real ones are at 0 and 5");
+    assert_eq!(together::places(3, 3, 5), [0; 0], "no place is left");
+    let fleet =
+        Fleet { gateways: 34, engines: 80, hollow: 3, rate: 50.0, overloaded: false, probed: false, seed: 5 };
+    // In the second round nothing says that the engine that joined has left again.
+    for (told, wrong_lists) in [(3, 0), (2, 3)] {
+        let (events, watch) = sync_channel(8);
+        let beside = Together::start(fleet, together::places(34, 10, 3), watch).expect("a thread");
+        let change = |health| discovery::event(2, false, &[discovery::host(7, "127.0.0.1:1", health)]);
+        let joined = discovery::event(3, true, &discovery::hosts(81));
+        let left = discovery::event(4, true, &discovery::hosts(80));
+        for event in [change("draining"), joined, left].into_iter().take(told) {
+            events.send(event.into()).expect("somebody watches");
+        }
+        let counted = beside.end().expect("it ends");
+        assert_eq!((counted.gateways, counted.list_events), (3, 3 * told as u64));
+        assert_eq!(counted.wrong_lists, wrong_lists, "{counted:?}");
+        assert_eq!(counted.unanswered, 0);
+    }
+}
+
 #[test]
 fn counts_of_one_decision_list_and_claim_are_those_of_the_protocols() {
     let fleet =
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod gateway;
 mod keeping;
 mod lessons;
+pub mod links;
 mod owning;
 mod requests;
 mod sharing;
--- a/crates/gateway/src/sharing.rs
+++ b/crates/gateway/src/sharing.rs
@@ -95,8 +95,8 @@
     }
 }
 
-/// Of the classes that intents are kept for: their places, effects, scopes and windows.
-fn print_of(classes: &[Class]) -> u64 {
+/// A fingerprint of the classes that intents are kept for: their places, effects, scopes and windows.
+pub fn classes_print(classes: &[Class]) -> u64 {
     let said = classes.iter().enumerate().filter(|(_, class)| class.effect != Effect::Safe);
     let said: Vec<String> = said
         .map(|(at, class)| format!("{at} {:?} {:?} {}", class.effect, class.scope, class.window))
@@ -156,7 +156,7 @@
             fleet: plan.name.clone(),
             name: name.to_string(),
             keepers: keepers.clone(),
-            classes: print_of(&settings.classes),
+            classes: classes_print(&settings.classes),
             identity: origin.identity,
             start: origin.start,
         };
--- a/src/engines.rs
+++ b/src/engines.rs
@@ -238,6 +238,11 @@
     pub fn visits(&self) -> u64 {
         self.engines.visits.get()
     }
+
+    /// Engines that the list names.
+    pub fn listed_engines(&self) -> usize {
+        self.engines.listed_count()
+    }
 }
 
 impl std::ops::Index<&EngineId> for Engines {
