--- a/crates/fleet-rig/src/lib.rs
+++ b/crates/fleet-rig/src/lib.rs
@@ -6,7 +6,7 @@
 //! [`voters`] tells which gateways vote together, [`check`] judges the history of all sides, and [`minimize`]
 //! drops the faults that a break does not need; all are pure, as [`plan`] is. [`run`] joins them.
 //! [`simulated`] is a fleet of hundreds in virtual time, with the program's own cores, [`owned`] the same for
-//! tasks and their owners, both on one [`timeline`]. [`scale`] measures how costs grow with the size of a fleet.
+//! tasks and their owners, both on one [`timeline`]. [`scale`] measures how costs grow with a fleet's size.
 //!
 //! Bounds: 12 gateways by default are the most that are started, the history is bounded in
 //! `eideryard_standin::history`, and what a link holds in [`relay`].
--- a/crates/fleet-rig/src/scale/control.rs
+++ b/crates/fleet-rig/src/scale/control.rs
@@ -10,7 +10,7 @@
 use super::processes::Fleet;
 
 /// How long a list event may take to be handled, before processor time is read.
-const SETTLES: Duration = Duration::from_millis(400);
+const SETTLES: Duration = Duration::from_millis(250);
 /// A change of configuration has to be in force everywhere within this.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(13);
 const LOOKS_EVERY: Duration = Duration::from_micros(500);
--- a/crates/fleet-rig/src/scale/keeper_sweeps.rs
+++ b/crates/fleet-rig/src/scale/keeper_sweeps.rs
@@ -18,14 +18,21 @@
 }
 
 impl Run<'_> {
+    /// Starts the processes that all of these sweeps share. Other sweeps go on until they vote.
+    pub(super) fn start_keepers(&mut self) -> io::Result<()> {
+        let Some(program) = self.program else { return Ok(()) };
+        self.keepers = Some(KeeperFleet::start(program, self.middle())?);
+        Ok(())
+    }
+
     /// All of them, with the same processes.
     pub(super) fn keeper_sweeps(&mut self) -> io::Result<()> {
-        let Some(program) = self.program else { return Ok(()) };
+        let Some(keepers) = &self.keepers else { return Ok(()) };
+        keepers.until_served()?;
         let middle = self.middle();
         let most = self.sizes.gateways.iter().copied().max().unwrap_or(0);
         let links = LINKS.iter().filter(|links| **links <= most).map(|&links| (links as f64, middle));
         let claims = CLAIMS.map(|claims| (claims as f64, middle));
-        self.keepers = Some(KeeperFleet::start(program, middle)?);
         self.sweep(Axis::Claims, &claims, Self::claims_of_keepers)?;
         self.sweep(Axis::Links, &links.collect::<Vec<_>>(), Self::links_of_keepers)?;
         let Some(keepers) = self.keepers.take() else { return Ok(()) };
--- a/crates/fleet-rig/src/scale/keepers.rs
+++ b/crates/fleet-rig/src/scale/keepers.rs
@@ -70,22 +70,20 @@
 }
 
 impl KeeperFleet {
-    /// Starts the processes, and waits until a keyed request is served.
+    /// Starts the processes. They serve no keyed request yet: keepers that start for the first time vote later.
     pub fn start(program: &Path, size: Size) -> io::Result<Self> {
         let addresses: Vec<SocketAddr> = (0..KEEPERS).map(|_| unused_address()).collect();
         let operator = |number: usize, directory: &Path| operator_lines(number, directory, &addresses);
         let fleet = Fleet::start_with(program, KEEPERS + ASKED, size, &operator)?;
-        let own = KeeperFleet { fleet, addresses, links: Vec::new() };
-        own.until_served()?;
-        own.fleet.warm_up(KEEPERS, Asks::Keyed)?;
-        Ok(own)
+        Ok(KeeperFleet { fleet, addresses, links: Vec::new() })
     }
 
-    fn until_served(&self) -> io::Result<()> {
+    /// Waits until keyed requests are served, and lets some be.
+    pub fn until_served(&self) -> io::Result<()> {
         let until = Instant::now() + VOTES_WITHIN;
         while Instant::now() < until {
             if self.fleet.serves_keyed(KEEPERS)? {
-                return Ok(());
+                return self.fleet.warm_up(KEEPERS, Asks::Keyed).map(|_| ());
             }
             std::thread::sleep(LOOKS_EVERY);
         }
--- a/crates/fleet-rig/src/scale/run.rs
+++ b/crates/fleet-rig/src/scale/run.rs
@@ -95,11 +95,12 @@
 
     /// Plays all sweeps and checks the counts.
     pub fn play(mut self) -> io::Result<Outcome> {
+        self.start_keepers()?;
         self.hollow_sweeps()?;
         self.shared_sweeps()?;
+        self.keeper_sweeps()?;
         if self.program.is_some() {
             self.real_sweeps()?;
-            self.keeper_sweeps()?;
         }
         checks::counts(&mut self.outcome);
         Ok(self.outcome)
--- a/crates/fleet-rig/src/scale/sizes.rs
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -29,7 +29,7 @@
 #[derive(Args, Clone, Debug)]
 pub struct Sizes {
     /// Gateways of the fleet, at the middle number of engines.
-    #[arg(long, value_delimiter = ',', default_values_t = [17, 100, 400])]
+    #[arg(long, value_delimiter = ',', default_values_t = [17, 100, 200])]
     pub gateways: Vec<usize>,
     /// Engines of the fleet, with gateways in proportion.
     #[arg(long, value_delimiter = ',', default_values_t = [8, 80, 400])]
@@ -50,16 +50,16 @@
     #[arg(long, default_value_t = 5)]
     pub repeats: usize,
     /// Real gateways at each point; each is a repeat. 0: none are started.
-    #[arg(long, default_value_t = 10)]
+    #[arg(long, default_value_t = 5)]
     pub real: usize,
     /// Hollow gateways in this process at each point.
-    #[arg(long, default_value_t = 8)]
+    #[arg(long, default_value_t = 6)]
     pub hollow: usize,
     /// Hollow gateways that stand side by side beside the real ones.
     #[arg(long, default_value_t = 20)]
     pub beside: usize,
     /// Seconds for which a real point is measured.
-    #[arg(long, default_value_t = 0.5)]
+    #[arg(long, default_value_t = 0.4)]
     pub seconds: f64,
     /// Where plots go; without it none are drawn.
     #[arg(long)]
