--- a/crates/fleet-rig/src/scale/keeper_sweeps.rs
+++ b/crates/fleet-rig/src/scale/keeper_sweeps.rs
@@ -33,8 +33,10 @@
         let most = self.sizes.gateways.iter().copied().max().unwrap_or(0);
         let links = LINKS.iter().filter(|links| **links <= most).map(|&links| (links as f64, middle));
         let claims = CLAIMS.map(|claims| (claims as f64, middle));
-        self.sweep(Axis::Claims, &claims, Self::claims_of_keepers)?;
+        // Links first, and none later: entries that claims leave behind cost a keeper until they are over.
         self.sweep(Axis::Links, &links.collect::<Vec<_>>(), Self::links_of_keepers)?;
+        self.keepers.iter_mut().for_each(KeeperFleet::unlink);
+        self.sweep(Axis::Claims, &claims, Self::claims_of_keepers)?;
         let Some(keepers) = self.keepers.take() else { return Ok(()) };
         let ended = keepers.end()?;
         self.none_crashed(&ended);
--- a/crates/fleet-rig/src/scale/keepers.rs
+++ b/crates/fleet-rig/src/scale/keepers.rs
@@ -110,6 +110,11 @@
         Ok(())
     }
 
+    /// Ends all links of hollow gateways.
+    pub fn unlink(&mut self) {
+        self.links.clear();
+    }
+
     fn hollow(&self, number: usize) -> io::Result<Hub<Said>> {
         let settings = self.fleet.settings()?;
         let hello = Hello {
