--- a/crates/fleet-rig/src/scale/together.rs
+++ b/crates/fleet-rig/src/scale/together.rs
@@ -32,8 +32,6 @@
     pub unanswered: u64,
     /// Engines looked at.
     pub visits: u64,
-    /// Time of the modules for requests.
-    pub spent: Duration,
     /// Events of the list, each counted at each gateway.
     pub list_events: u64,
     /// Processor time of codecs and modules for these.
@@ -99,7 +97,6 @@
     engines: usize,
     nodes: Vec<(Node, Watch)>,
     counted: Counted,
-    list_events: u64,
 }
 
 impl Hollow {
@@ -112,7 +109,7 @@
         };
         let nodes: Vec<_> = places.iter().map(node).collect();
         let counted = Counted { gateways: nodes.len() as u64, ..Counted::default() };
-        Hollow { engines: fleet.engines, nodes, counted, list_events: 0 }
+        Hollow { engines: fleet.engines, nodes, counted }
     }
 
     fn follow(&mut self, events: &Receiver<Arc<str>>, stop: &AtomicBool) -> Counted {
@@ -150,7 +147,6 @@
             }
         }
         self.counted.list_time += thread_time().saturating_sub(before);
-        self.list_events += 1;
     }
 
     fn end(&mut self) -> Counted {
@@ -159,7 +155,6 @@
             let own = node.counted();
             self.counted.requests += own.requests;
             self.counted.visits += own.visits;
-            self.counted.spent += own.spent;
             self.counted.unanswered += node.unanswered();
             self.counted.wrong_lists += u64::from(node.listed_engines() != self.engines);
         }
