--- a/crates/fleet-rig/src/scale/control.rs
+++ b/crates/fleet-rig/src/scale/control.rs
@@ -49,28 +49,28 @@
         self.change_list(changes);
         std::thread::sleep(SETTLES);
         let changed = self.processor_times()?;
-        self.discovery.tell(true, &self.hosts);
+        self.discovery.publish(true, &self.hosts);
         std::thread::sleep(SETTLES);
-        let told = self.processor_times()?;
+        let listed = self.processor_times()?;
         let control = |at: usize| {
             let idle_share = (idle[at] - before[at]).as_secs_f64() / lasts.as_secs_f64();
             let own = |spent: Duration| beyond_idle(spent, idle_share, SETTLES);
             Control {
                 idle_share,
                 micros_a_change: own(changed[at] - idle[at]) / changes.max(1) as f64,
-                micros_a_whole_list: own(told[at] - changed[at]),
+                micros_a_whole_list: own(listed[at] - changed[at]),
                 micros_to_start: self.nodes[at].started.as_secs_f64() * 1e6,
             }
         };
         Ok((0..self.nodes.len()).map(control).collect())
     }
 
-    /// Tells all watches of so many changes, each of one engine that begins or ends a drain.
+    /// Publishes so many changes, each of one engine that begins or ends a drain.
     pub fn change_list(&mut self, changes: usize) {
         for change in 0..changes {
             let mut host = self.hosts[change / 2 % self.hosts.len()].clone();
             host["health"] = json!(if change % 2 == 0 { "draining" } else { "up" });
-            self.discovery.tell(false, &[host]);
+            self.discovery.publish(false, &[host]);
         }
     }
 
--- a/crates/fleet-rig/src/scale/discovery.rs
+++ b/crates/fleet-rig/src/scale/discovery.rs
@@ -43,14 +43,14 @@
 }
 
 /// Engines that an event of the list names, as the module takes them.
-pub struct Told {
+pub struct ListUpdate {
     /// Whether these are all engines there are.
     pub whole: bool,
     /// The engines.
     pub entries: Vec<Entry>,
 }
 
-impl Told {
+impl ListUpdate {
     /// What the module is handed of it.
     pub fn event(self) -> Event {
         match self.whole {
@@ -75,11 +75,11 @@
     }
 
     /// What so many bytes of the stream say.
-    pub fn take(&mut self, text: &str) -> Vec<Told> {
+    pub fn take(&mut self, text: &str) -> Vec<ListUpdate> {
         let mut heard = Vec::new();
         self.reader.take(text.as_bytes(), &mut heard).expect("a good event");
         let items = heard.iter().filter_map(item);
-        items.filter_map(|item| item.roster.as_ref().map(told)).collect()
+        items.filter_map(|item| item.roster.as_ref().map(update)).collect()
     }
 }
 
@@ -110,11 +110,11 @@
 
 fn handle(module: &mut Gateway, watch: &mut Watch, text: &str) -> Cost {
     let began = Instant::now();
-    let told = watch.take(text);
+    let updates = watch.take(text);
     let read = began.elapsed();
     let began = Instant::now();
-    for told in told {
-        module.handle(NOW, told.event(), &mut Vec::new());
+    for update in updates {
+        module.handle(NOW, update.event(), &mut Vec::new());
     }
     Cost { bytes: text.len() as u64, read, handled: began.elapsed() }
 }
@@ -126,11 +126,11 @@
     }
 }
 
-fn told(roster: &Roster) -> Told {
-    Told { whole: roster.whole, entries: roster.hosts.iter().map(entry).collect() }
+fn update(roster: &Roster) -> ListUpdate {
+    ListUpdate { whole: roster.whole, entries: roster.hosts.iter().map(entry).collect() }
 }
 
-/// Zones are those of [`decisions::list`]: a hollow gateway has one order of engines whoever told it of them.
+/// Zones are those of [`decisions::list`]: a hollow gateway has one order of engines whoever listed them.
 fn entry(listed: &Listed) -> Entry {
     let number = listed.host.rsplit('-').next().and_then(|digits| digits.parse().ok()).unwrap_or(0);
     let phase = if listed.health == State::Up { Phase::Ready } else { Phase::Draining };
--- a/crates/fleet-rig/src/scale/discovery_server.rs
+++ b/crates/fleet-rig/src/scale/discovery_server.rs
@@ -1,5 +1,5 @@
-//! A stand-in for service discovery: tells all watches the same events, those of real gateways over sockets
-//! and those of hollow ones over channels.
+//! A stand-in for service discovery: publishes the same events to all watches, those of real gateways over
+//! sockets and those of hollow ones over channels.
 
 use std::io;
 use std::net::SocketAddr;
@@ -68,15 +68,15 @@
         Ok(server)
     }
 
-    /// A watch without a socket, which is told what all others are.
+    /// A watch without a socket, which gets the events that all others get.
     pub fn watch(&mut self) -> Receiver<Arc<str>> {
         let (sender, receiver) = sync_channel(MOST_UNREAD);
         self.hollow.push(sender);
         receiver
     }
 
-    /// Tells all watches of these engines: that they are all there are, or that these have changed.
-    pub fn tell(&mut self, whole: bool, hosts: &[Value]) {
+    /// Publishes these engines to all watches: as all there are, or as those that have changed.
+    pub fn publish(&mut self, whole: bool, hosts: &[Value]) {
         self.number += 1;
         let event: Arc<str> = discovery::event(self.number, whole, hosts).into();
         locked(&self.watches).retain_mut(|watch| watch.write_raw(event.as_bytes()).is_ok());
--- a/crates/fleet-rig/src/scale/mod.rs
+++ b/crates/fleet-rig/src/scale/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! *Hollow* nodes run the cores that ship ([`decisions`], [`discovery`], [`replication`]) in this process,
 //! without sockets. What they leave out (kernel, buffers, connections) is measured on *real* processes of the
-//! program ([`processes`], [`control`], [`keepers`]), and [`together`] puts both into one
+//! program ([`processes`], [`control`], [`voters`]), and [`together`] puts both into one
 //! fleet. [`fit`] turns measurements into slopes and predictions, [`report`] prints them, [`plots`] draws
 //! them, [`checks`] holds counts against what they must keep.
 //!
@@ -16,8 +16,6 @@
 pub mod discovery_server;
 pub mod fit;
 mod hollow_sweeps;
-mod keeper_sweeps;
-pub mod keepers;
 pub mod measure;
 pub mod node;
 pub mod plots;
@@ -29,3 +27,5 @@
 mod shared_sweeps;
 pub mod sizes;
 pub mod together;
+mod voter_sweeps;
+pub mod voters;
--- a/crates/fleet-rig/src/scale/real_sweeps.rs
+++ b/crates/fleet-rig/src/scale/real_sweeps.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Ends a fleet that was told of so many list events and changes of its configuration.
+    /// Ends a fleet that got so many list events and changes of its configuration.
     fn end(&mut self, fleet: Fleet, list_events: usize, reloads: usize) -> io::Result<()> {
         let ended = fleet.end()?;
         self.none_crashed(&ended);
--- a/crates/fleet-rig/src/scale/run.rs
+++ b/crates/fleet-rig/src/scale/run.rs
@@ -8,9 +8,9 @@
 
 use super::checks;
 use super::fit::{self, Prediction};
-use super::keepers::KeeperFleet;
 use super::measure::{Axis, Collected, Figure, Series, Size};
 use super::sizes::{Sizes, ENGINES_A_GATEWAY};
+use super::voters::VoterFleet;
 
 /// Something that was counted and must not be.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -64,8 +64,8 @@
     pub predicted: &'a mut dyn FnMut(&str, Axis, f64, f64),
     /// What was measured so far.
     pub outcome: Outcome,
-    /// Keepers and what they took when nobody asked: they start slowly, so several sweeps share them.
-    pub(super) keepers: Option<KeeperFleet>,
+    /// Voters start slowly, so several sweeps share them.
+    pub(super) voters: Option<VoterFleet>,
 }
 
 pub(super) fn ascending<T: Copy + PartialOrd>(values: &[T]) -> Vec<T> {
@@ -90,15 +90,15 @@
         program: Option<&'a Path>,
         predicted: &'a mut dyn FnMut(&str, Axis, f64, f64),
     ) -> Self {
-        Run { sizes, program, predicted, outcome: Outcome::default(), keepers: None }
+        Run { sizes, program, predicted, outcome: Outcome::default(), voters: None }
     }
 
     /// Plays all sweeps and checks the counts.
     pub fn play(mut self) -> io::Result<Outcome> {
-        self.start_keepers()?;
+        self.start_voters()?;
         self.hollow_sweeps()?;
         self.shared_sweeps()?;
-        self.keeper_sweeps()?;
+        self.voter_sweeps()?;
         if self.program.is_some() {
             self.real_sweeps()?;
         }
--- a/crates/fleet-rig/src/scale/sizes.rs
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -40,7 +40,7 @@
     /// Requests a second of one gateway.
     #[arg(long, value_delimiter = ',', default_values_t = [50.0, 450.0])]
     pub rate: Vec<f64>,
-    /// Changes of the list of engines, each told for itself.
+    /// Changes of the list of engines, each an event of its own.
     #[arg(long, default_value_t = 20)]
     pub changes: usize,
     /// What all random numbers come of.
@@ -140,8 +140,8 @@
 impl Machine {
     /// This machine, by the system's own account.
     pub fn own() -> std::io::Result<Self> {
-        let told = std::fs::read_to_string("/proc/meminfo")?;
-        let line = told.lines().find_map(|line| line.strip_prefix("MemTotal:")).unwrap_or("0 kB");
+        let text = std::fs::read_to_string("/proc/meminfo")?;
+        let line = text.lines().find_map(|line| line.strip_prefix("MemTotal:")).unwrap_or("0 kB");
         let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().map_err(std::io::Error::other)?;
         let limits = rustix::process::getrlimit(rustix::process::Resource::Nofile);
         Ok(Machine { memory_bytes: kilobytes << 10, descriptors: limits.current.unwrap_or(u64::MAX) })
--- a/crates/fleet-rig/src/scale/together.rs
+++ b/crates/fleet-rig/src/scale/together.rs
@@ -115,7 +115,7 @@
     fn follow(&mut self, events: &Receiver<Arc<str>>, stop: &AtomicBool) -> Counted {
         let mut now = STARTED;
         loop {
-            // What was told before the stop is taken.
+            // Events that came before the stop are taken.
             let stops = stop.load(Ordering::Relaxed);
             self.take_events(events);
             if stops {
@@ -141,8 +141,8 @@
     fn take_event(&mut self, text: &str) {
         let before = thread_time();
         for (node, watch) in &mut self.nodes {
-            for told in watch.take(text) {
-                node.listed(told.event());
+            for update in watch.take(text) {
+                node.listed(update.event());
                 self.counted.list_events += 1;
             }
         }
--- a/crates/fleet-rig/src/scale/keepers.rs
+++ b/crates/fleet-rig/src/scale/voters.rs
@@ -1,5 +1,5 @@
-//! Real keepers: processes of the program that share their intents, under links of hollow gateways and under
-//! keyed requests of real ones.
+//! Real voters (`keeper` in an operator's file): processes of the program that share their intents, under
+//! links of hollow gateways and under keyed requests of real ones.
 //!
 //! A hollow gateway here is the links' own thread with nothing behind it: it sends heartbeats, answers them,
 //! and claims nothing.
@@ -18,21 +18,21 @@
 use super::measure::Size;
 use super::processes::{Ended, Fleet};
 
-/// Keepers of the fleet, and gateways beside them that clients ask.
-pub const KEEPERS: usize = 3;
+/// Voters of the fleet, and gateways beside them that clients ask.
+pub const VOTERS: usize = 3;
 const ASKED: usize = 2;
-/// Links that others than hollow gateways make to a keeper, and some to spare.
+/// Links that others than hollow gateways make to a voter, and some to spare.
 pub const SPARE_LINKS: usize = 10;
 const FLEET: &str = "scale";
-/// Keepers that start for the first time vote after the longest time that they may have forgotten something.
+/// Voters that start for the first time vote after the longest time that they may have forgotten something.
 const VOTES_WITHIN: Duration = Duration::from_secs(20);
 const LINKS_WITHIN: Duration = Duration::from_secs(10);
 const LOOKS_EVERY: Duration = Duration::from_millis(20);
 
-/// What keepers took while nobody asked for anything.
+/// What voters took while nobody asked for anything.
 #[derive(Clone, Debug, Default)]
 pub struct Idle {
-    /// Processor time of each keeper in a second.
+    /// Processor time of each voter in a second.
     pub micros_a_second: Vec<f64>,
     /// Memory that each held.
     pub resident_bytes: Vec<f64>,
@@ -41,7 +41,7 @@
 /// What keyed requests took.
 #[derive(Clone, Debug, Default)]
 pub struct Claimed {
-    /// Processor time of each keeper for a keyed request of another gateway.
+    /// Processor time of each voter for a keyed request of another gateway.
     pub micros_a_claim: Vec<f64>,
     /// Processor time of each asked gateway for a keyed request.
     pub micros_a_request: Vec<f64>,
@@ -49,8 +49,8 @@
     pub answers: Answers,
 }
 
-/// Three keepers, two gateways that are asked, and links of hollow ones.
-pub struct KeeperFleet {
+/// Three voters, two gateways that are asked, and links of hollow ones.
+pub struct VoterFleet {
     fleet: Fleet,
     addresses: Vec<SocketAddr>,
     links: Vec<Hub<Said>>,
@@ -69,28 +69,28 @@
     lines
 }
 
-impl KeeperFleet {
-    /// Starts the processes. They serve no keyed request yet: keepers that start for the first time wait.
+impl VoterFleet {
+    /// Starts the processes. They serve no keyed request yet: voters that start for the first time wait.
     pub fn start(program: &Path, size: Size) -> io::Result<Self> {
-        let addresses: Vec<SocketAddr> = (0..KEEPERS).map(|_| unused_address()).collect();
+        let addresses: Vec<SocketAddr> = (0..VOTERS).map(|_| unused_address()).collect();
         let operator = |number: usize, directory: &Path| operator_lines(number, directory, &addresses);
-        let fleet = Fleet::start_with(program, KEEPERS + ASKED, size, &operator)?;
-        Ok(KeeperFleet { fleet, addresses, links: Vec::new() })
+        let fleet = Fleet::start_with(program, VOTERS + ASKED, size, &operator)?;
+        Ok(VoterFleet { fleet, addresses, links: Vec::new() })
     }
 
     /// Waits until keyed requests are served, and lets some be.
     pub fn until_served(&self) -> io::Result<()> {
         let until = Instant::now() + VOTES_WITHIN;
         while Instant::now() < until {
-            if self.fleet.serves_keyed(KEEPERS)? {
-                return self.fleet.warm_up(KEEPERS, Asks::Keyed).map(|_| ());
+            if self.fleet.serves_keyed(VOTERS)? {
+                return self.fleet.warm_up(VOTERS, Asks::Keyed).map(|_| ());
             }
             std::thread::sleep(LOOKS_EVERY);
         }
         Err(io::Error::other(format!("no keyed request was served within {VOTES_WITHIN:?}")))
     }
 
-    /// Adds links of hollow gateways until there are so many, each to all keepers.
+    /// Adds links of hollow gateways until there are so many, each to all voters.
     pub fn link(&mut self, links: usize) -> io::Result<()> {
         let before = self.links.len();
         for number in before..links {
@@ -98,13 +98,13 @@
         }
         let until = Instant::now() + LINKS_WITHIN;
         let mut up = 0;
-        while up < (self.links.len() - before) * KEEPERS && Instant::now() < until {
+        while up < (self.links.len() - before) * VOTERS && Instant::now() < until {
             std::thread::sleep(LOOKS_EVERY);
             up += self.links[before..].iter_mut().map(links_that_came_up).sum::<usize>();
         }
-        let wanted = (self.links.len() - before) * KEEPERS;
+        let wanted = (self.links.len() - before) * VOTERS;
         if up < wanted {
-            let what = format!("{up} of {wanted} links to keepers came up within {LINKS_WITHIN:?}");
+            let what = format!("{up} of {wanted} links to voters came up within {LINKS_WITHIN:?}");
             return Err(io::Error::other(what));
         }
         Ok(())
@@ -121,7 +121,7 @@
             version: eideryard_peers::hello::VERSION,
             fleet: FLEET.into(),
             name: format!("h{number}"),
-            keepers: (0..KEEPERS).map(|at| format!("g{at}")).collect(),
+            keepers: (0..VOTERS).map(|at| format!("g{at}")).collect(),
             classes: classes_print(&settings.classes),
             identity: number as u64 + 1,
             start: 1,
@@ -131,21 +131,21 @@
         Hub::start(Plan { hello, listen: None, keepers, seed: number as u64 }, Box::new(|| ()))
     }
 
-    /// What keepers take while clients ask for nothing.
+    /// What voters take while clients ask for nothing.
     pub fn idle(&mut self, lasts: Duration) -> io::Result<Idle> {
         let (before, began) = (self.fleet.processor_times()?, Instant::now());
         std::thread::sleep(lasts);
         let micros_a_second = self.micros_since(&before, began.elapsed())?;
         self.drain_links();
-        Ok(Idle { micros_a_second, resident_bytes: self.fleet.resident_bytes()[..KEEPERS].to_vec() })
+        Ok(Idle { micros_a_second, resident_bytes: self.fleet.resident_bytes()[..VOTERS].to_vec() })
     }
 
-    /// What keepers and asked gateways take for keyed requests, so many a second in all, beyond what the
-    /// keepers take anyway.
+    /// What voters and asked gateways take for keyed requests, so many a second in all, beyond what the
+    /// voters take anyway.
     pub fn claims(&mut self, idle: &Idle, rate: f64, lasts: Duration) -> io::Result<Claimed> {
-        let drivers = self.fleet.connect(KEEPERS, Asks::Keyed)?;
+        let drivers = self.fleet.connect(VOTERS, Asks::Keyed)?;
         let (before, began) = (self.fleet.processor_times()?, Instant::now());
-        let samples = self.fleet.measure(KEEPERS, drivers, rate / ASKED as f64, lasts)?;
+        let samples = self.fleet.measure(VOTERS, drivers, rate / ASKED as f64, lasts)?;
         let taken = self.micros_since(&before, began.elapsed())?;
         let seconds = began.elapsed().as_secs_f64();
         let mut answers = Answers::default();
@@ -161,17 +161,17 @@
         Ok(claimed)
     }
 
-    /// Processor time of each keeper in a second, since earlier times of all processes.
+    /// Processor time of each voter in a second, since earlier times of all processes.
     fn micros_since(&self, before: &[Duration], lasted: Duration) -> io::Result<Vec<f64>> {
         let after = self.fleet.processor_times()?;
-        let spent = before.iter().zip(&after).take(KEEPERS);
+        let spent = before.iter().zip(&after).take(VOTERS);
         let micros = |(before, after): (&Duration, &Duration)| {
             (*after - *before).as_secs_f64() * 1e6 / lasted.as_secs_f64()
         };
         Ok(spent.map(micros).collect())
     }
 
-    /// Hollow gateways take what keepers told them, so that no link is full.
+    /// Hollow gateways take what voters sent them, so that no link is full.
     fn drain_links(&mut self) {
         self.links.iter_mut().for_each(|link| _ = links_that_came_up(link));
     }
@@ -183,7 +183,7 @@
     }
 }
 
-/// Takes all that a hollow gateway was told; how many of its links came up.
+/// Takes all that a hollow gateway received; how many of its links came up.
 fn links_that_came_up(hub: &mut Hub<Said>) -> usize {
     std::iter::from_fn(|| hub.take()).filter(|heard| matches!(heard, Heard::Up { .. })).count()
 }
--- a/crates/fleet-rig/tests/scale.rs
+++ b/crates/fleet-rig/tests/scale.rs
@@ -131,17 +131,17 @@
     let fleet =
         Fleet { gateways: 34, engines: 80, hollow: 3, rate: 50.0, overloaded: false, probed: false, seed: 5 };
     // In the second round nothing says that the engine that joined has left again.
-    for (told, wrong_lists) in [(3, 0), (2, 3)] {
+    for (published, wrong_lists) in [(3, 0), (2, 3)] {
         let (events, watch) = sync_channel(8);
         let beside = Together::start(fleet, together::places(34, 10, 3), watch).expect("a thread");
         let change = |health| discovery::event(2, false, &[discovery::host(7, "127.0.0.1:1", health)]);
         let joined = discovery::event(3, true, &discovery::hosts(81));
         let left = discovery::event(4, true, &discovery::hosts(80));
-        for event in [change("draining"), joined, left].into_iter().take(told) {
+        for event in [change("draining"), joined, left].into_iter().take(published) {
             events.send(event.into()).expect("somebody watches");
         }
         let counted = beside.end().expect("it ends");
-        assert_eq!((counted.gateways, counted.list_events), (3, 3 * told as u64));
+        assert_eq!((counted.gateways, counted.list_events), (3, 3 * published as u64));
         assert_eq!(counted.wrong_lists, wrong_lists, "{counted:?}");
         assert_eq!(counted.unanswered, 0);
     }
