Scale run: judgements in one pure module with planted breaks; what the stand-ins had is used again

They are in checks.rs now, and one test plants each break; a process that left no counters counted as 0, which passed where 0 was wanted. together.visits and together.list had one value a point: now one for each gateway and event, changes and whole lists apart. A hollow gateway's table of requests never lost one: ended ones leave it.

Used again: the ledger's Answers in place of a second type, decisions::Cost in together, one place for the JSON of a listed engine.

--- a/crates/command/tests/scale.rs
+++ b/crates/command/tests/scale.rs
@@ -33,7 +33,10 @@
     // Configuration changes reached all processes, and hollow gateways followed the same list beside them.
     assert_eq!(count("process.reload", Axis::Engines), 2);
     assert_eq!(count("reload.in_force", Axis::Reloads), 2);
-    assert_eq!((count("together.change", Axis::Engines), count("together.list", Axis::Engines)), (2, 2));
+    assert_eq!(
+        (count("together.change", Axis::Engines), count("together.list.whole", Axis::Engines)),
+        (2, 2)
+    );
     // Keepers took keyed requests of other gateways.
     assert_eq!(count("keeper.claim.time", Axis::Claims), 4);
     assert_eq!(count("keeper.links.time", Axis::Links), 1);
--- a/crates/fleet-rig/src/config.rs
+++ b/crates/fleet-rig/src/config.rs
@@ -21,6 +21,32 @@
 /// After a time-out, reset or cancel a key of an ordered class rests for so long.
 pub const ORDER_PAUSE: Duration = Duration::from_millis(500);
 
+/// An engine as service discovery lists it.
+pub struct ListedEngine<'a> {
+    /// Its name.
+    pub name: &'a str,
+    /// Where a gateway dials it.
+    pub address: &'a str,
+    /// Its zone.
+    pub zone: &'a str,
+    /// Its machine kind.
+    pub kind: &'a str,
+    /// Its cell.
+    pub cell: u64,
+    /// What becomes of it: `up`, `draining` or `removed`.
+    pub health: &'a str,
+    /// When it started, in Unix milliseconds; 0: long ago.
+    pub born_ms: u64,
+}
+
+impl ListedEngine<'_> {
+    /// The item of the list.
+    pub fn item(&self) -> Value {
+        json!({"host": self.name, "dial": self.address, "site": self.zone, "class": self.kind,
+               "block": self.cell, "health": self.health, "share": 1, "born_ms": self.born_ms})
+    }
+}
+
 /// Where a gateway listens, and what it finds at its bulletin.
 pub struct Place {
     /// Its own address.
--- a/crates/fleet-rig/src/scale/checks.rs
+++ b/crates/fleet-rig/src/scale/checks.rs
@@ -1,7 +1,12 @@
 //! Counts that a scale run must keep, whatever the machine. Pure.
 
+use eideryard_standin::ledger::Answers;
+
+use super::control::Reloads;
 use super::measure::{Axis, Series};
+use super::processes::Ended;
 use super::run::{Broken, Outcome};
+use super::together;
 
 /// Growth of a count that has to stay flat, over a whole sweep, as a part of its least value.
 const MOST_GROWTH: f64 = 0.25;
@@ -21,6 +26,48 @@
     }
 }
 
+/// Counts answers of clients; without overload none is refused.
+pub fn answers(outcome: &mut Outcome, answers: Answers) {
+    outcome.requests += answers.asked;
+    outcome.unanswered += answers.lost;
+    if answers.refused > 0 {
+        outcome.broken("served", format!("{answers:?}"));
+    }
+}
+
+/// Processes end when they are told to, and each has counted what all of them were sent.
+pub fn ended(outcome: &mut Outcome, ended: &Ended, wanted: &[(&str, u64)]) {
+    for name in &ended.crashed {
+        outcome.broken("no crash", format!("gateway {name} ended by itself or had to be killed"));
+    }
+    for (name, wanted) in wanted {
+        let counted = ended.counted(name);
+        if counted.iter().any(|own| *own != Some(*wanted)) {
+            outcome.broken("list and settings in force", format!("{name}: {counted:?}, {wanted} wanted"));
+        }
+    }
+}
+
+/// Every change of the configuration is in force everywhere in time.
+pub fn reloads(outcome: &mut Outcome, reloads: &Reloads) {
+    if reloads.missed > 0 {
+        let count = reloads.missed + reloads.in_force_after.len();
+        outcome.broken("in force in time", format!("{} of {count} changes were not", reloads.missed));
+    }
+}
+
+/// Hollow gateways got all events of the list that the real ones got, and end with the same engines.
+pub fn beside(outcome: &mut Outcome, counted: &together::Counted, list_events: u64) {
+    outcome.requests += counted.cost.requests;
+    outcome.unanswered += counted.cost.unanswered;
+    let gateways = counted.cost.gateways;
+    if counted.list_events != list_events * gateways || counted.wrong_lists > 0 {
+        let (events, wrong) = (counted.list_events, counted.wrong_lists);
+        let what = format!("{events} of {list_events} x {gateways} events, {wrong} lists are wrong");
+        outcome.broken("one list", what);
+    }
+}
+
 /// Adds what the counts of a run break.
 pub fn counts(outcome: &mut Outcome) {
     for (name, axis) in FLAT {
--- a/crates/fleet-rig/src/scale/clients.rs
+++ b/crates/fleet-rig/src/scale/clients.rs
@@ -6,6 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use eideryard_standin::ledger::Answers;
 use eideryard_standin::scripted::{Answer, Client};
 
 const QUERY: &[u8] = b"SELECT * FROM sales_17.orders";
@@ -34,29 +35,6 @@
     }
 }
 
-/// What the answers of one client were.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Answers {
-    /// Requests that were asked.
-    pub asked: u64,
-    /// Those that got what they asked for.
-    pub served: u64,
-    /// Those that were refused.
-    pub refused: u64,
-    /// Those without an answer.
-    pub unanswered: u64,
-}
-
-impl Answers {
-    /// Adds another client's.
-    pub fn add(&mut self, other: &Answers) {
-        self.asked += other.asked;
-        self.served += other.served;
-        self.refused += other.refused;
-        self.unanswered += other.unanswered;
-    }
-}
-
 /// One client that asks at a rate and waits for each answer.
 pub struct Driver {
     client: Client,
@@ -95,7 +73,7 @@
             match self.ask() {
                 Ok(Answer::Result { .. } | Answer::Part { .. }) => self.answers.served += 1,
                 Ok(_) => self.answers.refused += 1,
-                Err(_) => self.answers.unanswered += 1,
+                Err(_) => self.answers.lost += 1,
             }
         }
         self
--- a/crates/fleet-rig/src/scale/decisions.rs
+++ b/crates/fleet-rig/src/scale/decisions.rs
@@ -21,7 +21,7 @@
 /// Two threads a core of an engine over the widest class's: up to so many gateways use all engines each.
 pub const MOST_WITHOUT_SUBSETS: usize = (2.0 * CORES / WIDEST) as usize;
 /// Zones of the target.
-const ZONES: u32 = 7;
+pub const ZONES: u32 = 7;
 /// Engines start so long before the run: all are warm.
 pub(super) const STARTED: Micros = 1_000 * SECOND;
 
--- a/crates/fleet-rig/src/scale/discovery.rs
+++ b/crates/fleet-rig/src/scale/discovery.rs
@@ -11,6 +11,7 @@
 use serde_json::{json, Value};
 
 use super::decisions::{self, Fleet};
+use crate::config::ListedEngine;
 
 /// When the list is handled: nothing of it depends on this.
 const NOW: Micros = 1_000_000_000;
@@ -32,8 +33,10 @@
 
 /// An engine as service discovery lists it, with names and addresses of usual length.
 pub fn host(number: usize, address: &str, health: &str) -> Value {
-    json!({"host": format!("engine-{number:05}"), "dial": address, "site": format!("zone-{}", number % 7),
-           "class": "std", "block": 0, "health": health, "share": 1, "born_ms": 0})
+    let (name, zone) =
+        (format!("engine-{number:05}"), format!("zone-{}", number % decisions::ZONES as usize));
+    let (name, zone, kind) = (name.as_str(), zone.as_str(), "std");
+    ListedEngine { name, address, zone, kind, cell: 0, health, born_ms: 0 }.item()
 }
 
 /// An event of the list as it goes over a watch.
--- a/crates/fleet-rig/src/scale/node.rs
+++ b/crates/fleet-rig/src/scale/node.rs
@@ -23,10 +23,11 @@
     Ends { request: RequestId, attempt: usize },
 }
 
-struct Asked {
+/// A request without an end.
+#[derive(Default)]
+struct Open {
     attempts: usize,
     sent_at: Micros,
-    over: bool,
 }
 
 /// What a hollow gateway counted.
@@ -46,7 +47,9 @@
     module: Gateway,
     time: Timeline<Happens, ()>,
     rng: StdRng,
-    asked: HashMap<RequestId, Asked>,
+    open: HashMap<RequestId, Open>,
+    sent: u64,
+    refused: u64,
     asks_until: Micros,
     next: RequestId,
     list_visits: u64,
@@ -63,7 +66,9 @@
             module: Gateway::new(set, seed, STARTED),
             time: Timeline::new(STARTED),
             rng: StdRng::seed_from_u64(seed),
-            asked: HashMap::new(),
+            open: HashMap::new(),
+            sent: 0,
+            refused: 0,
             asks_until: 0,
             next: 0,
             list_visits: 0,
@@ -86,17 +91,17 @@
 
     /// Requests that ended without an attempt.
     pub fn refused(&self) -> u64 {
-        self.asked.values().filter(|asked| asked.over && asked.attempts == 0).count() as u64
+        self.refused
     }
 
     /// Attempts that were sent.
     pub fn sent(&self) -> u64 {
-        self.asked.values().map(|asked| asked.attempts as u64).sum()
+        self.sent
     }
 
     /// Requests without an end.
     pub fn unanswered(&self) -> u64 {
-        self.asked.values().filter(|asked| !asked.over).count() as u64
+        self.open.len() as u64
     }
 
     /// Lets what is still open have its time.
@@ -139,7 +144,7 @@
     fn arrives(&mut self) {
         self.arrival();
         self.next += 1;
-        self.asked.insert(self.next, Asked { attempts: 0, sent_at: 0, over: false });
+        self.open.insert(self.next, Open::default());
         let work = if self.fleet.overloaded { HEAVY_WORK } else { LIGHT_WORK };
         let request = Request {
             id: self.next,
@@ -154,9 +159,8 @@
     }
 
     fn ends(&mut self, request: RequestId, attempt: usize) {
-        let Some(asked) = self.asked.get_mut(&request) else { return };
-        asked.over = true;
-        let spent = self.time.now - asked.sent_at;
+        let Some(open) = self.open.remove(&request) else { return };
+        let spent = self.time.now - open.sent_at;
         let bill = Some(Bill { work: spent as f64, memory_mb: 40.0 });
         let (outcome, complete, told) = (Outcome::Answered, true, false);
         let ended = Ended { request, attempt, outcome, spent, complete, told, bill, report: None };
@@ -173,7 +177,8 @@
                 Action::Send { request, .. } => self.sends(request),
                 Action::SetTimer { after, tag } => self.time.at(after.max(1), Happens::Timer(tag)),
                 Action::Refuse { request, .. } | Action::Fail { request } => {
-                    self.asked.entry(request).and_modify(|asked| asked.over = true);
+                    let open = self.open.remove(&request);
+                    self.refused += u64::from(open.is_some_and(|open| open.attempts == 0));
                 }
                 Action::Probe { engine } => {
                     let report = LoadReport { in_flight: Some(1.0), ..LoadReport::default() };
@@ -187,9 +192,10 @@
 
     fn sends(&mut self, request: RequestId) {
         let now = self.time.now;
-        let Some(asked) = self.asked.get_mut(&request) else { return };
-        let attempt = asked.attempts;
-        (asked.attempts, asked.sent_at) = (attempt + 1, now);
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = open.attempts;
+        (open.attempts, open.sent_at) = (attempt + 1, now);
+        self.sent += 1;
         let began = Instant::now();
         let begins = self.module.begins(now, request, attempt);
         self.spent += began.elapsed();
--- a/crates/fleet-rig/src/scale/processes.rs
+++ b/crates/fleet-rig/src/scale/processes.rs
@@ -10,19 +10,19 @@
 
 use eideryard::interface::Settings;
 use eideryard_settings::Tree;
+use eideryard_standin::ledger::Answers;
 use eideryard_standin::scenario::Scenario;
 use eideryard_standin::scripted::{Client, Engine};
 use rustix::process::Signal;
 use serde_json::{json, Value};
 
-use super::clients::{Answers, Asks, Driver, CLIENTS_A_GATEWAY};
-use super::discovery;
+use super::clients::{Asks, Driver, CLIENTS_A_GATEWAY};
 use super::discovery_server::{DiscoveryServer, FIRST_NUMBER};
 use super::measure::Size;
+use super::{decisions, discovery};
 use crate::config::{self, Place};
 use crate::processes::{Ending, Processes, Programs};
 
-const ZONES: usize = 7;
 const SCENARIO: &str = "
 time 1s
 class report {
@@ -188,7 +188,7 @@
         config["name"] = json!(name);
         config["settings"]["peers-total"] = json!(self.size.gateways);
         config["settings"]["self-index"] = json!(place);
-        let zones: Vec<String> = (0..ZONES).map(|zone| format!("zone-{zone}")).collect();
+        let zones: Vec<String> = (0..decisions::ZONES).map(|zone| format!("zone-{zone}")).collect();
         config["settings"]["zones"] = json!(zones);
         Ok(config)
     }
@@ -261,8 +261,7 @@
         let after = self.processor_times()?;
         let resident = self.resident_bytes();
         let sample = |(at, own): (usize, &[Driver])| {
-            let mut answers = Answers::default();
-            own.iter().for_each(|driver| answers.add(&driver.answers));
+            let answers = own.iter().map(|driver| driver.answers).sum();
             let spent = (after[first + at] - before[first + at]).as_secs_f64() * 1e6;
             let micros_a_request = spent / (count * CLIENTS_A_GATEWAY) as f64;
             Sample { micros_a_request, resident_bytes: resident[first + at], answers }
@@ -300,9 +299,9 @@
 }
 
 impl Ended {
-    /// What each gateway counted under a name; nothing where it left no counters.
-    pub fn counted(&self, name: &str) -> Vec<u64> {
+    /// What each gateway counted under a name, if it left counters.
+    pub fn counted(&self, name: &str) -> Vec<Option<u64>> {
         let of = |ending: &Ending| ending.counters.as_ref().and_then(|own| own.get(name).copied());
-        self.endings.iter().map(|ending| of(ending).unwrap_or(0)).collect()
+        self.endings.iter().map(of).collect()
     }
 }
--- a/crates/fleet-rig/src/scale/real_sweeps.rs
+++ b/crates/fleet-rig/src/scale/real_sweeps.rs
@@ -3,11 +3,11 @@
 use std::io;
 use std::time::Duration;
 
-use super::clients::Answers;
 use super::measure::{Axis, Figure, Size, Source};
-use super::processes::{Ended, Fleet, Sample};
+use super::processes::{Fleet, Sample};
 use super::run::{Place, Run};
 use super::together::{self, Counted, Together};
+use super::{checks, decisions};
 
 /// Changes of the configuration at each point of a sweep over engines.
 const RELOADS: usize = 10;
@@ -34,39 +34,18 @@
         for sample in samples {
             self.add(real("process.request", "us a request"), axis, place, sample.micros_a_request);
             self.add(real("process.memory", "bytes"), axis, place, sample.resident_bytes);
-            self.count_answers(place.1, sample.answers);
-        }
-    }
-
-    pub(super) fn count_answers(&mut self, size: Size, answers: Answers) {
-        self.outcome.requests += answers.asked;
-        self.outcome.unanswered += answers.unanswered;
-        if answers.refused > 0 {
-            self.outcome.broken("served", format!("{answers:?} at {size:?}"));
+            checks::answers(&mut self.outcome, sample.answers);
         }
     }
 
     /// Ends a fleet that got so many list events and changes of its configuration.
     fn end(&mut self, fleet: Fleet, list_events: usize, reloads: usize) -> io::Result<()> {
-        let ended = fleet.end()?;
-        self.none_crashed(&ended);
-        let wanted = [("list_events", list_events), ("reloads", reloads), ("reloads_failed", 0)];
-        for (name, wanted) in wanted {
-            let counted = ended.counted(name);
-            if counted.iter().any(|&own| own != wanted as u64) {
-                self.outcome
-                    .broken("list and settings in force", format!("{name}: {counted:?}, {wanted} wanted"));
-            }
-        }
+        let wanted =
+            [("list_events", list_events as u64), ("reloads", reloads as u64), ("reloads_failed", 0)];
+        checks::ended(&mut self.outcome, &fleet.end()?, &wanted);
         Ok(())
     }
 
-    pub(super) fn none_crashed(&mut self, ended: &Ended) {
-        for name in &ended.crashed {
-            self.outcome.broken("no crash", format!("gateway {name} ended by itself or had to be killed"));
-        }
-    }
-
     pub(super) fn real_requests(&mut self, axis: Axis, place: Place) -> io::Result<()> {
         let Some(fleet) = self.start(place.1)? else { return Ok(()) };
         let samples = fleet.ask(place.1.rate, self.lasts())?;
@@ -117,17 +96,13 @@
 
     fn reload(&mut self, fleet: &mut Fleet, reloads: usize, axis: Axis, place: Place) -> io::Result<()> {
         let outcome = fleet.reload(reloads, self.lasts())?;
+        checks::reloads(&mut self.outcome, &outcome);
         for micros in outcome.micros_a_reload {
             self.add(real("process.reload", "us a change"), axis, place, micros);
         }
         for after in outcome.in_force_after {
             self.add(real("reload.in_force", "ms"), axis, place, after.as_secs_f64() * 1e3);
         }
-        if outcome.missed > 0 {
-            let what =
-                format!("{} of {reloads} changes of the configuration at {:?}", outcome.missed, place.1);
-            self.outcome.broken("in force in time", what);
-        }
         Ok(())
     }
 
@@ -140,13 +115,12 @@
         }
         let Some(mut fleet) = self.start(size)? else { return Ok(()) };
         let events = fleet.discovery.watch();
-        let hollow_fleet =
-            super::decisions::Fleet { hollow: places.len(), ..self.fleet(size, self.sizes.seed) };
+        let hollow_fleet = decisions::Fleet { hollow: places.len(), ..self.fleet(size, self.sizes.seed) };
         let beside = Together::start(hollow_fleet, places, events)?;
         let samples = fleet.ask(size.rate, self.lasts())?;
         for sample in &samples {
             self.add(real("together.request", "us a request"), axis, place, sample.micros_a_request);
-            self.count_answers(size, sample.answers);
+            checks::answers(&mut self.outcome, sample.answers);
         }
         let changes = self.sizes.changes;
         for control in fleet.control(changes, self.lasts())? {
@@ -158,17 +132,16 @@
     }
 
     fn add_beside(&mut self, axis: Axis, place: Place, counted: Counted, list_events: u64) {
-        self.outcome.requests += counted.requests;
-        self.outcome.unanswered += counted.unanswered;
-        if place.1.gateways > super::decisions::MOST_WITHOUT_SUBSETS {
-            let visits = hollow("together.visits", "engines a request");
-            self.add(visits, axis, place, counted.visits_a_request());
+        checks::beside(&mut self.outcome, &counted, list_events);
+        let has_subsets = place.1.gateways > decisions::MOST_WITHOUT_SUBSETS;
+        for visits in counted.visits_a_request.into_iter().filter(|_| has_subsets) {
+            self.add(hollow("together.visits", "engines a request"), axis, place, visits);
+        }
+        for micros in counted.micros_a_change {
+            self.add(hollow("together.list.change", "us"), axis, place, micros);
         }
-        let event = hollow("together.list", "us an event");
-        self.add(event, axis, place, counted.micros_a_list_event());
-        if counted.list_events != list_events * counted.gateways || counted.wrong_lists > 0 {
-            let what = format!("{counted:?}, {list_events} events each wanted, at {:?}", place.1);
-            self.outcome.broken("one list", what);
+        for micros in counted.micros_a_whole_list {
+            self.add(hollow("together.list.whole", "us"), axis, place, micros);
         }
     }
 }
--- a/crates/fleet-rig/src/scale/sizes.rs
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -25,6 +25,9 @@
 /// Parts of the list's changes as which the configuration changes.
 const RELOAD_PARTS: [usize; 3] = [8, 4, 2];
 
+/// Seconds for which a point is measured, at the most: the large form has some hundred of them.
+const MOST_SECONDS: f64 = 10.0;
+
 /// What a run is asked to play.
 #[derive(Args, Clone, Debug)]
 pub struct Sizes {
@@ -98,6 +101,9 @@
         /// Engines that were asked for.
         engines: usize,
     },
+    /// A point lasts no time, or too long.
+    #[error("--seconds {0} is out of bounds; ask for more than 0 and {MOST_SECONDS} at the most")]
+    Seconds(f64),
     /// Too few for a spread.
     #[error("--repeats {0} is too few for a spread; ask for at least 2")]
     Repeats(usize),
@@ -210,6 +216,9 @@
         if self.engines.contains(&0) {
             return Err(SizeError::NotPositive { flag: "engines", value: 0.0 });
         }
+        if !(self.seconds > 0.0 && self.seconds <= MOST_SECONDS) {
+            return Err(SizeError::Seconds(self.seconds));
+        }
         if self.hollow == 0 {
             return Err(SizeError::NotPositive { flag: "hollow", value: 0.0 });
         }
--- a/crates/fleet-rig/src/scale/together.rs
+++ b/crates/fleet-rig/src/scale/together.rs
@@ -11,7 +11,7 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use super::decisions::{self, SECOND, STARTED};
+use super::decisions::{self, Cost, SECOND, STARTED};
 use super::discovery::Watch;
 use super::node::Node;
 use super::replication::thread_time;
@@ -22,36 +22,22 @@
 const MOST: u64 = 10 * SECOND;
 
 /// What hollow gateways counted.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Counted {
-    /// Gateways that stood side by side.
-    pub gateways: u64,
-    /// Requests of all.
-    pub requests: u64,
-    /// Those without an end.
-    pub unanswered: u64,
-    /// Engines looked at.
-    pub visits: u64,
+    /// What their decisions took.
+    pub cost: Cost,
+    /// Engines looked at for a request, at each gateway.
+    pub visits_a_request: Vec<f64>,
     /// Events of the list, each counted at each gateway.
     pub list_events: u64,
-    /// Processor time of codecs and modules for these.
-    pub list_time: Duration,
+    /// Processor time of one gateway's codec and module for a change of the list, event by event.
+    pub micros_a_change: Vec<f64>,
+    /// The same for a whole list.
+    pub micros_a_whole_list: Vec<f64>,
     /// Gateways that did not end with the engines that the list names.
     pub wrong_lists: u64,
 }
 
-impl Counted {
-    /// Engines looked at for a request.
-    pub fn visits_a_request(&self) -> f64 {
-        self.visits as f64 / self.requests.max(1) as f64
-    }
-
-    /// Processor time for an event of the list at one gateway.
-    pub fn micros_a_list_event(&self) -> f64 {
-        self.list_time.as_secs_f64() * 1e6 / self.list_events.max(1) as f64
-    }
-}
-
 /// Hollow gateways on a thread of their own.
 pub struct Together {
     stop: Arc<AtomicBool>,
@@ -108,7 +94,8 @@
             (node, Watch::begun())
         };
         let nodes: Vec<_> = places.iter().map(node).collect();
-        let counted = Counted { gateways: nodes.len() as u64, ..Counted::default() };
+        let cost = Cost { gateways: nodes.len() as u64, ..Cost::default() };
+        let counted = Counted { cost, ..Counted::default() };
         Hollow { engines: fleet.engines, nodes, counted }
     }
 
@@ -139,25 +126,32 @@
     }
 
     fn take_event(&mut self, text: &str) {
-        let before = thread_time();
+        let (before, mut whole) = (thread_time(), false);
         for (node, watch) in &mut self.nodes {
             for update in watch.take(text) {
+                whole = update.whole;
                 node.listed(update.event());
                 self.counted.list_events += 1;
             }
         }
-        self.counted.list_time += thread_time().saturating_sub(before);
+        let spent = thread_time().saturating_sub(before);
+        let micros = spent.as_secs_f64() * 1e6 / self.nodes.len().max(1) as f64;
+        match whole {
+            true => self.counted.micros_a_whole_list.push(micros),
+            false => self.counted.micros_a_change.push(micros),
+        }
     }
 
     fn end(&mut self) -> Counted {
         for (node, _) in &mut self.nodes {
             node.finish();
             let own = node.counted();
-            self.counted.requests += own.requests;
-            self.counted.visits += own.visits;
-            self.counted.unanswered += node.unanswered();
+            self.counted.cost.requests += own.requests;
+            self.counted.cost.visits += own.visits;
+            self.counted.cost.unanswered += node.unanswered();
+            self.counted.visits_a_request.push(own.visits as f64 / own.requests.max(1) as f64);
             self.counted.wrong_lists += u64::from(node.listed_engines() != self.engines);
         }
-        self.counted
+        std::mem::take(&mut self.counted)
     }
 }
--- a/crates/fleet-rig/src/scale/voter_sweeps.rs
+++ b/crates/fleet-rig/src/scale/voter_sweeps.rs
@@ -5,6 +5,7 @@
 
 use eideryard_peers::hub::MOST_LINKS;
 
+use super::checks;
 use super::measure::{Axis, Figure, Source};
 use super::run::{Place, Run};
 use super::voters::{Idle, VoterFleet, SPARE_LINKS, VOTERS};
@@ -39,8 +40,7 @@
         self.voters.iter_mut().for_each(VoterFleet::unlink);
         self.sweep(Axis::Claims, &claims, Self::claims_of_voters)?;
         let Some(voters) = self.voters.take() else { return Ok(()) };
-        let ended = voters.end()?;
-        self.none_crashed(&ended);
+        checks::ended(&mut self.outcome, &voters.end()?, &[]);
         Ok(())
     }
 
@@ -79,7 +79,7 @@
             for &micros in &claimed.micros_a_request {
                 self.add(real("process.keyed", "us a request"), axis, place, micros);
             }
-            self.count_answers(place.1, claimed.answers);
+            checks::answers(&mut self.outcome, claimed.answers);
         }
         self.voters = Some(voters);
         Ok(())
--- a/crates/fleet-rig/src/scale/voters.rs
+++ b/crates/fleet-rig/src/scale/voters.rs
@@ -12,9 +12,10 @@
 use eideryard_gateway::links::{classes_print, Said};
 use eideryard_peers::hub::Hub;
 use eideryard_peers::{Heard, Hello, Plan};
+use eideryard_standin::ledger::Answers;
 use eideryard_standin::scripted::unused_address;
 
-use super::clients::{Answers, Asks};
+use super::clients::Asks;
 use super::measure::Size;
 use super::processes::{Ended, Fleet};
 
@@ -148,8 +149,7 @@
         let samples = self.fleet.measure(VOTERS, drivers, rate / ASKED as f64, lasts)?;
         let taken = self.micros_since(&before, began.elapsed())?;
         let seconds = began.elapsed().as_secs_f64();
-        let mut answers = Answers::default();
-        samples.iter().for_each(|sample| answers.add(&sample.answers));
+        let answers: Answers = samples.iter().map(|sample| sample.answers).sum();
         let of_claim =
             |(taken, idle): (&f64, &f64)| (taken - idle).max(0.0) * seconds / answers.asked.max(1) as f64;
         let claimed = Claimed {
--- a/crates/fleet-rig/src/world.rs
+++ b/crates/fleet-rig/src/world.rs
@@ -14,10 +14,11 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use rustix::process::Signal;
-use serde_json::{json, Value};
+use serde_json::Value;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{sleep_until, Instant};
 
+use crate::config::ListedEngine;
 use crate::links::{Lasting, Links, BULLETIN};
 use crate::processes::{Ending, Processes, Programs};
 
@@ -139,9 +140,9 @@
         let entry = |engine: &Rc<Engine>| {
             let spec = &engine.spec;
             let door = self.links.as_ref().and_then(|links| links.door(gateway, &spec.name));
-            json!({"host": spec.name, "dial": door.unwrap_or(engine.address).to_string(), "site": spec.zone,
-                   "class": spec.kind, "block": spec.cell, "health": health, "share": 1,
-                   "born_ms": born_ms})
+            let address = door.unwrap_or(engine.address).to_string();
+            let (name, zone, kind) = (&spec.name, &spec.zone, &spec.kind);
+            ListedEngine { name, address: &address, zone, kind, cell: spec.cell, health, born_ms }.item()
         };
         engines.iter().map(entry).collect()
     }
--- a/crates/fleet-rig/tests/scale.rs
+++ b/crates/fleet-rig/tests/scale.rs
@@ -1,15 +1,21 @@
 //! Scale runs: sizes that don't fit, slopes and predictions, and counts that must not grow.
 
-use eideryard_fleet_rig::scale::checks::grown;
+use std::sync::mpsc::sync_channel;
+use std::time::Duration;
+
+use eideryard_fleet_rig::processes::Ending;
+use eideryard_fleet_rig::scale::checks::{self, grown};
+use eideryard_fleet_rig::scale::control::Reloads;
 use eideryard_fleet_rig::scale::decisions::{self, Fleet};
 use eideryard_fleet_rig::scale::fit::{prediction, slope, Law};
 use eideryard_fleet_rig::scale::measure::{Axis, Collected, Figure, Point, Series, Size, Source};
-use eideryard_fleet_rig::scale::run::Run;
+use eideryard_fleet_rig::scale::processes::Ended;
+use eideryard_fleet_rig::scale::run::{Outcome, Run};
 use eideryard_fleet_rig::scale::sizes::{Machine, SizeError, Sizes};
 use eideryard_fleet_rig::scale::together::{self, Together};
 use eideryard_fleet_rig::scale::{discovery, replication, report};
 use eideryard_fleet_rig::timeline::Timeline;
-use std::sync::mpsc::sync_channel;
+use eideryard_standin::ledger::Answers;
 
 const MACHINE: Machine = Machine { memory_bytes: 8 << 30, descriptors: 20_000 };
 
@@ -34,7 +40,9 @@
 #[test]
 fn sizes_that_do_not_fit_are_turned_away_with_limit_figure_and_remedy() {
     assert_eq!(sizes().check(MACHINE), Ok(()));
-    let wrong: [(Sizes, &[&str]); 8] = [
+    let wrong: [(Sizes, &[&str]); 10] = [
+        (Sizes { seconds: -1.0, ..sizes() }, &["--seconds -1", "more than 0", "10"]),
+        (Sizes { seconds: f64::NAN, ..sizes() }, &["--seconds NaN", "more than 0"]),
         (Sizes { engines: vec![], ..sizes() }, &["--engines", "at least one"]),
         (Sizes { gateways: vec![0], ..sizes() }, &["--engines 80", "no gateways", "at least one gateway"]),
         (Sizes { rate: vec![0.0], ..sizes() }, &["--rate", "over 0"]),
@@ -141,9 +149,46 @@
             events.send(event.into()).expect("somebody watches");
         }
         let counted = beside.end().expect("it ends");
-        assert_eq!((counted.gateways, counted.list_events), (3, 3 * published as u64));
-        assert_eq!(counted.wrong_lists, wrong_lists, "{counted:?}");
-        assert_eq!(counted.unanswered, 0);
+        assert_eq!((counted.cost.gateways, counted.list_events), (3, 3 * published as u64));
+        assert_eq!((counted.wrong_lists, counted.cost.unanswered), (wrong_lists, 0), "{counted:?}");
+        let mut outcome = Outcome::default();
+        checks::beside(&mut outcome, &counted, 3);
+        assert_eq!(outcome.broken.len(), usize::from(published < 3), "{:?}", outcome.broken);
+    }
+}
+
+/// Each check is shown what it has to catch, and the same without it.
+#[test]
+fn checks_catch_what_processes_missed_refused_or_left_out() {
+    let ended = |name: &str, counted: Option<u64>, crashed: bool| {
+        let counters = counted.map(|count| [("list_events".to_string(), count)].into());
+        let log = std::path::PathBuf::new();
+        let ending = Ending { name: name.into(), log, cpu: Duration::ZERO, counters, wanted: !crashed };
+        Ended { crashed: crashed.then(|| name.into()).into_iter().collect(), endings: vec![ending] }
+    };
+    let answered =
+        |refused, lost| Answers { asked: 9, served: 9 - refused - lost, refused, lost, ..Answers::default() };
+    let reloaded = |missed| Reloads { in_force_after: vec![Duration::ZERO], missed, ..Reloads::default() };
+    type Check<'a> = Box<dyn Fn(&mut Outcome) + 'a>;
+    let of_ended = |counted, crashed| -> Check {
+        Box::new(move |outcome| checks::ended(outcome, &ended("g1", counted, crashed), &[("list_events", 3)]))
+    };
+    let cases: [(Check, usize); 9] = [
+        (of_ended(Some(3), false), 0),
+        (of_ended(Some(2), false), 1),
+        (of_ended(None, false), 1),
+        (of_ended(Some(3), true), 1),
+        (Box::new(|outcome| checks::answers(outcome, answered(0, 0))), 0),
+        (Box::new(|outcome| checks::answers(outcome, answered(1, 0))), 1),
+        (Box::new(|outcome| checks::answers(outcome, answered(0, 1))), 1),
+        (Box::new(|outcome| checks::reloads(outcome, &reloaded(0))), 0),
+        (Box::new(|outcome| checks::reloads(outcome, &reloaded(1))), 1),
+    ];
+    for (number, (check, broken)) in cases.into_iter().enumerate() {
+        let mut outcome = Outcome { requests: 1, ..Outcome::default() };
+        check(&mut outcome);
+        checks::counts(&mut outcome);
+        assert_eq!(outcome.broken.len(), broken, "case {number}: {:?}", outcome.broken);
     }
 }
 
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -28,6 +28,20 @@
     pub advised: u64,
 }
 
+impl std::iter::Sum for Answers {
+    fn sum<I: Iterator<Item = Answers>>(all: I) -> Self {
+        all.fold(Answers::default(), |sum, own| Answers {
+            asked: sum.asked + own.asked,
+            served: sum.served + own.served,
+            refused: sum.refused + own.refused,
+            failed: sum.failed + own.failed,
+            lost: sum.lost + own.lost,
+            forgotten: sum.forgotten + own.forgotten,
+            advised: sum.advised + own.advised,
+        })
+    }
+}
+
 /// Turns this process's clock into Unix time, once: it doesn't step within a run.
 #[derive(Clone, Copy, Debug)]
 struct Began {
@@ -101,15 +115,7 @@
 
     /// Answers of all loads.
     pub fn total(&self) -> Answers {
-        self.answers.values().fold(Answers::default(), |sum, a| Answers {
-            asked: sum.asked + a.asked,
-            served: sum.served + a.served,
-            refused: sum.refused + a.refused,
-            failed: sum.failed + a.failed,
-            lost: sum.lost + a.lost,
-            forgotten: sum.forgotten + a.forgotten,
-            advised: sum.advised + a.advised,
-        })
+        self.answers.values().copied().sum()
     }
 }
 
