--- a/crates/command/tests/scale.rs
+++ b/crates/command/tests/scale.rs
@@ -1,9 +1,14 @@
 //! A small scale run with processes of the program: each request is answered, whatever the list's length.
 
+use eideryard_fleet_rig::scale::control::IN_FORCE_WITHIN;
 use eideryard_fleet_rig::scale::measure::Axis;
+use eideryard_fleet_rig::scale::measure::Size;
+use eideryard_fleet_rig::scale::processes::Fleet;
 use eideryard_fleet_rig::scale::run::Run;
 use eideryard_fleet_rig::scale::sizes::Sizes;
+use rustix::process::Signal;
 use std::path::Path;
+use std::time::Duration;
 
 #[test]
 fn real_gateways_serve_all_and_their_cost_is_measured() {
@@ -41,3 +46,20 @@
     assert_eq!(count("keeper.claim.time", Axis::Claims), 4);
     assert_eq!(count("keeper.links.time", Axis::Links), 1);
 }
+
+/// A gateway that stands still has no new configuration in time, and takes it up once it goes on.
+#[test]
+fn a_change_of_the_configuration_counts_as_missed_while_one_gateway_stands_still() {
+    let program = Path::new(env!("CARGO_BIN_EXE_eideryard"));
+    let size = Size { gateways: 2, engines: 8, ..Size::default() };
+    let (moment, within) = (Duration::from_millis(50), Duration::from_millis(200));
+    let mut fleet = Fleet::start(program, 2, size).expect("processes start");
+    fleet.signal(0, Signal::STOP);
+    let still = fleet.reload(1, moment, within).expect("processes run");
+    assert_eq!((still.missed, still.in_force_after.len()), (1, 0));
+    fleet.signal(0, Signal::CONT);
+    let moves = fleet.reload(1, moment, IN_FORCE_WITHIN).expect("processes run");
+    assert_eq!((moves.missed, moves.in_force_after.len()), (0, 1));
+    let ended = fleet.end().expect("processes end");
+    assert_eq!((ended.crashed.len(), ended.counted("reloads_failed")), (0, vec![Some(0); 2]));
+}
--- a/crates/fleet-rig/src/owned.rs
+++ b/crates/fleet-rig/src/owned.rs
@@ -2,7 +2,7 @@
 //! that delay and break, processes that stand still or end. Everything comes of a seed; figures are of
 //! simulated servers and called so.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 use eideryard_ownership::{Core, Message, Output, Plan, Task, Token};
 use rand::rngs::StdRng;
@@ -10,6 +10,12 @@
 
 use crate::timeline::{self, Micros, Timeline};
 
+mod figures;
+mod handover;
+
+pub use figures::Figures;
+use handover::Handovers;
+
 const MS: Micros = 1_000;
 const S: Micros = 1_000_000;
 const LOOK: Micros = 4 * MS;
@@ -40,42 +46,6 @@
     pub goes: usize,
 }
 
-/// What was counted.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Figures {
-    /// Times an owner worked.
-    pub worked: u64,
-    /// Work that counted, at each fence.
-    pub applied: u64,
-    /// Work that fences turned away.
-    pub fenced: u64,
-    /// Work that counted at a fence after that of a greater token.
-    pub stale_applied: u64,
-    /// Terms that had two owners at one fence.
-    pub two_owners: u64,
-    /// Messages of all gateways.
-    pub messages: u64,
-    /// Until all tasks had an owner, from the beginning and from when some went, in milliseconds.
-    pub owned_after_ms: u64,
-    /// The same from when some went.
-    pub again_after_ms: u64,
-    /// Tasks whose owner went, those of them that needed more than one vote for another owner, and those that
-    /// had none after [`NEW_OWNER_WITHIN`].
-    pub tasks_lost: u64,
-    /// How long the last of them was without an owner, in milliseconds.
-    pub lost_for_ms: u64,
-    /// Owners that lost their lease though they ran and nothing was cut.
-    pub lapsed: u64,
-    /// Those of them that needed more than one vote for another owner.
-    pub voted_again: u64,
-    /// Those that had none after [`NEW_OWNER_WITHIN`].
-    pub owned_late: u64,
-    /// Tasks that changed hands since, beyond those whose owner went, in percent of all.
-    pub moved_percent: u64,
-    /// Tasks of the gateway that owns most.
-    pub most_owned: u64,
-}
-
 enum Event {
     Deliver { from: usize, to: usize, to_keeper: bool, starts: (u64, u64), message: Message },
     Look(usize),
@@ -107,8 +77,7 @@
     gateways: Vec<Gateway>,
     owned: BTreeMap<Task, usize>,
     before: BTreeMap<Task, usize>,
-    /// Tasks whose owner went and that have no other yet.
-    lost: BTreeSet<Task>,
+    handovers: Handovers,
     figures: Figures,
 }
 
@@ -126,7 +95,7 @@
             gateways: Vec::new(),
             owned: BTreeMap::new(),
             before: BTreeMap::new(),
-            lost: BTreeSet::new(),
+            handovers: Handovers::default(),
             figures: Figures::default(),
         };
         for at in 0..size.gateways {
@@ -181,12 +150,7 @@
         while let Some(event) = self.time.next(until) {
             self.happens(event);
         }
-        let never = self.lost.len() as u64;
-        if never > 0 {
-            self.figures.lost_for_ms = (LASTS - GOES) / MS;
-        }
-        self.figures.voted_again += never;
-        self.figures.owned_late += never;
+        self.handovers.end(until, &mut self.figures);
         let moved = self.before.iter().filter(|(task, owner)| {
             self.gateways[**owner].up && self.owned.get(task).is_some_and(|now| now != *owner)
         });
@@ -253,9 +217,8 @@
                 }
                 let gateways = &self.gateways;
                 self.owned.retain(|_, owner| gateways[*owner].up);
-                let is_lost = |task: &Task| !self.owned.contains_key(task);
-                self.lost = self.before.keys().copied().filter(is_lost).collect();
-                self.figures.tasks_lost = self.lost.len() as u64;
+                let lost = self.before.keys().copied().filter(|task| !self.owned.contains_key(task));
+                self.handovers = Handovers::begin(self.time.now, lost, &mut self.figures);
             }
         }
     }
@@ -293,7 +256,12 @@
     fn perform(&mut self, at: usize, outputs: Vec<Output>) {
         for output in outputs {
             match output {
-                Output::Keeper(keeper, message) => self.send(at, keeper, true, message),
+                Output::Keeper(keeper, message) => {
+                    if let Message::Ask { task, .. } = message {
+                        self.handovers.asks(self.time.now, task, at);
+                    }
+                    self.send(at, keeper, true, message);
+                }
                 Output::Asker(asker, message) => self.send(at, asker as usize, false, message),
                 Output::Askers { but, message } => {
                     for asker in (0..self.gateways.len()).filter(|asker| Some(*asker as u64) != but) {
@@ -316,6 +284,7 @@
                 }
                 Output::Apply { task, token, .. } => {
                     self.figures.applied += 1;
+                    self.handovers.applied(self.time.now, task, &mut self.figures);
                     let counted = self.gateways[at].counted.entry(task).or_default();
                     self.figures.stale_applied += u64::from(token < *counted);
                     let two = token.term == counted.term && token.owner != counted.owner;
@@ -325,7 +294,7 @@
                 Output::Fenced { .. } => self.figures.fenced += 1,
                 Output::Won { task, .. } => {
                     self.owned.insert(task, at);
-                    self.owned_again(task);
+                    self.handovers.won(self.time.now, task, at);
                     let all = self.owned.len() == self.size.tasks as usize;
                     let took =
                         if self.time.now > S + GOES { self.time.now - S - GOES } else { self.time.now - S };
@@ -347,16 +316,6 @@
         }
     }
 
-    /// Counts how long a task whose owner went was without one.
-    fn owned_again(&mut self, task: Task) {
-        if self.lost.remove(&task) {
-            let took = self.time.now - S - GOES;
-            self.figures.lost_for_ms = self.figures.lost_for_ms.max(took / MS);
-            self.figures.voted_again += u64::from(took > FIRST_VOTE_BY);
-            self.figures.owned_late += u64::from(took > NEW_OWNER_WITHIN);
-        }
-    }
-
     fn flush(&mut self, keeper: usize, start: u64) {
         let own = &mut self.gateways[keeper];
         if own.start != start || !own.up {
@@ -382,27 +341,6 @@
     timeline::over(seeds, |seed| Fleet::new(size, seed).run(), broken, Figures::add)
 }
 
-impl Figures {
-    /// Adds what another seed counted.
-    pub fn add(&mut self, other: &Figures) {
-        self.worked += other.worked;
-        self.applied += other.applied;
-        self.fenced += other.fenced;
-        self.stale_applied += other.stale_applied;
-        self.two_owners += other.two_owners;
-        self.messages += other.messages;
-        self.owned_after_ms = self.owned_after_ms.max(other.owned_after_ms);
-        self.again_after_ms = self.again_after_ms.max(other.again_after_ms);
-        self.tasks_lost += other.tasks_lost;
-        self.lost_for_ms = self.lost_for_ms.max(other.lost_for_ms);
-        self.lapsed += other.lapsed;
-        self.voted_again += other.voted_again;
-        self.owned_late += other.owned_late;
-        self.moved_percent = self.moved_percent.max(other.moved_percent);
-        self.most_owned = self.most_owned.max(other.most_owned);
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -417,5 +355,10 @@
         let (sum, broken) = play(large, 0..2);
         assert!(broken.is_empty() && sum.again_after_ms > 0, "{sum:?}");
         assert_eq!(sum.moved_percent, 0, "only tasks of those that went move");
+        assert!(sum.tasks_lost > 0 && sum.lost_for_ms > 0 && sum.owned_late == 0, "{sum:?}");
+        // Nothing is noticed before a lease of 2 s, renewed up to 0.5 s before, has run out.
+        assert!((1_500..=sum.lost_for_ms).contains(&sum.noticed_ms), "{sum:?}");
+        let parts = sum.noticed_ms + sum.vote_ms + sum.first_work_ms;
+        assert!(sum.vote_ms > 0 && parts + 3 >= sum.lost_for_ms, "the parts make up the whole: {sum:?}");
     }
 }
--- a/crates/fleet-rig/src/scale/discovery.rs
+++ b/crates/fleet-rig/src/scale/discovery.rs
@@ -136,6 +136,10 @@
 /// Zones are those of [`decisions::list`]: a hollow gateway has one order of engines whoever listed them.
 fn entry(listed: &Listed) -> Entry {
     let number = listed.host.rsplit('-').next().and_then(|digits| digits.parse().ok()).unwrap_or(0);
-    let phase = if listed.health == State::Up { Phase::Ready } else { Phase::Draining };
+    let phase = match listed.health {
+        State::Up => Phase::Ready,
+        State::Draining => Phase::Draining,
+        State::Removed => Phase::Gone,
+    };
     Entry { phase, ..decisions::entry(number) }
 }
--- a/crates/fleet-rig/src/scale/measure.rs
+++ b/crates/fleet-rig/src/scale/measure.rs
@@ -29,6 +29,8 @@
     Rate,
     /// Keepers that vote.
     Keepers,
+    /// Tasks of a fleet, each with one owner.
+    Tasks,
     /// Keyed requests of a simulated fleet.
     Keyed,
     /// Keyed requests a second of a real fleet.
--- a/crates/fleet-rig/src/scale/plots.rs
+++ b/crates/fleet-rig/src/scale/plots.rs
@@ -19,7 +19,7 @@
 const DRAWN: [(&str, Axis, &str); 3] = [
     ("process.request", Axis::Engines, "request-by-engines"),
     ("process.memory", Axis::Clients, "memory-by-clients"),
-    ("keeper.heartbeat.messages", Axis::Gateways, "heartbeats-by-gateways"),
+    ("keeper.links.time", Axis::Links, "keeper-by-links"),
 ];
 
 /// Draws what was measured of them into a directory; gives the names of the files.
--- a/crates/fleet-rig/src/scale/processes.rs
+++ b/crates/fleet-rig/src/scale/processes.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -207,10 +208,10 @@
         self.nodes.iter().map(of).collect()
     }
 
-    /// Lets clients that have asked once rest at each of the first gateways, as long as what is given back.
-    pub fn rest(&self, gateways: usize, clients: usize) -> io::Result<Resting> {
+    /// Lets clients that have asked once rest at each of some gateways, as long as what is given back.
+    pub fn rest(&self, gateways: Range<usize>, clients: usize) -> io::Result<Resting> {
         let before = self.processor_times()?;
-        let addresses = self.nodes.iter().take(gateways).map(|node| node.address);
+        let addresses = self.nodes[gateways.clone()].iter().map(|node| node.address);
         let each = addresses.flat_map(|address| std::iter::repeat_n(address, clients));
         let mut resting: Vec<Client> = each.map(Client::connect).collect::<io::Result<_>>()?;
         // One that never asked would be ended after a while.
@@ -219,7 +220,7 @@
             client.answer()?;
         }
         let after = self.processor_times()?;
-        let spent = before.iter().zip(&after).take(gateways);
+        let spent = before.iter().zip(&after).skip(gateways.start).take(gateways.len());
         let of_client = |(before, after): (&Duration, &Duration)| {
             (*after - *before).as_secs_f64() * 1e6 / clients.max(1) as f64
         };
--- a/crates/fleet-rig/src/scale/real_sweeps.rs
+++ b/crates/fleet-rig/src/scale/real_sweeps.rs
@@ -3,12 +3,16 @@
 use std::io;
 use std::time::Duration;
 
+use super::control::IN_FORCE_WITHIN;
 use super::measure::{Axis, Figure, Size, Source};
 use super::processes::{Fleet, Sample};
 use super::run::{Place, Run};
+use super::sizes::Machine;
 use super::together::{self, Counted, Together};
 use super::{checks, decisions};
 
+/// Events of the list beside single changes: a zone gone and back, and the whole list.
+const LIST_EVENTS_BESIDE: usize = 3;
 /// Changes of the configuration at each point of a sweep over engines.
 const RELOADS: usize = 10;
 
@@ -56,15 +60,16 @@
     pub(super) fn real_clients(&mut self, axis: Axis, place: Place) -> io::Result<()> {
         let Some(fleet) = self.start(place.1)? else { return Ok(()) };
         let gateways = self.sizes.gateways_with_clients();
-        let resting = fleet.rest(gateways, place.1.clients)?;
-        if place.1.clients > 0 {
-            for &micros in &resting.micros_a_client {
+        let at_once = self.sizes.resting_at_once(Machine::own()?, place.1.clients);
+        for first in (0..gateways).step_by(at_once) {
+            let round = first..gateways.min(first + at_once);
+            let resting = fleet.rest(round.clone(), place.1.clients)?;
+            for &micros in resting.micros_a_client.iter().filter(|_| place.1.clients > 0) {
                 self.add(real("process.client", "us a client"), axis, place, micros);
             }
+            let samples = fleet.ask(place.1.rate, self.lasts())?;
+            self.samples(axis, place, &samples[round]);
         }
-        let samples = fleet.ask(place.1.rate, self.lasts())?;
-        self.samples(axis, place, &samples[..gateways.min(samples.len())]);
-        drop(resting);
         self.end(fleet, 0, 0)
     }
 
@@ -78,13 +83,15 @@
                 (real("process.idle", "part of a core"), control.idle_share),
                 (real("process.change", "us"), control.micros_a_change),
                 (real("process.list", "us"), control.micros_a_whole_list),
+                (real("process.zone.gone", "us"), control.micros_for_a_zone_gone),
+                (real("process.zone.back", "us"), control.micros_for_a_zone_back),
                 (real("process.start", "us"), control.micros_to_start),
             ] {
                 self.add(figure, axis, place, value);
             }
         }
         self.reload(&mut fleet, RELOADS, axis, place)?;
-        self.end(fleet, changes + 1, RELOADS)
+        self.end(fleet, changes + LIST_EVENTS_BESIDE, RELOADS)
     }
 
     pub(super) fn real_reloads(&mut self, axis: Axis, place: Place) -> io::Result<()> {
@@ -95,7 +102,7 @@
     }
 
     fn reload(&mut self, fleet: &mut Fleet, reloads: usize, axis: Axis, place: Place) -> io::Result<()> {
-        let outcome = fleet.reload(reloads, self.lasts())?;
+        let outcome = fleet.reload(reloads, self.lasts(), IN_FORCE_WITHIN)?;
         checks::reloads(&mut self.outcome, &outcome);
         for micros in outcome.micros_a_reload {
             self.add(real("process.reload", "us a change"), axis, place, micros);
@@ -127,8 +134,9 @@
             self.add(real("together.change", "us"), axis, place, control.micros_a_change);
         }
         let counted = beside.end()?;
-        self.add_beside(axis, place, counted, changes as u64 + 1);
-        self.end(fleet, changes + 1, 0)
+        let list_events = changes + LIST_EVENTS_BESIDE;
+        self.add_beside(axis, place, counted, list_events as u64);
+        self.end(fleet, list_events, 0)
     }
 
     fn add_beside(&mut self, axis: Axis, place: Place, counted: Counted, list_events: u64) {
--- a/crates/fleet-rig/src/scale/replication.rs
+++ b/crates/fleet-rig/src/scale/replication.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use eideryard_ownership::{self as owners, Task, Token};
 use eideryard_peers::detector::{Detector, BEAT};
 use eideryard_peers::frame::{self, Carried};
 use eideryard_replica::copies::Limits;
@@ -60,16 +61,7 @@
 /// Processor time of a keeper's core, its frames included, for a claim of another gateway, with so many
 /// entries held.
 pub fn micros_a_vote(entries: u64) -> f64 {
-    let plan = Plan {
-        keepers: 3,
-        own: Some(0),
-        longest: KEPT,
-        limits: Limits { entries: (entries + TIMED_CLAIMS) as usize },
-        bytes_per_s: CATCH_UP,
-        send_without: false,
-    };
-    let origin = Origin { identity: 1, start: 1 };
-    let mut core = Core::start(plan, origin, true, std::iter::empty(), 0);
+    let mut core = voter_core(0, true, entries);
     let asker = Peer::Asker(1);
     core.link(0, asker, true);
     for number in 0..entries {
@@ -80,8 +72,8 @@
         let mut frame = Vec::new();
         frame::write(&mut frame, &Carried::Told(claim(number)));
         let Ok(Some((Carried::Told(message), _))) = frame::read::<Message>(&frame) else { continue };
-        for output in core.hears(number, asker, message) {
-            write_votes(output, &mut frame);
+        for answer in sent(core.hears(number, asker, message)) {
+            frame::write(&mut frame, &Carried::Told(answer));
         }
     }
     (thread_time() - before).as_secs_f64() * 1e6 / TIMED_CLAIMS as f64
@@ -101,15 +93,6 @@
     Message::Claim { number, key, origin: Origin { identity: 2, start: 1 }, record }
 }
 
-/// As the host does, each message is written once its entry is durable.
-fn write_votes(output: Output, frame: &mut Vec<u8>) {
-    match output {
-        Output::Send(_, message) => _ = frame::write(frame, &Carried::Told(message)),
-        Output::Store { then, .. } => then.into_iter().for_each(|output| write_votes(output, frame)),
-        _ => {}
-    }
-}
-
 /// Processor time of this thread.
 pub fn thread_time() -> Duration {
     let time = clock_gettime(ClockId::ThreadCPUTime);
@@ -121,8 +104,14 @@
 pub struct Leases {
     /// Messages of the whole fleet.
     pub messages_a_second: f64,
-    /// From the loss of owners until the last of their tasks had a new one.
+    /// From the loss of owners until work on the last of their tasks counted again.
     pub lost_for_ms: u64,
+    /// Of that until its later owner asked for votes, at the longest.
+    pub noticed_ms: u64,
+    /// Until it had them.
+    pub vote_ms: u64,
+    /// Until its work counted.
+    pub first_work_ms: u64,
     /// Leases that lapsed though their owners ran, of a hundred tasks in a second.
     pub lapsed_rate: f64,
     /// Part of the lost tasks that needed more than one vote.
@@ -141,6 +130,9 @@
     Leases {
         messages_a_second: figures.messages as f64 / (owned::LASTS as f64 / 1e6),
         lost_for_ms: figures.lost_for_ms,
+        noticed_ms: figures.noticed_ms,
+        vote_ms: figures.vote_ms,
+        first_work_ms: figures.first_work_ms,
         lapsed_rate: figures.lapsed as f64 * 100.0 / f64::from(tasks) / (owned::LASTS as f64 / 1e6),
         voted_again_share: figures.voted_again as f64 / figures.tasks_lost.max(1) as f64,
         owned_late: figures.owned_late,
@@ -149,6 +141,125 @@
     }
 }
 
+/// Votes and iterations that are timed at a core of leases.
+const TIMED: u32 = 2_000;
+
+/// What a gateway's core of leases takes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeaseCore {
+    /// Processor time of a voter for a renewal, its frames included.
+    pub micros_a_renewal: f64,
+    /// Processor time of a look at all tasks of which none is due: once an iteration of the gateway's loop.
+    pub micros_a_look: f64,
+}
+
+/// The core of a voter that may own so many tasks, all of which another gateway owns.
+pub fn lease_core(tasks: u32) -> LeaseCore {
+    let plan = owners::Plan { keepers: 3, own: Some(0), owner: 1 };
+    let mut core = owners::Core::start(plan, std::iter::empty(), 0);
+    let task = |number| Task { kind: 1, number: number % tasks };
+    let token = Token { term: 1, owner: 2 };
+    (0..tasks).for_each(|number| core.wants(0, task(number)));
+    let ask = |number| owners::Message::Ask { task: task(number), token };
+    for number in 0..tasks {
+        core.hears_asker(0, 1, ask(number), true);
+        core.durable(task(number), token);
+    }
+    let before = thread_time();
+    for number in 0..TIMED {
+        let mut bytes = Vec::new();
+        frame::write(&mut bytes, &Carried::Told(ask(number)));
+        let Ok(Some((Carried::Told(message), _))) = frame::read::<owners::Message>(&bytes) else { continue };
+        for output in core.hears_asker(1, 1, message, true) {
+            if let owners::Output::Asker(_, answer) = output {
+                frame::write(&mut bytes, &Carried::Told(answer));
+            }
+        }
+    }
+    let renewed = thread_time();
+    let outputs: usize = (0..TIMED).map(|_| core.work(1, 0, true).len()).sum();
+    let looked = thread_time();
+    assert_eq!(outputs, 0, "nothing is due");
+    let each = |spent: Duration| spent.as_secs_f64() * 1e6 / f64::from(TIMED);
+    LeaseCore { micros_a_renewal: each(renewed - before), micros_a_look: each(looked - renewed) }
+}
+
+/// What one that lost its entries takes to get them from another.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Transfer {
+    /// Bytes of all frames.
+    pub bytes: u64,
+    /// Virtual time, which the budget of bytes a second decides.
+    pub lasts: Micros,
+    /// Processor time of both ends.
+    pub time: Duration,
+    /// Entries that arrived.
+    pub entries: u64,
+}
+
+/// Time between two looks of either end, and the time after which a transfer counts as hung.
+const TRANSFER_LOOK: Micros = 10_000;
+const TRANSFER_HANGS: Micros = KEPT / 2;
+
+/// A voter whose store is empty gets so many entries from one that has them.
+pub fn transfer(entries: u64) -> Transfer {
+    let mut giver = voter_core(0, true, entries);
+    let mut taker = voter_core(1, false, entries);
+    giver.link(0, Peer::Asker(1), true);
+    for number in 0..entries {
+        giver.hears(0, Peer::Asker(1), claim(number));
+    }
+    let (mut now, mut bytes, mut over) = (0, 0, false);
+    let before = thread_time();
+    taker.link(now, Peer::Keeper(0), true);
+    while !over && now < TRANSFER_HANGS {
+        now += TRANSFER_LOOK;
+        let mut to_giver = sent(taker.work(now));
+        let mut to_taker = sent(giver.work(now));
+        while let Some(message) = to_giver.pop() {
+            bytes += frame_bytes(&message);
+            to_taker.extend(sent(giver.hears(now, Peer::Asker(1), message)));
+        }
+        for message in to_taker {
+            bytes += frame_bytes(&message);
+            over |= matches!(message, Message::Part { last: true, .. });
+            taker.hears(now, Peer::Keeper(0), message);
+        }
+    }
+    Transfer { bytes, lasts: now, time: thread_time() - before, entries: taker.copies().len() as u64 }
+}
+
+fn voter_core(own: usize, whole: bool, entries: u64) -> Core {
+    let plan = Plan {
+        keepers: 3,
+        own: Some(own),
+        longest: KEPT,
+        limits: Limits { entries: (entries + TIMED_CLAIMS) as usize },
+        bytes_per_s: CATCH_UP,
+        send_without: false,
+    };
+    Core::start(plan, Origin { identity: own as u64 + 1, start: 1 }, whole, std::iter::empty(), 0)
+}
+
+/// Messages among outputs, also those that wait for an entry to be durable, which takes no time here.
+fn sent(outputs: Vec<Output>) -> Vec<Message> {
+    let mut messages = Vec::new();
+    for output in outputs {
+        match output {
+            Output::Send(_, message) => messages.push(message),
+            Output::Store { then, .. } => messages.extend(sent(then)),
+            _ => {}
+        }
+    }
+    messages
+}
+
+fn frame_bytes(message: &Message) -> u64 {
+    let mut bytes = Vec::new();
+    frame::write(&mut bytes, &Carried::Told(message.clone()));
+    bytes.len() as u64
+}
+
 /// What heartbeats of one link cost one of its ends.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Heartbeats {
--- a/crates/fleet-rig/src/scale/report.rs
+++ b/crates/fleet-rig/src/scale/report.rs
@@ -43,6 +43,7 @@
         Axis::Clients => Some(TARGET_CLIENTS),
         Axis::Rate => Some(TARGET_RATE),
         Axis::Links => Some(TARGET_GATEWAYS),
+        Axis::Tasks => Some(TARGET_ENGINES),
         Axis::Keepers | Axis::Keyed | Axis::Claims | Axis::Held | Axis::Reloads => None,
     }
 }
@@ -69,6 +70,7 @@
         Axis::Rate => "rate",
         Axis::Keepers => "keepers",
         Axis::Keyed => "keyed",
+        Axis::Tasks => "tasks",
         Axis::Claims => "claims",
         Axis::Held => "held",
         Axis::Links => "links",
--- a/crates/fleet-rig/src/scale/shared_sweeps.rs
+++ b/crates/fleet-rig/src/scale/shared_sweeps.rs
@@ -4,6 +4,8 @@
 use std::panic::resume_unwind;
 use std::thread::ScopedJoinHandle;
 
+use eideryard_ownership::core::MOST_TASKS;
+
 use super::measure::{Axis, Figure, Size, Source};
 use super::replication;
 use super::run::{places, Place, Run};
@@ -12,12 +14,16 @@
 const KEEPERS: [usize; 3] = [3, 5, 7];
 /// Keyed requests of the simulated fleet within its 20 s.
 const KEYED: [usize; 3] = [200, 400, 800];
-/// Gateways of the simulated fleets with leases. They look at every task every few milliseconds, so the time
-/// that they take grows with the square of their size.
-const LEASED: [usize; 5] = [10, 20, 40, 80, 160];
-/// So many gateways are played in any run, more only where the fleet of the run is so many times as large.
-const LEASED_ALWAYS: usize = 80;
-const LEASED_PART: usize = 5;
+/// Tasks of the simulated fleets with leases, as many as the target has engines for so many gateways. They
+/// look at every task every few milliseconds, so the time they take grows with the square of their size.
+const TASKS: [u32; 5] = [24, 48, 96, 192, 384];
+/// So many tasks are played in any run, more only where its fleet has so many times as many gateways.
+const TASKS_ALWAYS: u32 = 192;
+const TASKS_PART: f64 = 4.0;
+/// Tasks where the gateways of a fleet with leases vary.
+const FEW_TASKS: u32 = 64;
+/// Tasks at the core of one gateway; the last are all that it may know.
+const CORE_TASKS: [u32; 4] = [64, 512, 2_048, MOST_TASKS as u32];
 /// One of so many gateways is lost in the simulated fleet with leases.
 const LOST_ONE_OF: usize = 7;
 const HEARTBEATS: u64 = 20;
@@ -34,14 +40,54 @@
         let middle = self.middle();
         let by_gateways = places(&self.sizes.gateways, |gateways| Size { gateways, ..middle });
         let most = by_gateways.last().map_or(0, |place| place.1.gateways);
-        let most_leased = most.min(LEASED_ALWAYS).max(most / LEASED_PART);
-        let leased: Vec<usize> = LEASED.into_iter().filter(|own| *own <= most_leased).collect();
-        let leased = places(&leased, |gateways| Size { gateways, ..middle });
+        let most_tasks = TASKS_ALWAYS.max((most as f64 / TASKS_PART) as u32);
+        let by_tasks =
+            |tasks: &[u32]| -> Vec<Place> { tasks.iter().map(|&tasks| (f64::from(tasks), middle)).collect() };
+        let leased: Vec<u32> = TASKS.into_iter().filter(|own| *own <= most_tasks).collect();
         self.sweep(Axis::Gateways, &by_gateways, Self::shared)?;
-        self.sweep(Axis::Gateways, &leased, Self::leases)?;
+        self.sweep(Axis::Gateways, &by_gateways, Self::leases_by_gateways)?;
+        self.sweep(Axis::Tasks, &by_tasks(&leased), Self::leases_by_tasks)?;
+        self.sweep(Axis::Tasks, &by_tasks(&CORE_TASKS), Self::lease_core)?;
         self.sweep(Axis::Keepers, &KEEPERS.map(|keepers| (keepers as f64, middle)), Self::claims_by_keepers)?;
         self.sweep(Axis::Keyed, &KEYED.map(|keyed| (keyed as f64, middle)), Self::claims_by_requests)?;
-        self.sweep(Axis::Held, &HELD.map(|held| (held as f64, middle)), Self::votes)
+        self.sweep(Axis::Held, &HELD.map(|held| (held as f64, middle)), Self::votes)?;
+        self.sweep(Axis::Held, &HELD.map(|held| (held as f64, middle)), Self::transfers)
+    }
+
+    fn transfers(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        for _ in self.seeds() {
+            let transfer = replication::transfer(place.0 as u64);
+            for (figure, value) in [
+                (figure(Source::Hollow, "transfer.bytes", "bytes"), transfer.bytes as f64),
+                (figure(Source::Hollow, "transfer.lasts", "ms"), transfer.lasts as f64 / 1e3),
+                (figure(Source::Hollow, "transfer.time", "ms"), transfer.time.as_secs_f64() * 1e3),
+            ] {
+                self.add(figure, axis, place, value);
+            }
+            if transfer.entries != place.0 as u64 {
+                self.outcome.broken("replicas agree", format!("{transfer:?} of {} entries", place.0));
+            }
+        }
+        Ok(())
+    }
+
+    fn lease_core(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        for _ in self.seeds() {
+            let core = replication::lease_core(place.0 as u32);
+            let renewal = figure(Source::Hollow, "lease.renewal.time", "us");
+            self.add(renewal, axis, place, core.micros_a_renewal);
+            self.add(figure(Source::Hollow, "lease.look.time", "us"), axis, place, core.micros_a_look);
+        }
+        Ok(())
+    }
+
+    fn leases_by_gateways(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        self.leases(axis, place, (place.1.gateways, FEW_TASKS))
+    }
+
+    fn leases_by_tasks(&mut self, axis: Axis, place: Place) -> io::Result<()> {
+        let gateways = (place.0 / ENGINES_A_GATEWAY).round() as usize;
+        self.leases(axis, place, (gateways, place.0 as u32))
     }
 
     fn votes(&mut self, axis: Axis, place: Place) -> io::Result<()> {
@@ -83,21 +129,21 @@
         })
     }
 
-    fn leases(&mut self, axis: Axis, place: Place) -> io::Result<()> {
-        let gateways = place.1.gateways;
-        let tasks = (gateways as f64 * ENGINES_A_GATEWAY) as u32;
+    fn leases(&mut self, axis: Axis, place: Place, (gateways, tasks): (usize, u32)) -> io::Result<()> {
         let play = |seed| replication::leases(gateways, KEEPERS[0], tasks, LOST_ONE_OF, seed);
         for leases in self.side_by_side(play) {
-            let messages = figure(Source::Simulated, "lease.messages", "1/s");
-            self.add(messages, axis, place, leases.messages_a_second);
-            let again = figure(Source::Simulated, "lease.lost_for", "ms");
-            self.add(again, axis, place, leases.lost_for_ms as f64);
-            let lapsed = figure(Source::Simulated, "lease.lapsed", "a hundred tasks a second");
-            self.add(lapsed, axis, place, leases.lapsed_rate);
-            let voted = figure(Source::Simulated, "lease.voted_again", "part of lost tasks");
-            self.add(voted, axis, place, leases.voted_again_share);
-            let late = figure(Source::Simulated, "lease.late", "tasks over 6 s");
-            self.add(late, axis, place, leases.owned_late as f64);
+            for (name, unit, value) in [
+                ("lease.messages", "1/s", leases.messages_a_second),
+                ("lease.lost_for", "ms", leases.lost_for_ms as f64),
+                ("lease.noticed", "ms", leases.noticed_ms as f64),
+                ("lease.vote", "ms", leases.vote_ms as f64),
+                ("lease.first_work", "ms", leases.first_work_ms as f64),
+                ("lease.lapsed", "a hundred tasks a second", leases.lapsed_rate),
+                ("lease.voted_again", "part of lost tasks", leases.voted_again_share),
+                ("lease.late", "tasks over 6 s", leases.owned_late as f64),
+            ] {
+                self.add(figure(Source::Simulated, name, unit), axis, place, value);
+            }
             if leases.stale_applied + leases.two_owners > 0 {
                 self.outcome.broken("one owner", format!("{leases:?} with {gateways} gateways"));
             }
--- a/crates/fleet-rig/src/scale/sizes.rs
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -128,6 +128,19 @@
         /// Hollow gateways that fit.
         hollow: usize,
     },
+    /// Links to voters take more descriptors than this process may have.
+    #[error(
+        "the links of --gateways take about {asked} descriptors, over the limit of {limit}; ask for \
+         --gateways {gateways} or fewer, or raise the limit (ulimit -n)"
+    )]
+    LinkDescriptors {
+        /// Descriptors that the sizes take.
+        asked: u64,
+        /// The most that they may.
+        limit: u64,
+        /// Gateways that fit.
+        gateways: u64,
+    },
     /// More descriptors than this process may have.
     #[error(
         "the sizes take about {asked} descriptors, over the limit of {limit}; ask for --clients {clients} or \
@@ -155,11 +168,23 @@
 }
 
 impl Sizes {
-    /// Real gateways that clients rest at: those together may have as many as the descriptors allow.
+    /// Real gateways that clients rest at, each a repeat.
     pub fn gateways_with_clients(&self) -> usize {
         self.real.min(self.repeats)
     }
 
+    /// At how many of these so many clients rest at one time, as the descriptors allow.
+    pub fn resting_at_once(&self, machine: Machine, clients: usize) -> usize {
+        let free = machine.descriptors.saturating_sub(self.fixed_descriptors());
+        let at_once = free.checked_div(clients as u64).unwrap_or(u64::MAX);
+        at_once.clamp(1, self.gateways_with_clients().max(1) as u64) as usize
+    }
+
+    /// Descriptors that real gateways take in this process whatever is measured.
+    fn fixed_descriptors(&self) -> u64 {
+        SPARE_DESCRIPTORS + (self.real as u64).max(1) * CONNECTIONS_A_GATEWAY
+    }
+
     /// Changes of the configuration, by point of their sweep.
     pub fn reloads(&self) -> [usize; 3] {
         RELOAD_PARTS.map(|part| (self.changes / part).max(1))
@@ -173,7 +198,7 @@
         }
         let most = |sizes: &[usize]| sizes.iter().copied().max().unwrap_or(0) as u64;
         let (engines, clients) = (most(&self.engines), most(&self.clients));
-        let resting = clients * self.gateways_with_clients() as u64;
+        let resting = clients * self.resting_at_once(machine, clients as usize) as u64;
         let real = self.real as u64 * (REAL_BYTES + engines * HOLLOW_BYTES_AN_ENGINE);
         let fixed = real + 2 * resting * BYTES_A_CLIENT;
         let hollow = self.hollow.max(self.beside) as u64;
@@ -184,15 +209,16 @@
             let hollow = (limit.saturating_sub(fixed) / each) as usize;
             return Err(SizeError::Memory { asked_mb: asked >> 20, limit_mb: limit >> 20, hollow });
         }
-        let gateways = (self.real as u64).max(1);
+        let fixed = self.fixed_descriptors();
+        let (limit, free) = (machine.descriptors, machine.descriptors.saturating_sub(fixed));
         let links = most(&self.gateways).min(MOST_LINKS as u64) * DESCRIPTORS_A_LINK;
-        let fixed = SPARE_DESCRIPTORS + gateways * CONNECTIONS_A_GATEWAY;
-        // Links to keepers have ended before clients rest.
-        let asked = fixed + links.max(resting);
-        if asked > machine.descriptors {
-            let clients =
-                machine.descriptors.saturating_sub(fixed) / self.gateways_with_clients().max(1) as u64;
-            return Err(SizeError::Descriptors { asked, limit: machine.descriptors, clients });
+        // Links to voters have ended before clients rest.
+        if links > free && self.real > 0 {
+            let gateways = free / DESCRIPTORS_A_LINK;
+            return Err(SizeError::LinkDescriptors { asked: fixed + links, limit, gateways });
+        }
+        if resting > free {
+            return Err(SizeError::Descriptors { asked: fixed + resting, limit, clients: free });
         }
         Ok(())
     }
--- a/crates/fleet-rig/tests/scale.rs
+++ b/crates/fleet-rig/tests/scale.rs
@@ -51,7 +51,7 @@
         (Sizes { real: 400, ..sizes() }, &["400 processes", "limit of 300", "--real 300"]),
         (Sizes { hollow: 4_000, ..sizes() }, &["MB", "limit of 4096 MB", "--hollow and --beside"]),
         (
-            Sizes { real: 10, repeats: 5, clients: vec![4_120], ..sizes() },
+            Sizes { real: 10, repeats: 5, clients: vec![40_000], ..sizes() },
             &["descriptors", "limit of 20000", "--clients "],
         ),
     ];
@@ -59,10 +59,23 @@
         let error = sizes.check(MACHINE).expect_err("it doesn't fit").to_string();
         assert!(said.iter().all(|part| error.contains(part)), "{error}: {said:?}");
     }
-    let few = Sizes { real: 10, repeats: 5, clients: vec![4_120], ..sizes() };
-    let Err(SizeError::Descriptors { clients, .. }) = few.check(MACHINE) else { panic!("too many clients") };
-    let fits = Sizes { clients: vec![clients as usize], ..few };
-    assert_eq!(fits.check(MACHINE), Ok(()), "what the error asks for fits");
+}
+
+#[test]
+fn what_an_error_asks_for_fits_and_clients_come_in_rounds_that_do() {
+    let few = Machine { descriptors: 2_000, ..MACHINE };
+    let crowded = Sizes { real: 1, clients: vec![4_120], ..sizes() };
+    let Err(SizeError::Descriptors { clients, .. }) = crowded.check(few) else { panic!("too many clients") };
+    assert_eq!(Sizes { clients: vec![clients as usize], ..crowded }.check(few), Ok(()));
+    let linked = Sizes { real: 1, gateways: vec![1_700], ..sizes() };
+    let Err(SizeError::LinkDescriptors { gateways, .. }) = linked.check(few) else {
+        panic!("too many links")
+    };
+    assert_eq!(Sizes { gateways: vec![gateways as usize], ..linked }.check(few), Ok(()));
+    // Five gateways with the target's clients are more than the descriptors of one moment.
+    let target = Sizes { real: 10, repeats: 5, clients: vec![4_120], ..sizes() };
+    assert_eq!(target.check(MACHINE), Ok(()));
+    assert_eq!((target.resting_at_once(MACHINE, 4_120), target.resting_at_once(MACHINE, 0)), (4, 5));
 }
 
 fn series(at: &[f64], value: impl Fn(f64) -> f64) -> Series {
@@ -206,6 +219,12 @@
     // A claim goes to both other keepers of three at least, and each answers.
     let claims = replication::claims(8, 3, 60, 1);
     assert!(claims.messages_a_request >= 4.0 && claims.differ == 0, "{claims:?}");
+    // What one lost comes whole from another, in parts within the budget of 2 MB a second.
+    let transfer = replication::transfer(30_000);
+    assert_eq!(transfer.entries, 30_000, "{transfer:?}");
+    assert!((transfer.bytes >> 21) as f64 <= transfer.lasts as f64 / 1e6 + 1.0, "{transfer:?}");
+    // At a core with tasks of which none is due nothing comes of a look, however many they are.
+    assert!(replication::lease_core(300).micros_a_look > 0.0);
     let beats = replication::heartbeats(10, 20);
     assert!((beats.messages_a_second - 2.0 / 0.3).abs() < 1e-6, "one and an answer in 300 ms: {beats:?}");
     let points = [Point { at: 1.0, size: Size::default(), values: vec![3.0, 1.0, 2.0] }];
