--- a/crates/fleet-rig/src/scale/control.rs
+++ b/crates/fleet-rig/src/scale/control.rs
@@ -11,7 +11,7 @@
 use super::processes::Fleet;
 
 /// How long a list event may take to be handled, before processor time is read.
-const SETTLES: Duration = Duration::from_millis(250);
+const SETTLES: Duration = Duration::from_millis(150);
 /// A change of configuration has to be in force everywhere within this.
 pub const IN_FORCE_WITHIN: Duration = Duration::from_secs(13);
 const LOOKS_EVERY: Duration = Duration::from_micros(500);
@@ -99,8 +99,8 @@
         }
     }
 
-    /// Changes the configuration of all gateways so often: each time service discovery moves, and every gateway
-    /// has to watch it there within a time.
+    /// Changes the configuration of all gateways so often: each time service discovery moves, and every
+    /// gateway has to watch it there within a time.
     pub fn reload(&mut self, reloads: usize, lasts: Duration, within: Duration) -> io::Result<Reloads> {
         std::thread::sleep(SETTLES);
         let before = self.processor_times()?;
--- a/crates/fleet-rig/src/scale/processes.rs
+++ b/crates/fleet-rig/src/scale/processes.rs
@@ -49,7 +49,7 @@
 }
 ";
 /// Requests before anything is counted, and their rate: connections to engines are made then.
-const WARM_UP_REQUESTS: usize = 200;
+const WARM_UP_REQUESTS: usize = 100;
 const WARM_UP_RATE: f64 = 500.0;
 
 /// One gateway's part of a measurement.
--- a/crates/fleet-rig/src/scale/shared_sweeps.rs
+++ b/crates/fleet-rig/src/scale/shared_sweeps.rs
@@ -18,7 +18,7 @@
 /// look at every task every few milliseconds, so the time they take grows with the square of their size.
 const TASKS: [u32; 5] = [24, 48, 96, 192, 384];
 /// So many tasks are played in any run, more only where its fleet has so many times as many gateways.
-const TASKS_ALWAYS: u32 = 192;
+const TASKS_ALWAYS: u32 = 96;
 const TASKS_PART: f64 = 4.0;
 /// Tasks where the gateways of a fleet with leases vary.
 const FEW_TASKS: u32 = 64;
@@ -27,8 +27,11 @@
 /// One of so many gateways is lost in the simulated fleet with leases.
 const LOST_ONE_OF: usize = 7;
 const HEARTBEATS: u64 = 20;
-/// Entries that a keeper holds; the last are those of 1% keyed requests at the target.
+/// Entries that a voter holds; the last are those of 1% keyed requests at the target, and are played where
+/// the run's fleet is near to it in size.
 const HELD: [usize; 4] = [1_000, 10_000, 40_000, 84_000];
+const HELD_ALWAYS: usize = 40_000;
+const NEAR_TARGET: usize = 1_000;
 
 const fn figure(source: Source, name: &'static str, unit: &'static str) -> Figure {
     Figure { name, unit, source }
@@ -50,8 +53,11 @@
         self.sweep(Axis::Tasks, &by_tasks(&CORE_TASKS), Self::lease_core)?;
         self.sweep(Axis::Keepers, &KEEPERS.map(|keepers| (keepers as f64, middle)), Self::claims_by_keepers)?;
         self.sweep(Axis::Keyed, &KEYED.map(|keyed| (keyed as f64, middle)), Self::claims_by_requests)?;
-        self.sweep(Axis::Held, &HELD.map(|held| (held as f64, middle)), Self::votes)?;
-        self.sweep(Axis::Held, &HELD.map(|held| (held as f64, middle)), Self::transfers)
+        let played = |held: &usize| *held <= HELD_ALWAYS || most >= NEAR_TARGET;
+        let held: Vec<usize> = HELD.into_iter().filter(played).collect();
+        let held = places(&held, |_| middle);
+        self.sweep(Axis::Held, &held, Self::votes)?;
+        self.sweep(Axis::Held, &held, Self::transfers)
     }
 
     fn transfers(&mut self, axis: Axis, place: Place) -> io::Result<()> {
--- a/crates/fleet-rig/src/scale/sizes.rs
+++ b/crates/fleet-rig/src/scale/sizes.rs
@@ -62,7 +62,7 @@
     #[arg(long, default_value_t = 20)]
     pub beside: usize,
     /// Seconds for which a real point is measured.
-    #[arg(long, default_value_t = 0.4)]
+    #[arg(long, default_value_t = 0.3)]
     pub seconds: f64,
     /// Where plots go; without it none are drawn.
     #[arg(long)]
