--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -91,31 +91,39 @@
             .map_err(|e| format!("{}: {e}", self.name))
     }
 
-    /// Sends a request. Returns its message number.
+    /// Sends a request and writes it to the record. Returns its message number.
     pub fn call(
         &mut self,
         class: &str,
         fields: &[(&str, &str)],
         statement: &str,
+    ) -> Result<u64, String> {
+        self.record.line(&format!(
+            "{} sends call {} {class} {fields:?} {statement:?}",
+            self.name,
+            self.last_id + 1
+        ));
+        self.call_quietly(class, fields, statement)
+    }
+
+    /// Sends a request. Returns its message number.
+    pub fn call_quietly(
+        &mut self,
+        class: &str,
+        fields: &[(&str, &str)],
+        statement: &str,
     ) -> Result<u64, String> {
         self.last_id += 1;
         let pairs = fields
             .iter()
             .map(|(name, value)| (text(name), text(value)))
             .collect();
-        let parameters = vec![
-            Value::Map(pairs),
-            Value::Bytes(statement.as_bytes().to_vec()),
-        ];
-        self.record.line(&format!(
-            "{} sends call {} {class} {fields:?} {statement:?}",
-            self.name, self.last_id
-        ));
+        let statement = Value::Bytes(statement.as_bytes().to_vec());
         self.send(&Value::Array(vec![
             Value::Uint(0),
             Value::Uint(self.last_id),
             text(class),
-            Value::Array(parameters),
+            Value::Array(vec![Value::Map(pairs), statement]),
         ]))?;
         Ok(self.last_id)
     }
--- a/review/standins/src/gateway.rs
+++ b/review/standins/src/gateway.rs
@@ -119,6 +119,11 @@
         Ok(gateway)
     }
 
+    /// The number of the process.
+    pub fn process(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name, such as TERM.
     pub fn signal(&self, signal: &str) {
         let number = self.child.id().to_string();
