--- a/review/standins/src/bin/memory-limit.rs
+++ b/review/standins/src/bin/memory-limit.rs
@@ -170,7 +170,9 @@
             .chain([("h", "4000"), ("ram", "400")])
             .collect();
         let begun = Instant::now();
-        record.line(&format!("load {index}: a statement of {bytes} bytes"));
+        record.line(&format!(
+            "load {index} sends reading-load {fields:?}, a statement of {bytes} bytes"
+        ));
         let Ok(call) = client.call_quietly("reading-load", &fields, &batch(*bytes)) else {
             break;
         };
--- a/review/standins/src/bin/run-without-owner.rs
+++ b/review/standins/src/bin/run-without-owner.rs
@@ -14,8 +14,10 @@
 const KEY: &str = "5c0f6e1a2b3d4c59a8b7c6d5e4f30311";
 const STATEMENT: &str = "INSERT INTO readings_17.batches SELECT * FROM staging.rows";
 const OPERATOR: &str = "spool-memory 16MB\nspool-key \"a secret for this test only\"\n";
-/// How long the client waits over all its tries.
-const WAIT_MS: u64 = 15_000;
+/// How long the client waits over all its tries: 80% of the class's 25 s.
+const WAIT_MS: u64 = 20_000;
+/// The list tells of the engine's end after this time; the site's figures are 0.53 to 4.8 s.
+const NOTICE: Duration = Duration::from_millis(2_000);
 /// The time after the client's own in which an answer is not lost yet.
 const GRACE_MS: u64 = 500;
 const RUN: Duration = Duration::from_millis(4_000);
@@ -97,14 +99,21 @@
     if has_trouble() {
         record.line(&format!("engine {} dies", engine.name));
         engine.die();
+        std::thread::sleep(NOTICE);
+        record.line("the list tells that the engine is gone");
+        let host = engine.host("removed");
+        bulletin.publish(
+            2,
+            &format!(r#"{{"no":2,"roster":{{"seq":1,"whole":false,"hosts":[{host}]}}}}"#),
+        );
     }
     let left = Duration::from_millis(WAIT_MS + GRACE_MS).saturating_sub(start.elapsed());
     let answer = returned.wait_recorded(number, left);
     let is_lost = matches!(answer, Answer::Nothing | Answer::Closed);
     if is_lost {
         record.line("the returned client has no answer half a second after its time");
-        // For the record only: whether the answer comes later, and what another client gets that
-        // comes back with the key.
+        // For the record only, the verdict stands: whether the answer comes later, and what a call
+        // with the same key gets then.
         returned.wait_recorded(number, Duration::from_secs(15));
         let mut later = Client::connect("client later", gateway.address, record)?;
         let fields = [
--- a/review/standins/src/bin/two-majorities.rs
+++ b/review/standins/src/bin/two-majorities.rs
@@ -27,7 +27,7 @@
 /// The same after the restarts.
 const READY_AGAIN: Duration = Duration::from_secs(30);
 
-/// What each engine knows of the keys, and how often each key took effect.
+/// What the engines of each zone know of the keys, and how often each key took effect.
 #[derive(Default)]
 struct Keys {
     first_seen: HashMap<(String, String), Instant>,
@@ -37,7 +37,7 @@
 
 fn handler(keys: Arc<Mutex<Keys>>, record: Record) -> Handler {
     Arc::new(move |serve, reply| {
-        let name = reply.engine().name.clone();
+        let (name, zone) = (reply.engine().name.clone(), reply.engine().zone.clone());
         let Some(key) = serve.field("replay").map(str::to_string) else {
             reply.answer("ERR", "-", "");
             return;
@@ -47,15 +47,15 @@
             *keys.begun.entry(key.clone()).or_default() += 1;
             let now = Instant::now();
             let window = Duration::from_millis(WINDOW_MS);
-            let known = keys.first_seen.get(&(name.clone(), key.clone())).copied();
+            let known = keys.first_seen.get(&(zone.clone(), key.clone())).copied();
             let is_repeat = known.is_some_and(|since| now < since + window);
             if !is_repeat {
-                keys.first_seen.insert((name.clone(), key.clone()), now);
+                keys.first_seen.insert((zone.clone(), key.clone()), now);
             }
             is_repeat
         };
         if is_repeat {
-            record.line(&format!("{name}: drops the repeat of key {key}"));
+            record.line(&format!("{name} in {zone}: drops the repeat of key {key}"));
         } else {
             // A cancel or the end of the connection stops nothing here.
             let is_check = serve.statement.contains("check");
@@ -63,7 +63,9 @@
             let mut keys = keys.lock().unwrap();
             let effects = keys.effects.entry(key.clone()).or_default();
             *effects += 1;
-            record.line(&format!("{name}: key {key} TAKES EFFECT, time {effects}"));
+            record.line(&format!(
+                "{name} in {zone}: key {key} TAKES EFFECT, time {effects}"
+            ));
         }
         reply.answer("OK", "count=1,ticks=3000,footprint=400", "a\tb\tc\n");
     })
@@ -84,7 +86,7 @@
         let settings = settings::gulf(&Changes {
             peers: 4,
             me,
-            load_group: "cell",
+            load_group: "zone",
             may_cancel: false,
             deadline_ms: DEADLINE_MS,
             window_ms: WINDOW_MS,
@@ -166,12 +168,12 @@
         let kind = if index < 4 { "std-16" } else { "std-12" };
         let handler = handler(keys.clone(), record.clone());
         let name = format!("s-{index}");
-        // Each engine is a cell of its own.
+        // Two engines in each zone.
         engines.push(Engine::start(
             &name,
             ZONES[index % 3],
             kind,
-            index as u32,
+            index as u32 % 3,
             record,
             handler,
         )?);
