Read statements without collecting their tokens in memory

Cause: table_group collected all tokens of the statement in a vector, 24 bytes each and a copy of each name, up to 24 times the statement and twice that while the vector grew. No limit on memory counts it. Change: Tokens is an iterator that borrows from the statement, a dotted name is reduced while it is read, and keywords are compared without a copy. No limit has to count what no longer depends on the length.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -157,6 +157,19 @@
         counters(&self.log_counters())
     }
 
+    /// Returns the highest memory use of the process so far in KB, without the pages of files.
+    pub fn peak_memory_kb(&self) -> u64 {
+        let status = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(status).expect("the gateway runs");
+        let value = |name: &str| -> Option<u64> {
+            let line = status.lines().find_map(|line| line.strip_prefix(name))?;
+            line.split_whitespace().next()?.parse().ok()
+        };
+        let peak = value("VmHWM:").expect("the system states the peak");
+        let files = value("RssFile:").expect("the system states the pages of files");
+        peak - files
+    }
+
     pub fn log_counters(&mut self) -> String {
         self.signal(Signal::USR1);
         self.wait_for_line("counters:")
--- a/crates/sql-tables/src/tokens.rs
+++ b/crates/sql-tables/src/tokens.rs
@@ -1,64 +1,80 @@
 //! The tokenizer for SQL statements. It returns one token for each string and none for comments.
+//!
+//! Tokens borrow from the statement and are read one at a time, so that the memory needed doesn't
+//! grow with the statement's length.
 
 /// A token. Only names and the punctuation of names are distinguished.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Token {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Token<'a> {
     /// A name or keyword, without quotes.
-    Name(String),
+    Name(&'a [u8]),
     Dot,
-    Comma,
     /// A string, a number or any other character.
     Other,
 }
 
-/// Splits a statement into tokens.
-pub(crate) fn tokenize(text: &[u8]) -> Vec<Token> {
-    let mut tokenizer = Tokenizer {
-        text,
-        position: 0,
-        tokens: Vec::new(),
-    };
-    while let Some(&byte) = text.get(tokenizer.position) {
-        tokenizer.read_next(byte);
+/// Iterates over the tokens of a statement.
+pub(crate) struct Tokens<'a> {
+    text: &'a [u8],
+    position: usize,
+}
+
+impl<'a> Tokens<'a> {
+    /// Starts at the beginning of a statement.
+    pub(crate) fn new(text: &'a [u8]) -> Self {
+        Tokens { text, position: 0 }
     }
-    tokenizer.tokens
 }
 
-struct Tokenizer<'a> {
-    text: &'a [u8],
-    position: usize,
-    tokens: Vec<Token>,
+impl<'a> Iterator for Tokens<'a> {
+    type Item = Token<'a>;
+
+    fn next(&mut self) -> Option<Token<'a>> {
+        while let Some(&byte) = self.text.get(self.position) {
+            let token = self.read_next(byte);
+            if token.is_some() {
+                return token;
+            }
+        }
+        None
+    }
 }
 
-impl Tokenizer<'_> {
+impl<'a> Tokens<'a> {
     /// Reads the token, whitespace or comment at the current position, which begins with `byte`.
-    fn read_next(&mut self, byte: u8) {
+    /// Returns `None` for whitespace and comments.
+    fn read_next(&mut self, byte: u8) -> Option<Token<'a>> {
         let next = self.text.get(self.position + 1).copied();
         match (byte, next) {
-            (b'-', Some(b'-')) => self.position = end_of_line(self.text, self.position),
-            (b'/', Some(b'*')) => self.position = end_of_comment(self.text, self.position),
+            (b'-', Some(b'-')) => {
+                self.position = end_of_line(self.text, self.position);
+                None
+            }
+            (b'/', Some(b'*')) => {
+                self.position = end_of_comment(self.text, self.position);
+                None
+            }
             (b'\'', _) => {
                 self.position = end_of_quote(self.text, self.position, byte);
-                self.tokens.push(Token::Other);
+                Some(Token::Other)
             }
-            (b'"' | b'`', _) => self.read_quoted_name(byte),
+            (b'"' | b'`', _) => Some(self.read_quoted_name(byte)),
             (b'$', _) => self.read_dollar_quoted(),
-            _ if begins_name(byte) => self.read_name(),
-            _ if byte.is_ascii_digit() => self.read_number(),
+            _ if begins_name(byte) => Some(self.read_name()),
+            _ if byte.is_ascii_digit() => Some(self.read_number()),
             _ => self.read_punctuation(byte),
         }
     }
 
-    fn read_quoted_name(&mut self, quote: u8) {
+    fn read_quoted_name(&mut self, quote: u8) -> Token<'a> {
         let begin = self.position + 1;
         let end = end_of_quote(self.text, self.position, quote);
-        let inside = &self.text[begin..end.saturating_sub(1).max(begin)];
-        self.push_name(inside);
         self.position = end;
+        Token::Name(&self.text[begin..end.saturating_sub(1).max(begin)])
     }
 
     /// Reads a dollar-quoted string, or a single dollar sign.
-    fn read_dollar_quoted(&mut self) {
+    fn read_dollar_quoted(&mut self) -> Option<Token<'a>> {
         let Some(tag) = dollar_tag(&self.text[self.position..]) else {
             return self.read_punctuation(b'$');
         };
@@ -68,43 +84,37 @@
             Some(length) => self.position + length + 2 * tag.len(),
             None => self.text.len(),
         };
-        self.tokens.push(Token::Other);
+        Some(Token::Other)
     }
 
-    fn read_name(&mut self) {
+    fn read_name(&mut self) -> Token<'a> {
         let is_in_name = |byte: u8| begins_name(byte) || byte.is_ascii_digit() || byte == b'$';
         let begin = self.position;
         self.skip_while(is_in_name);
-        self.push_name(&self.text[begin..self.position]);
+        Token::Name(&self.text[begin..self.position])
     }
 
     /// Reads a number with its fraction, so that the decimal point isn't taken for the dot of a
     /// dotted name.
-    fn read_number(&mut self) {
+    fn read_number(&mut self) -> Token<'a> {
         let is_in_number = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'_');
         self.skip_while(is_in_number);
-        self.tokens.push(Token::Other);
+        Token::Other
     }
 
-    fn read_punctuation(&mut self, byte: u8) {
+    fn read_punctuation(&mut self, byte: u8) -> Option<Token<'a>> {
+        self.position += 1;
         match byte {
-            b'.' => self.tokens.push(Token::Dot),
-            b',' => self.tokens.push(Token::Comma),
-            byte if !byte.is_ascii_whitespace() => self.tokens.push(Token::Other),
-            _ => {}
+            b'.' => Some(Token::Dot),
+            byte if byte.is_ascii_whitespace() => None,
+            _ => Some(Token::Other),
         }
-        self.position += 1;
     }
 
     fn skip_while(&mut self, is_inside: impl Fn(u8) -> bool) {
         let rest = self.text[self.position..].iter();
         self.position += rest.take_while(|&&byte| is_inside(byte)).count();
     }
-
-    fn push_name(&mut self, bytes: &[u8]) {
-        let name = String::from_utf8_lossy(bytes).into_owned();
-        self.tokens.push(Token::Name(name));
-    }
 }
 
 fn begins_name(byte: u8) -> bool {
