Release the memory of long messages that were handled or cancelled

Cause: a buffer that is compacted kept its capacity, so a connection whose input held a byte of the next message kept the 1 or 2 MB of the message before; the limits on unread and unsent bytes count contents, not capacity. The same for a command that is cut out of an engine's output before it is sent. Change: Buffer releases capacity beyond four times what is left, at least one read chunk, when bytes are consumed or cut.

--- a/crates/cli/tests/memory.rs
+++ b/crates/cli/tests/memory.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::scripted;
+use common::scripted::{self, Client};
 use common::{addresses, config, fields, start_emulators, GatewayProcess};
 use serde_json::json;
 
@@ -61,3 +61,22 @@
     }
     assert_within_limit(&gateway);
 }
+
+// Guards against a gateway that is killed because the input of each connection retains the capacity
+// for a long message while a part of the next one is there.
+#[test]
+fn clients_that_have_sent_long_messages_keep_a_gateway_within_its_memory_limit() {
+    const CLIENTS: u64 = 48;
+    let (_bulletin, gateway) = start_with_least_memory();
+    let mut clients: Vec<Client> = Vec::new();
+    for number in 1..=CLIENTS {
+        let mut client = gateway.client();
+        let mut bytes = load_message(number, LONG_STATEMENT_BYTES);
+        let begin_of_next_message = load_message(number, 0)[0];
+        bytes.push(begin_of_next_message);
+        client.write_raw(&bytes).unwrap();
+        client.answer().expect("an answer");
+        clients.push(client);
+    }
+    assert_within_limit(&gateway);
+}
--- a/crates/gateway/src/connection/buffer.rs
+++ b/crates/gateway/src/connection/buffer.rs
@@ -6,6 +6,8 @@
 /// The maximum number of bytes in one read, and the capacity that a buffer retains when it is
 /// emptied.
 pub(super) const READ_CHUNK_BYTES: usize = 16 << 10;
+/// A buffer releases memory when bytes are removed and its capacity exceeds the rest by this factor.
+const MAX_CAPACITY_RATIO: usize = 4;
 
 /// A byte queue: received bytes that have not been decoded yet, or bytes to be sent. The queue is a
 /// single allocation that is compacted in place.
@@ -46,6 +48,7 @@
     /// Removes the bytes `from..to`, counted from the first byte that has not been consumed yet.
     pub fn cut(&mut self, from: usize, to: usize) {
         self.bytes.drain(self.start + from..self.start + to);
+        self.release_excess_capacity();
     }
 
     /// Removes the first `count` bytes that have not been consumed yet.
@@ -59,6 +62,16 @@
             self.bytes.copy_within(self.start.., 0);
             self.bytes.truncate(self.bytes.len() - self.start);
             self.start = 0;
+            self.release_excess_capacity();
+        }
+    }
+
+    /// Releases memory if little of it is in use. The limits on buffered bytes count the content
+    /// of buffers, so their capacity must not be much larger.
+    fn release_excess_capacity(&mut self) {
+        let needed = self.bytes.len().max(READ_CHUNK_BYTES);
+        if self.bytes.capacity() > MAX_CAPACITY_RATIO * needed {
+            self.bytes.shrink_to(needed);
         }
     }
 }
--- a/crates/gateway/src/connection/buffer/tests.rs
+++ b/crates/gateway/src/connection/buffer/tests.rs
@@ -21,3 +21,26 @@
         buffer.bytes.capacity()
     );
 }
+
+// Guards against a gateway that exceeds its memory limit because connections retain the capacity for
+// a long message that has been handled or cancelled, which the limits on buffered bytes don't count.
+#[test]
+fn a_buffer_whose_long_message_was_removed_releases_its_memory() {
+    const LONG_MESSAGE_BYTES: usize = 64 * READ_CHUNK_BYTES;
+    let removals: [fn(&mut Buffer); 2] = [
+        |buffer| buffer.consume(LONG_MESSAGE_BYTES),
+        |buffer| buffer.cut(0, LONG_MESSAGE_BYTES),
+    ];
+    for remove in removals {
+        let mut buffer = Buffer::default();
+        buffer.tail().resize(LONG_MESSAGE_BYTES, b'x');
+        buffer.tail().extend_from_slice(b"next");
+        remove(&mut buffer);
+        assert_eq!(buffer.filled(), b"next");
+        assert!(
+            buffer.bytes.capacity() <= MAX_CAPACITY_RATIO * READ_CHUNK_BYTES,
+            "{}",
+            buffer.bytes.capacity()
+        );
+    }
+}
