Keep a spooled run alive after its client has left, until it ends

Cause: the flag is_answered of a request meant "it is over" and also "its first client waits no longer". With the disconnect it was set, so the next AttemptEnded told the balancer that the request is complete: no retry, no end, the slot freed, and the run in the registry stayed "running" with its callers attached. Change: AnswerState has three values: the client waits, the client is gone but the run continues, ended. Only the last one completes a request. The same flag made the shutdown pass over such requests; it ends them now. The owner of a result is stored with it, so that a retry after the client has gone is still charged to the client's address.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! ports that the system chooses.
 #![allow(dead_code)]
 
+pub mod spool;
+
 pub use eideryard_emulators::scripted;
 
 use rustix::process::{kill_process, Pid, Signal};
--- a/crates/cli/tests/spool.rs
+++ b/crates/cli/tests/spool.rs
@@ -5,6 +5,7 @@
 mod common;
 
 use common::scripted::{Answer, Client, Engine, EngineConnection};
+use common::spool::{operator_with_spool, read_error, read_part};
 use common::*;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -111,10 +112,6 @@
     }
 }
 
-fn operator_with_spool(operator_lines: &str) -> String {
-    format!("spool-memory 4MB\nspool-key \"a secret for tests only\"\n{operator_lines}")
-}
-
 /// Starts a gateway with a spool, and one engine whose results have the given number of pages.
 fn start_spooling_gateway(
     pages: usize,
@@ -140,30 +137,6 @@
         .expect("the gateway reads");
 }
 
-fn field(fields: &[(String, String)], name: &str) -> String {
-    fields
-        .iter()
-        .find(|(field_name, _)| field_name == name)
-        .map(|(_, value)| value.clone())
-        .unwrap_or_default()
-}
-
-fn read_part(client: &mut Client) -> (Vec<u8>, String, bool) {
-    match client.answer().expect("an answer") {
-        Answer::Part { body, fields, .. } => {
-            (body, field(&fields, "token"), field(&fields, "more") == "1")
-        }
-        other => panic!("{other:?}"),
-    }
-}
-
-fn read_error(client: &mut Client) -> (String, String) {
-    match client.answer().expect("an answer") {
-        Answer::Error { word, fields, .. } => (word, field(&fields, "why")),
-        other => panic!("{other:?}"),
-    }
-}
-
 /// Reads the remaining pages of a result. Returns the whole result.
 fn read_remaining_pages(
     client: &mut Client,
--- a/crates/gateway/src/gateway/actions/sends.rs
+++ b/crates/gateway/src/gateway/actions/sends.rs
@@ -8,7 +8,6 @@
 use crate::engines::AttemptTarget;
 use crate::intent_durability::{PendingSend, SendPlan, SendRequest};
 use crate::requests::Attempt;
-use crate::result_spool::ResultOwner;
 
 impl Gateway {
     /// Carries out the balancer's decision to send a request to an engine.
@@ -65,15 +64,8 @@
 
     /// Drops the pages that a previous, incomplete attempt has spooled.
     fn restart_spooling(&mut self, now: Micros, key: Key) {
-        let Some(request) = self.requests.get(key) else {
-            return;
-        };
-        let owner = ResultOwner {
-            labels: request.labels(),
-            address: self.clients.address_of(request.client),
-        };
         if let Some(result_spool) = &mut self.result_spool {
-            result_spool.restart_run(key.number(), owner, now);
+            result_spool.restart_run(key.number(), now);
         }
         self.incoming_results.remove(&key);
     }
--- a/crates/gateway/src/gateway/attempt_outcomes.rs
+++ b/crates/gateway/src/gateway/attempt_outcomes.rs
@@ -8,6 +8,7 @@
 use super::Gateway;
 use crate::engines::{AttemptEnd, EngineContext, EngineEvent};
 use crate::error_reply::{ErrorKind, ErrorReply};
+use crate::requests::AnswerState;
 use crate::table::Key;
 
 impl Gateway {
@@ -65,7 +66,7 @@
         }
     }
 
-    /// Sends a request's final answer, unless the request already has one or its client has left.
+    /// Ends a request and sends its final answer, unless its client has one or no longer waits.
     /// Returns whether the answer is queued for the client.
     fn answer(
         &mut self,
@@ -76,10 +77,10 @@
         let Some(request) = self.requests.get_mut(key) else {
             return false;
         };
-        if request.is_answered {
+        let answer_state = std::mem::replace(&mut request.answer_state, AnswerState::Ended);
+        if answer_state != AnswerState::Awaited {
             return false;
         }
-        request.is_answered = true;
         let is_late = self.clock.now() > request.deadline;
         self.counters.answered_late += u64::from(is_late);
         let call_id = request.call_id;
@@ -122,7 +123,7 @@
         let Some(request) = self.requests.get_mut(end.request) else {
             return;
         };
-        let is_answered = request.is_answered;
+        let is_request_complete = request.has_ended();
         let Some(attempt) = request.attempts.get_mut(end.attempt) else {
             return;
         };
@@ -146,7 +147,7 @@
             attempt: end.attempt,
             outcome: end.outcome,
             spent: now.saturating_sub(attempt.sent_at),
-            is_request_complete: is_answered,
+            is_request_complete,
             is_already_reported: end.is_already_reported,
             usage: end.usage,
             report: end.report,
--- a/crates/gateway/src/gateway/reporting.rs
+++ b/crates/gateway/src/gateway/reporting.rs
@@ -43,7 +43,7 @@
             });
         let requests = self
             .requests
-            .open()
+            .awaited()
             .map(|(key, request)| HostEvent::OpenRequest(open_request(key, request)));
         let link = HostEvent::DiscoveryLink {
             is_up: self.discovery.is_receiving(),
--- a/crates/gateway/src/gateway/request_intake.rs
+++ b/crates/gateway/src/gateway/request_intake.rs
@@ -7,7 +7,7 @@
 use super::Gateway;
 use crate::clients::ClientEvent;
 use crate::error_reply::{ErrorKind, ErrorReply};
-use crate::requests::{Call, CallError, InsertError, RequestLabels};
+use crate::requests::{AnswerState, Call, CallError, InsertError, RequestLabels};
 use crate::result_spool::{ResultOwner, Waiter};
 use crate::table::Key;
 
@@ -249,7 +249,7 @@
         self.end_spooled_run(key, ErrorKind::TryLater);
         self.record_unanswered(key, kind);
         if let Some(request) = self.requests.get_mut(key) {
-            request.is_answered = true;
+            request.answer_state = AnswerState::Ended;
             self.events.push_back(Event::ClientLeft {
                 request: key.number(),
             });
--- a/crates/gateway/src/gateway/result_delivery.rs
+++ b/crates/gateway/src/gateway/result_delivery.rs
@@ -8,12 +8,14 @@
 use super::Gateway;
 use crate::clients::ResultQuery;
 use crate::error_reply::{ErrorKind, ErrorReply};
+use crate::requests::AnswerState;
 use crate::result_spool::{Delivery, ResultPart, Waiter};
 use crate::table::Key;
 
 impl Gateway {
-    /// Handles a disconnected client whose result is spooled: the run continues, so that the client
-    /// can query the result later. Returns false if the request isn't spooled.
+    /// Handles a disconnected client whose result is spooled: the run continues, also with further
+    /// attempts, so that the client can query the result later. Returns false if the request isn't
+    /// spooled.
     pub(super) fn detach_spooled_request(&mut self, key: Key) -> bool {
         let Some(request) = self.requests.get_mut(key) else {
             return false;
@@ -21,7 +23,7 @@
         if !request.is_spooled {
             return false;
         }
-        request.is_answered = true;
+        request.answer_state = AnswerState::Detached;
         if let Some(result_spool) = &mut self.result_spool {
             result_spool.detach_client(key.number(), &Waiter::of_request(request));
         }
@@ -58,8 +60,8 @@
         };
         let deliveries = result_spool.complete_run(key.number(), now);
         if let Some(request) = self.requests.get_mut(key) {
-            if !request.is_answered {
-                request.is_answered = true;
+            let answer_state = std::mem::replace(&mut request.answer_state, AnswerState::Ended);
+            if answer_state == AnswerState::Awaited {
                 let is_late = now > request.deadline;
                 self.counters.answered_late += u64::from(is_late);
                 self.counters.served += 1;
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -43,6 +43,18 @@
     pub has_intent: bool,
 }
 
+/// Whether a request still needs its final answer, and from whom.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerState {
+    /// The client waits for the answer.
+    Awaited,
+    /// The client no longer waits, but the run continues: other calls may be attached to it, and
+    /// its result goes to the result spool.
+    Detached,
+    /// The request has ended: the answer was sent, or nobody waits for it.
+    Ended,
+}
+
 /// A client request in its slot.
 pub struct Request {
     /// The client's connection.
@@ -65,8 +77,7 @@
     pub grant_mb: u64,
     /// The rank that the balancer has set; `None` until the balancer sets one.
     pub rank: Option<u8>,
-    /// Whether the client has received its final answer or no longer waits for one.
-    pub is_answered: bool,
+    pub answer_state: AnswerState,
     /// When the client stops waiting.
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
@@ -87,12 +98,17 @@
         }
     }
 
-    /// Returns whether the request is answered and none of its attempts is in flight or waiting for
+    /// Returns whether the request has ended, so that no further attempt is made.
+    pub fn has_ended(&self) -> bool {
+        self.answer_state == AnswerState::Ended
+    }
+
+    /// Returns whether the request has ended and none of its attempts is in flight or waiting for
     /// its intent.
     fn is_finished(&self) -> bool {
-        let has_ended =
+        let is_over =
             |attempt: &Attempt| attempt.connection.is_none() && !attempt.awaits_durability;
-        self.is_answered && self.attempts.iter().all(has_ended)
+        self.has_ended() && self.attempts.iter().all(is_over)
     }
 }
 
@@ -164,7 +180,7 @@
             is_spooled: false,
             grant_mb: 0,
             rank: None,
-            is_answered: false,
+            answer_state: AnswerState::Awaited,
             deadline,
             attempts: Vec::new(),
             prior_attempts: Vec::new(),
@@ -187,19 +203,23 @@
         (self.table.len(), self.ids.len())
     }
 
-    /// Returns the requests without a final answer, with their keys.
-    pub fn open(&self) -> impl Iterator<Item = (Key, &Request)> {
+    /// Returns the requests whose clients wait for an answer, with their keys.
+    pub fn awaited(&self) -> impl Iterator<Item = (Key, &Request)> {
         self.table
             .iter()
-            .filter(|(_, request)| !request.is_answered)
+            .filter(|(_, request)| request.answer_state == AnswerState::Awaited)
     }
 
-    /// Returns the keys of the requests without a final answer.
+    /// Returns the keys of the requests that have not ended.
     pub fn open_keys(&self) -> Vec<Key> {
-        self.open().map(|(key, _)| key).collect()
+        let open = self
+            .table
+            .iter()
+            .filter(|(_, request)| !request.has_ended());
+        open.map(|(key, _)| key).collect()
     }
 
-    /// Frees the slot of a request if it is answered and none of its attempts is in flight.
+    /// Frees the slot of a request if it has ended and none of its attempts is in flight.
     pub fn release(&mut self, key: Key, deadlines: &mut Deadlines) {
         if !self.table.get(key).is_some_and(Request::is_finished) {
             return;
--- a/crates/gateway/src/requests/tests.rs
+++ b/crates/gateway/src/requests/tests.rs
@@ -140,7 +140,7 @@
     let mut deadlines = Deadlines::new();
     let mut finish = |requests: &mut Requests, key| {
         let request = requests.get_mut(key).unwrap();
-        request.is_answered = true;
+        request.answer_state = AnswerState::Ended;
         request.timer = Some(deadlines.set(1, Deadline::BalancerTimer(1)));
         requests.release(key, &mut deadlines);
         assert_eq!(
@@ -193,7 +193,7 @@
         insert(&mut requests, "0000000000000003"),
         Err(InsertError::StatementMemoryFull)
     );
-    requests.get_mut(first).unwrap().is_answered = true;
+    requests.get_mut(first).unwrap().answer_state = AnswerState::Ended;
     requests.release(first, &mut Deadlines::new());
     insert(&mut requests, "0000000000000003").unwrap();
 }
--- a/crates/gateway/src/result_spool.rs
+++ b/crates/gateway/src/result_spool.rs
@@ -158,7 +158,7 @@
     name: Box<str>,
     pages: Vec<StoredPage>,
     expiry_timer: Option<Timer>,
-    labels: RequestLabels,
+    owner: ResultOwner,
 }
 
 /// A part of a result, some of whose pages may still have to be read from disk.
--- a/crates/gateway/src/result_spool/runs.rs
+++ b/crates/gateway/src/result_spool/runs.rs
@@ -70,7 +70,7 @@
             name: name.into(),
             pages: Vec::new(),
             expiry_timer: None,
-            labels: owner.labels,
+            owner,
         };
         self.results.insert(id, stored);
         self.run_registry.register(name, waiter);
@@ -105,7 +105,7 @@
             if reason == RejectReason::TooLarge {
                 // The actual size is unknown, so its lower limit is learned. Later requests of this
                 // class and tenant are then rejected before they are sent.
-                let RequestLabels { class, tenant } = stored.labels;
+                let RequestLabels { class, tenant } = stored.owner.labels;
                 self.sizes.learn(class, tenant, self.max_result_bytes + 1);
             }
             return Err(reason);
@@ -117,13 +117,14 @@
 
     /// Drops the pages of a run for which a new attempt starts, so that rows of two attempts are
     /// never mixed.
-    pub fn restart_run(&mut self, id: ResultId, owner: ResultOwner, now: Micros) {
+    pub fn restart_run(&mut self, id: ResultId, now: Micros) {
         let Some(stored) = self.results.get_mut(&id) else {
             return;
         };
         if stored.pages.is_empty() {
             return;
         }
+        let owner = stored.owner;
         let pages = std::mem::take(&mut stored.pages);
         self.spool.end(id, false, now);
         self.spool.drop_result(id, now);
@@ -138,7 +139,7 @@
             return Vec::new();
         };
         let bytes = stored.pages.iter().map(StoredPage::length).sum();
-        let RequestLabels { class, tenant } = stored.labels;
+        let RequestLabels { class, tenant } = stored.owner.labels;
         self.sizes.learn(class, tenant, bytes);
         let name = stored.name.clone();
         self.spool.end(id, true, now);
