Answer a call that is attached to a run before its own time is up

Cause: an attached call has no slot and so no timer; only the request that started the run has one. Change: the spool keeps a timer for each attached call and answers it with Failed a tenth of its wait before its deadline, 100 ms at most, or at the end of a shutdown's time. Failed promises nothing, since the run goes on. RunRegistry::detach becomes remove_waiter and has_other_waiters; its test asserts both, and in addition that a request is removed only once.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
+use std::time::Instant;
 
 pub const QUERY: &[u8] = b"SELECT * FROM sales_17.orders";
 
@@ -150,9 +151,17 @@
         self.signal(Signal::CONT);
     }
 
-    /// Waits until the counter `name` equals `value`.
+    /// Waits until the counter `name` equals `value`, for [`PATIENCE`] at most.
     pub fn wait_for_counter(&mut self, name: &str, value: u64) {
-        while self.counters()[name] != value {}
+        let started_at = Instant::now();
+        loop {
+            let counted = self.counters()[name];
+            if counted == value {
+                return;
+            }
+            let has_patience = started_at.elapsed() < PATIENCE;
+            assert!(has_patience, "{name} is {counted}, {value} is expected");
+        }
     }
 
     pub fn counters(&mut self) -> BTreeMap<String, u64> {
--- a/crates/cli/tests/returning_clients.rs
+++ b/crates/cli/tests/returning_clients.rs
@@ -139,3 +139,22 @@
     assert!(status.success(), "{status}");
     assert_eq!((counters["refused"], counters["open"]), (1, 0));
 }
+
+// Guards against a call that is attached to a run and gets no answer before its own time is up.
+#[test]
+fn an_attached_call_is_answered_in_its_own_time_while_the_run_goes_on() {
+    let (mut gateway, serves, _bulletin) = start();
+    let mut first = gateway.client();
+    send_load(&mut first, FIRST_ID, LONG_WAIT_MS);
+    let mut attempt = next_serve(&serves);
+    let mut impatient = gateway.client();
+    send_load(&mut impatient, RETURNED_ID, "400");
+    assert_eq!(read_error(&mut impatient).0, "Failed");
+    answer_with_rows(&mut attempt);
+    assert_eq!(read_part(&mut first).0, ROWS.as_bytes());
+    let counters = gateway.counters();
+    assert_eq!(
+        ["taken", "failed", "served", "open", "sent"].map(|name| counters[name]),
+        [2, 1, 1, 0, 1]
+    );
+}
--- a/crates/gateway/src/gateway/request_intake.rs
+++ b/crates/gateway/src/gateway/request_intake.rs
@@ -1,6 +1,6 @@
 //! Handles client calls: a request gets a slot in the request table, or an immediate answer.
 
-use eideryard::interface::{Event, PriorAttempt, Request};
+use eideryard::interface::{Event, Micros, PriorAttempt, Request};
 use eideryard_event_log::{AnswerKind, HostEvent, RejectReason};
 use eideryard_intent_log::state::RETRY_AFTER;
 
@@ -11,6 +11,12 @@
 use crate::result_spool::{ResultOwner, Waiter};
 use crate::table::Key;
 
+/// How long before a client's deadline its attached call gets an error if the run has not ended, so
+/// that the error arrives in time.
+const ATTACHED_CALL_MARGIN: Micros = 100_000;
+/// The margin is at most the client's wait divided by this.
+const MIN_WAIT_TO_MARGIN_RATIO: Micros = 10;
+
 /// Identifies a call: the client's connection, and the number that the client chose for the call.
 #[derive(Clone, Copy)]
 struct CallId {
@@ -78,20 +84,22 @@
     /// that run's result and needs neither a slot nor an attempt. Returns whether an earlier run
     /// was found.
     fn attach_to_run(&mut self, call_id: CallId, call: &Call) -> bool {
+        let now = self.clock.now();
+        let margin = ATTACHED_CALL_MARGIN.min(call.wait / MIN_WAIT_TO_MARGIN_RATIO);
+        let answer_by = self.answer_by(now + call.wait - margin);
         let (Some(key), Some(result_spool)) = (&call.key, &mut self.result_spool) else {
             return false;
         };
         if !result_spool.is_known_run(key) {
             return false;
         }
-        let now = self.clock.now();
         let labels = call.labels();
         let waiter = Waiter {
             client: call_id.client,
             call_id: call_id.id,
             counted_as: Some(labels),
         };
-        let delivery = result_spool.reattach(key, waiter, now);
+        let delivery = result_spool.attach_call(key, waiter, answer_by, now);
         let attached = HostEvent::RetryAttached {
             class: labels.class,
             tenant: labels.tenant,
@@ -103,6 +111,15 @@
         true
     }
 
+    /// Returns the time by which a call has to be answered: its own deadline, or an earlier one that
+    /// the shutdown sets.
+    fn answer_by(&self, deadline: Micros) -> Micros {
+        match self.shutdown.answer_deadline() {
+            Some(answer_deadline) => deadline.min(answer_deadline),
+            None => deadline,
+        }
+    }
+
     /// Checks whether the request's result is expected to fit into the result spool. If not,
     /// rejects the request and returns false.
     fn admit_to_spool(&mut self, call_id: CallId, call: &Call) -> bool {
@@ -149,10 +166,7 @@
         let now = self.clock.now();
         let labels = call.labels();
         let deadline = now + call.wait;
-        let answer_by = match self.shutdown.answer_deadline() {
-            Some(answer_deadline) => deadline.min(answer_deadline),
-            None => deadline,
-        };
+        let answer_by = self.answer_by(deadline);
         // The balancer orders requests that have the same ordering key; if a request has no
         // ordering key, its idempotency key is used instead.
         let order_key = call.order_key.as_deref().or(call.key.as_deref());
--- a/crates/gateway/src/result_spool.rs
+++ b/crates/gateway/src/result_spool.rs
@@ -8,7 +8,7 @@
 use eideryard::interface::Micros;
 use eideryard_background_scheduler::{Budget as WorkBudget, Scheduler, Timer, Wheel};
 use eideryard_operator_config::SpoolConfig;
-use eideryard_result_spool::run_registry::RunRegistry;
+use eideryard_result_spool::run_registry::{RunName, RunRegistry};
 use eideryard_result_spool::segments::{PagePosition, Segments};
 use eideryard_result_spool::size::Sizes;
 use eideryard_result_spool::token::Keys;
@@ -177,6 +177,12 @@
     }
 }
 
+/// A call that waits for the run that it is attached to.
+struct AttachedCall {
+    run_name: RunName,
+    waiter: Waiter,
+}
+
 /// A job for the background scheduler.
 enum Work {
     /// Writes a page to disk.
@@ -223,6 +229,9 @@
     worker: Option<Worker>,
     background: Scheduler<Work>,
     expiry_timers: Wheel<ResultId>,
+    /// When attached calls get an error unless their run has ended. A timer isn't cancelled with
+    /// the end of the run, after which it has no effect.
+    call_timers: Wheel<AttachedCall>,
     pending_parts: VecDeque<PendingPart>,
     pub counters: ResultSpoolCounters,
 }
@@ -266,6 +275,7 @@
             worker,
             background: Scheduler::new(WORK_BUDGET, epoch),
             expiry_timers: Wheel::new(epoch),
+            call_timers: Wheel::new(epoch),
             pending_parts: VecDeque::new(),
             counters: ResultSpoolCounters::default(),
         })
--- a/crates/gateway/src/result_spool/maintenance.rs
+++ b/crates/gateway/src/result_spool/maintenance.rs
@@ -3,11 +3,13 @@
 use eideryard::interface::Micros;
 use eideryard_result_spool::worker::{DiskJob, FinishedJob, Worker};
 
-use super::{Delivery, ResultId, ResultSpoolDriver, Work};
+use super::{AttachedCall, Delivery, ResultId, ResultSpoolDriver, Work};
+use crate::error_reply::ErrorKind;
 
 impl ResultSpoolDriver {
     /// Handles finished jobs of the disk worker, starts background jobs within the work budget,
-    /// and drops expired results. Returns messages for clients.
+    /// drops expired results, and ends the wait of calls whose time is up. Returns messages for
+    /// clients.
     pub fn poll(&mut self, now: Micros) -> Vec<Delivery> {
         let mut deliveries = Vec::new();
         let done: Vec<FinishedJob> = self.worker.iter().flat_map(Worker::finished_jobs).collect();
@@ -18,14 +20,27 @@
         while let Some(id) = self.expiry_timers.pop_expired(now) {
             self.handle_expiry(id, now);
         }
+        while let Some(call) = self.call_timers.pop_expired(now) {
+            deliveries.extend(self.end_wait(&call));
+        }
         deliveries
     }
 
+    /// Ends the wait of an attached call, unless its run has ended. The run may still succeed, so
+    /// the error promises nothing.
+    fn end_wait(&mut self, call: &AttachedCall) -> Option<Delivery> {
+        let AttachedCall { run_name, waiter } = call;
+        let was_waiting = self.run_registry.remove_waiter(run_name, waiter);
+        let reason = "the run has not ended in time";
+        was_waiting.then(|| Delivery::error(*waiter, ErrorKind::Failed, reason))
+    }
+
     /// Returns the next time at which [`ResultSpoolDriver::poll`] must be called even if nothing
     /// arrives.
     pub fn next_deadline(&self, now: Micros) -> Option<Micros> {
         let deadlines = [
             self.expiry_timers.next_expiry(),
+            self.call_timers.next_expiry(),
             self.background.next_job_at(now),
         ];
         deadlines.into_iter().flatten().min()
--- a/crates/gateway/src/result_spool/queries.rs
+++ b/crates/gateway/src/result_spool/queries.rs
@@ -7,7 +7,8 @@
 use eideryard_result_spool::PageLocation;
 
 use super::{
-    Delivery, PendingPart, ResultId, ResultPart, ResultSpoolDriver, RunOutcome, StoredPage, Waiter,
+    AttachedCall, Delivery, PendingPart, ResultId, ResultPart, ResultSpoolDriver, RunOutcome,
+    StoredPage, Waiter,
 };
 use crate::error_reply::ErrorKind;
 
@@ -26,6 +27,24 @@
         self.run_registry.contains(name)
     }
 
+    /// Attaches a call to a run, which is identified by its name. Returns `None` if the run is in
+    /// progress: the client gets the result when the run ends, or an error at the time `answer_by`.
+    pub fn attach_call(
+        &mut self,
+        name: &str,
+        waiter: Waiter,
+        answer_by: Micros,
+        now: Micros,
+    ) -> Option<Delivery> {
+        let delivery = self.reattach(name, waiter, now);
+        if delivery.is_none() {
+            let run_name = name.into();
+            let call = AttachedCall { run_name, waiter };
+            self.call_timers.set(answer_by, call);
+        }
+        delivery
+    }
+
     /// Answers a client's repeated query for a run, which is identified by its name. Returns `None`
     /// if the run is in progress: the client gets the result when the run ends.
     pub fn reattach(&mut self, name: &str, waiter: Waiter, now: Micros) -> Option<Delivery> {
--- a/crates/gateway/src/result_spool/runs.rs
+++ b/crates/gateway/src/result_spool/runs.rs
@@ -187,7 +187,7 @@
     /// Removes a waiting client whose connection has closed. The run continues for later queries.
     pub fn detach_client(&mut self, id: ResultId, waiter: &Waiter) {
         if let Some(stored) = self.results.get(&id) {
-            self.run_registry.detach(&stored.name, waiter);
+            self.run_registry.remove_waiter(&stored.name, waiter);
         }
     }
 }
--- a/crates/result-spool/src/run_registry.rs
+++ b/crates/result-spool/src/run_registry.rs
@@ -95,14 +95,20 @@
         }
     }
 
-    /// Removes a waiting request. Returns true if the run is in progress and no other request is
-    /// waiting for it.
-    pub fn detach(&mut self, name: &str, waiter: &W) -> bool {
-        match self.runs.get_mut(name) {
-            Some(Run::Running(waiters)) => {
-                waiters.retain(|other| other != waiter);
-                waiters.is_empty()
-            }
+    /// Removes a waiting request; the run continues. Returns whether the request was waiting.
+    pub fn remove_waiter(&mut self, name: &str, waiter: &W) -> bool {
+        let Some(Run::Running(waiters)) = self.runs.get_mut(name) else {
+            return false;
+        };
+        let count_before = waiters.len();
+        waiters.retain(|other| other != waiter);
+        waiters.len() < count_before
+    }
+
+    /// Returns whether requests other than `waiter` are waiting for a run.
+    pub fn has_other_waiters(&self, name: &str, waiter: &W) -> bool {
+        match self.runs.get(name) {
+            Some(Run::Running(waiters)) => waiters.iter().any(|other| other != waiter),
             _ => false,
         }
     }
--- a/crates/result-spool/src/run_registry/tests.rs
+++ b/crates/result-spool/src/run_registry/tests.rs
@@ -8,10 +8,15 @@
     assert_eq!(registry.register("a", 1), Arrival::First);
     assert_eq!(registry.register("a", 2), Arrival::Attached);
     assert_eq!(registry.register("b", 3), Arrival::First);
+    assert!(registry.remove_waiter("a", &1));
     assert!(
-        !registry.detach("a", &1),
+        registry.has_other_waiters("a", &1),
         "the first connection was lost, the second still waits"
     );
+    assert!(
+        !registry.remove_waiter("a", &1),
+        "a request is removed only once"
+    );
     assert_eq!(registry.finish("a", "result 7"), [2]);
     assert_eq!(
         registry.finish("a", "result 8"),
@@ -21,8 +26,9 @@
     assert_eq!(registry.register("a", 4), Arrival::Answered("result 7"));
     registry.drop_answer("a");
     assert_eq!(registry.register("a", 5), Arrival::Gone);
+    assert!(registry.remove_waiter("b", &3));
     assert!(
-        registry.detach("b", &3),
+        !registry.has_other_waiters("b", &0),
         "nobody waits, but the run continues"
     );
     assert_eq!(registry.register("b", 6), Arrival::Attached);
