Continue a run for its other callers when its first client takes it back

Cause: the request that started a run ended the run with itself, whoever else was attached. Change: a request that is cancelled, or whose connection is rejected, is detached from its run like one whose client disconnects, if other calls wait for the run.

--- a/crates/cli/tests/returning_clients.rs
+++ b/crates/cli/tests/returning_clients.rs
@@ -158,3 +158,42 @@
         [2, 1, 1, 0, 1]
     );
 }
+
+/// Starts a run with a first client and with a second one whose call is attached to it, lets the
+/// first client leave, and asserts that the second one gets the result of the same run. `ended` is
+/// the counter of how the first client's request ends.
+fn assert_run_continues_after(leave: impl Fn(&mut Client), ended: &str) {
+    let (mut gateway, serves, _bulletin) = start();
+    let mut first = gateway.client();
+    send_load(&mut first, FIRST_ID, LONG_WAIT_MS);
+    let mut attempt = next_serve(&serves);
+    let mut second = gateway.client();
+    send_load(&mut second, RETURNED_ID, LONG_WAIT_MS);
+    gateway.wait_for_counter("taken", 2);
+    leave(&mut first);
+    gateway.wait_for_counter(ended, 1);
+    answer_with_rows(&mut attempt);
+    assert_eq!(read_part(&mut second).0, ROWS.as_bytes());
+    let counters = gateway.counters();
+    assert_eq!(
+        ["taken", ended, "served", "open", "sent"].map(|name| counters[name]),
+        [2, 1, 1, 0, 1]
+    );
+}
+
+// Guards against a refusal of an attached call, which promises that no effect happens, while the run
+// goes on at its engine: the first client has only taken its own request back.
+#[test]
+fn an_attached_call_gets_the_result_after_the_first_client_has_cancelled() {
+    assert_run_continues_after(|first| first.forget(1).unwrap(), "forgotten");
+}
+
+// Guards against an attached call that fails because the first client has sent something malformed.
+#[test]
+fn an_attached_call_gets_the_result_after_the_first_client_was_rejected() {
+    let send_malformed = |first: &mut Client| {
+        first.write_raw(&[0xc1; 8]).unwrap();
+        assert_eq!(read_error(first).0, "Failed");
+    };
+    assert_run_continues_after(send_malformed, "failed");
+}
--- a/crates/gateway/src/gateway/attempt_outcomes.rs
+++ b/crates/gateway/src/gateway/attempt_outcomes.rs
@@ -102,6 +102,12 @@
     /// Answers a request with an error, counts it as refused or failed, and releases its slot.
     pub(super) fn answer_error(&mut self, key: Key, reply: &ErrorReply<'_>) {
         self.end_spooled_run(key, reply.kind);
+        self.write_error(key, reply);
+        self.requests.release(key, &mut self.deadlines);
+    }
+
+    /// Answers a request with an error, and counts it as refused or failed.
+    pub(super) fn write_error(&mut self, key: Key, reply: &ErrorReply<'_>) {
         let is_rejected = reply.kind == ErrorKind::TryLater;
         let kind = if is_rejected {
             AnswerKind::Refused
@@ -114,7 +120,6 @@
         } else if is_sent {
             self.counters.failed += 1;
         }
-        self.requests.release(key, &mut self.deadlines);
     }
 
     /// Ends an attempt: closes its intent and reports its outcome to the balancer.
--- a/crates/gateway/src/gateway/request_intake.rs
+++ b/crates/gateway/src/gateway/request_intake.rs
@@ -34,17 +34,18 @@
                 }
                 ClientEvent::RequestCancelled(request) => {
                     self.counters.abandoned += 1;
-                    self.handle_client_left(request, AnswerKind::Abandoned);
-                }
-                ClientEvent::ConnectionRejected(request) => {
-                    self.events.push_back(Event::ClientLeft {
-                        request: request.number(),
-                    });
-                    self.answer_error(request, &ErrorReply::new(ErrorKind::Failed));
+                    if self.is_awaited_by_others(request) {
+                        self.detach_spooled_request(request, AnswerKind::Abandoned);
+                    } else {
+                        self.handle_client_left(request, AnswerKind::Abandoned);
+                    }
                 }
+                ClientEvent::ConnectionRejected(request) => self.fail_rejected_request(request),
                 ClientEvent::Disconnected(request) => {
                     self.counters.undelivered += 1;
-                    if !self.detach_spooled_request(request) {
+                    if self.is_spooled(request) {
+                        self.detach_spooled_request(request, AnswerKind::Undelivered);
+                    } else {
                         self.handle_client_left(request, AnswerKind::Undelivered);
                     }
                 }
@@ -258,6 +259,19 @@
             .answer(client, id, |output| reply.write(output, id));
     }
 
+    /// Fails a request whose connection is rejected. Its run continues if other calls wait for it.
+    fn fail_rejected_request(&mut self, key: Key) {
+        let reply = ErrorReply::new(ErrorKind::Failed);
+        if self.is_awaited_by_others(key) {
+            self.answer_and_detach(key, &reply);
+            return;
+        }
+        self.events.push_back(Event::ClientLeft {
+            request: key.number(),
+        });
+        self.answer_error(key, &reply);
+    }
+
     /// Ends a request whose client no longer waits for the answer.
     fn handle_client_left(&mut self, key: Key, kind: AnswerKind) {
         self.end_spooled_run(key, ErrorKind::TryLater);
--- a/crates/gateway/src/gateway/result_delivery.rs
+++ b/crates/gateway/src/gateway/result_delivery.rs
@@ -13,22 +13,43 @@
 use crate::table::Key;
 
 impl Gateway {
-    /// Handles a disconnected client whose result is spooled: the run continues, also with further
-    /// attempts, so that the client can query the result later. Returns false if the request isn't
-    /// spooled.
-    pub(super) fn detach_spooled_request(&mut self, key: Key) -> bool {
-        let Some(request) = self.requests.get_mut(key) else {
+    /// Returns whether the result of a request goes to the result spool.
+    pub(super) fn is_spooled(&self, key: Key) -> bool {
+        let request = self.requests.get(key);
+        request.is_some_and(|request| request.is_spooled)
+    }
+
+    /// Returns whether calls of other clients are attached to the run of a request.
+    pub(super) fn is_awaited_by_others(&self, key: Key) -> bool {
+        let (Some(request), Some(result_spool)) = (self.requests.get(key), &self.result_spool)
+        else {
             return false;
         };
-        if !request.is_spooled {
-            return false;
-        }
+        result_spool.has_other_waiters(key.number(), &Waiter::of_request(request))
+    }
+
+    /// Handles a client that no longer waits for its spooled result; `kind` is the reason. The run
+    /// continues, also with further attempts, for calls that are attached to it now or later.
+    pub(super) fn detach_spooled_request(&mut self, key: Key, kind: AnswerKind) {
+        self.record_unanswered(key, kind);
+        self.detach_from_run(key);
+    }
+
+    /// Answers a request with an error, but continues its run for the calls that are attached to
+    /// it.
+    pub(super) fn answer_and_detach(&mut self, key: Key, reply: &ErrorReply<'_>) {
+        self.write_error(key, reply);
+        self.detach_from_run(key);
+    }
+
+    fn detach_from_run(&mut self, key: Key) {
+        let Some(request) = self.requests.get_mut(key) else {
+            return;
+        };
         request.answer_state = AnswerState::Detached;
         if let Some(result_spool) = &mut self.result_spool {
             result_spool.detach_client(key.number(), &Waiter::of_request(request));
         }
-        self.record_unanswered(key, AnswerKind::Undelivered);
-        true
     }
 
     /// Adds a page to a spooled result. If the spool can't store it, the request fails at once.
--- a/crates/gateway/src/result_spool/runs.rs
+++ b/crates/gateway/src/result_spool/runs.rs
@@ -190,4 +190,10 @@
             self.run_registry.remove_waiter(&stored.name, waiter);
         }
     }
+
+    /// Returns whether calls other than `waiter` are waiting for the result of a request.
+    pub fn has_other_waiters(&self, id: ResultId, waiter: &Waiter) -> bool {
+        let stored = self.results.get(&id);
+        stored.is_some_and(|stored| self.run_registry.has_other_waiters(&stored.name, waiter))
+    }
 }
