--- a/crates/result-spool/src/state.rs
+++ b/crates/result-spool/src/state.rs
@@ -1,11 +1,22 @@
 //! Tracks where each page is stored and makes all decisions of the spool. The host carries out the
 //! decisions and reports the outcome; nothing here does I/O or reads a clock.
+//!
+//! `admission` decides whether a new result fits, `page_moves` which pages go to disk; this file has
+//! the rest of a result's life: its pages, readers, expiry and end.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::limits::*;
 use crate::Micros;
 
+pub use admission::Admission;
+pub use page_moves::SpoolAction;
+use stored_result::{Page, State, StoredResult, Tier};
+
+mod admission;
+mod page_moves;
+mod stored_result;
+
 /// The ID of a result, assigned by the host.
 pub type ResultId = u64;
 
@@ -45,37 +56,6 @@
     }
 }
 
-/// The decision whether a new result may be stored.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Admission {
-    /// There is room once the host has dropped these results with [`Spool::drop_result`].
-    Admitted {
-        /// Results to drop, in this order.
-        to_drop: Vec<ResultId>,
-    },
-    /// There is no room.
-    Rejected {
-        /// Why there is no room.
-        reason: RejectReason,
-        /// Microseconds from now until a retry may succeed, estimated from the rate at which space
-        /// has been freed recently; `None` if no retry can succeed.
-        retry_after: Option<Micros>,
-    },
-}
-
-/// An action on pages that the host must carry out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum SpoolAction {
-    /// Write a page to disk: report the start with [`Spool::start_move`] and the end with
-    /// [`Spool::finish_move`].
-    Move {
-        /// The result that the page belongs to.
-        result: ResultId,
-        /// Index of the page in the result, from 0.
-        page: usize,
-    },
-}
-
 /// Where a page is, or why it isn't available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PageLocation {
@@ -93,64 +73,6 @@
     Gone,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Tier {
-    Memory,
-    /// Being written to disk; counted as used in memory and on disk.
-    Moving,
-    Disk,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Page {
-    bytes: u64,
-    tier: Tier,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum State {
-    /// Pages are still arriving.
-    Filling,
-    Complete,
-    Failed,
-}
-
-#[derive(Debug)]
-struct StoredResult {
-    owner: Owner,
-    /// Expected size in bytes, claimed until the result has ended.
-    expected: u64,
-    /// Size of the pages received so far, in bytes.
-    bytes: u64,
-    /// The part of `bytes` that is in memory.
-    in_memory: u64,
-    pages: Vec<Page>,
-    state: State,
-    readers: u32,
-    /// Index of the page after the last one that a reader requested; 0 if there is no reader.
-    next: usize,
-    /// A reader has received the whole result.
-    delivered: bool,
-    /// Time of the last page, read or change of state.
-    touched_at: Micros,
-}
-
-impl StoredResult {
-    /// Returns the bytes counted against the budget: the expected size while pages are arriving, if
-    /// that is larger than the received size; otherwise the received size.
-    fn claimed_bytes(&self) -> u64 {
-        if self.state == State::Filling {
-            self.expected.max(self.bytes)
-        } else {
-            self.bytes
-        }
-    }
-
-    fn is_droppable(&self) -> bool {
-        self.readers == 0 && self.state != State::Filling
-    }
-}
-
 /// The decisions that can be switched off, so that the benchmark can measure the effect of each.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Policy {
@@ -262,106 +184,6 @@
         }
     }
 
-    // ---- Admission ----
-
-    /// Decides whether a result of an expected size fits, before its request is sent to an engine.
-    /// Changes nothing.
-    #[expect(clippy::too_many_lines, reason = "to be divided by concern")]
-    pub fn admit(&self, owner: Owner, expected: u64, now: Micros) -> Admission {
-        let reject = |reason, retry_after| Admission::Rejected {
-            reason,
-            retry_after,
-        };
-        if expected > self.budget.max_result_bytes {
-            return reject(RejectReason::TooLarge, None);
-        }
-        let total = self.total(now);
-        let reserved = if expected <= SMALL_RESULT {
-            0
-        } else {
-            (total as f64 * self.policy.reserve) as u64
-        };
-        let room = total.saturating_sub(reserved);
-        let wanted = self.claimed + expected;
-        let (mut to_drop, mut freed) = (Vec::new(), 0);
-        if self.policy.enforces_shares && wanted as f64 > SHARE_PRESSURE * total as f64 {
-            let share_excess = |sum: Option<&u64>, share: f64| {
-                let limit = (total as f64 * share) as u64;
-                // An owner that claims no space may always store a single result.
-                sum.map_or(0, |sum| (sum + expected).saturating_sub(limit))
-            };
-            let mut tenant_excess =
-                share_excess(self.claimed_by_tenant.get(&owner.tenant), TENANT_SHARE);
-            let mut address_excess =
-                share_excess(self.claimed_by_address.get(&owner.address), ADDRESS_SHARE);
-            // The owner's own delivered results are dropped before its request is rejected.
-            let delivered = self
-                .drop_candidates
-                .iter()
-                .take_while(|(is_undelivered, ..)| !is_undelivered);
-            for (_, _, id) in delivered {
-                if tenant_excess + address_excess == 0 {
-                    break;
-                }
-                let Some(stored) = self.results.get(id) else {
-                    continue;
-                };
-                let is_over_share = (stored.owner.tenant == owner.tenant && tenant_excess > 0)
-                    || (stored.owner.address == owner.address && address_excess > 0);
-                if is_over_share {
-                    let freed_if = |is_same: bool| if is_same { stored.bytes } else { 0 };
-                    tenant_excess =
-                        tenant_excess.saturating_sub(freed_if(stored.owner.tenant == owner.tenant));
-                    address_excess = address_excess
-                        .saturating_sub(freed_if(stored.owner.address == owner.address));
-                    to_drop.push(*id);
-                    freed += stored.bytes;
-                }
-            }
-            if tenant_excess > 0 {
-                return reject(
-                    RejectReason::TenantsShare,
-                    Some(self.estimate_retry_after(tenant_excess)),
-                );
-            }
-            if address_excess > 0 {
-                return reject(
-                    RejectReason::AddressShare,
-                    Some(self.estimate_retry_after(address_excess)),
-                );
-            }
-        }
-        let mut missing = wanted.saturating_sub(room + freed);
-        let mut drop_candidates = self.drop_candidates.iter();
-        let full = self.results.len() >= MAX_RESULTS;
-        while missing > 0 || (full && to_drop.is_empty()) {
-            let may_drop = |stored: &StoredResult, is_undelivered: bool| {
-                !is_undelivered || stored.touched_at + self.budget.unclaimed_retention <= now
-            };
-            let next = drop_candidates.next().and_then(|(is_undelivered, _, id)| {
-                self.results
-                    .get(id)
-                    .filter(|stored| may_drop(stored, *is_undelivered))
-                    .map(|stored| (*id, stored.bytes))
-            });
-            let Some((id, bytes)) = next else {
-                return reject(RejectReason::Full, Some(self.estimate_retry_after(missing)));
-            };
-            if !to_drop.contains(&id) {
-                to_drop.push(id);
-                missing = missing.saturating_sub(bytes);
-            }
-        }
-        Admission::Admitted { to_drop }
-    }
-
-    /// Estimates how long it takes until the missing bytes are freed, from the recent rate at which
-    /// space was freed.
-    fn estimate_retry_after(&self, missing: u64) -> Micros {
-        let wait = missing as f64 / self.drain_rate.max(1e-9);
-        (wait as Micros).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-    }
-
     /// Adds a result without pages. Its expected size is claimed until [`Spool::end`].
     pub fn begin(&mut self, id: ResultId, owner: Owner, expected: u64, now: Micros) {
         let stored = StoredResult {
@@ -392,8 +214,6 @@
         subtract_bytes(&mut self.claimed_by_address, owner.address, bytes);
     }
 
-    // ---- Pages ----
-
     /// Returns how many bytes of further pages may be requested from the engine now: the rest of
     /// the expected size, but at most half of the free memory. Meanwhile, pages of slow readers
     /// move to disk, so the engine is free long before the client has read its result.
@@ -543,128 +363,6 @@
         }
     }
 
-    // ---- Memory to disk ----
-
-    /// Chooses the pages to write to disk now: none while memory use is at most [`MOVE_HIGH_MARK`],
-    /// above that mark as many as bring the use down to [`MOVE_LOW_MARK`]. The order is: results
-    /// without a reader except for their first pages, the longest unused first; pages that readers
-    /// have passed; pages furthest ahead of a reader; the first pages of results without a reader.
-    /// The next [`NEAR_PAGES`] pages of a reader stay in memory.
-    pub fn choose_moves(&self, now: Micros) -> Vec<SpoolAction> {
-        let mark = |part: f64| (self.budget.memory as f64 * part) as u64;
-        // Pages being written don't count. So the pages are scanned once for many arriving pages,
-        // not for each of them.
-        let staying = self.memory_used - self.moving_bytes;
-        if staying <= mark(MOVE_HIGH_MARK) || self.disk_fails_until.is_some_and(|until| now < until)
-        {
-            return Vec::new();
-        }
-        let mut excess = staying.saturating_sub(mark(MOVE_LOW_MARK));
-        let mut room = self.budget.disk.saturating_sub(self.disk_used);
-        let mut pages: Vec<(u8, Micros, std::cmp::Reverse<usize>, ResultId, usize, u64)> = self
-            .pages()
-            .filter(|(_, _, page)| page.tier == Tier::Memory)
-            .filter_map(|(id, index, page)| {
-                let stored = &self.results[&id];
-                let is_near = (stored.next..stored.next + NEAR_PAGES).contains(&index);
-                let (rank, last_used) = match (stored.readers > 0, is_near) {
-                    (false, false) => (0, stored.touched_at),
-                    (true, false) if index < stored.next => (1, 0),
-                    (true, false) => (2, 0),
-                    (false, true) => (3, stored.touched_at),
-                    (true, true) => return None,
-                };
-                let distance = index.abs_diff(stored.next);
-                Some((
-                    rank,
-                    last_used,
-                    std::cmp::Reverse(distance),
-                    id,
-                    index,
-                    page.bytes,
-                ))
-            })
-            .collect();
-        pages.sort_unstable();
-        let mut choices = Vec::new();
-        for (.., result, page, bytes) in pages {
-            if excess == 0 || bytes > room {
-                break;
-            }
-            excess = excess.saturating_sub(bytes);
-            room -= bytes;
-            choices.push(SpoolAction::Move { result, page });
-        }
-        choices
-    }
-
-    fn pages(&self) -> impl Iterator<Item = (ResultId, usize, Page)> + '_ {
-        let in_memory = self
-            .results
-            .iter()
-            .filter(|(_, stored)| stored.in_memory > 0);
-        in_memory.flat_map(|(id, stored)| {
-            stored
-                .pages
-                .iter()
-                .enumerate()
-                .map(|(index, page)| (*id, index, *page))
-        })
-    }
-
-    fn page_mut(&mut self, id: ResultId, page: usize) -> Option<&mut Page> {
-        self.results.get_mut(&id)?.pages.get_mut(page)
-    }
-
-    /// Marks a page as being written to disk: until [`Spool::finish_move`] it counts as used in
-    /// memory and on disk.
-    pub fn start_move(&mut self, id: ResultId, page: usize) {
-        if let Some(page) = self
-            .page_mut(id, page)
-            .filter(|page| page.tier == Tier::Memory)
-        {
-            page.tier = Tier::Moving;
-            let bytes = page.bytes;
-            self.disk_used += bytes;
-            self.moving_bytes += bytes;
-        }
-    }
-
-    /// Returns whether a page is being written to disk.
-    pub fn is_moving(&self, id: ResultId, page: usize) -> bool {
-        let page = self
-            .results
-            .get(&id)
-            .and_then(|stored| stored.pages.get(page));
-        page.is_some_and(|page| page.tier == Tier::Moving)
-    }
-
-    /// Ends the write of a page. If it failed, the page stays in memory and nothing is written
-    /// before `retry_at`.
-    pub fn finish_move(&mut self, id: ResultId, page: usize, written: bool, retry_at: Micros) {
-        if !written {
-            self.disk_fails_until = Some(retry_at);
-        }
-        if let Some(page) = self
-            .page_mut(id, page)
-            .filter(|page| page.tier == Tier::Moving)
-        {
-            page.tier = if written { Tier::Disk } else { Tier::Memory };
-            let bytes = page.bytes;
-            self.moving_bytes -= bytes;
-            if written {
-                self.memory_used -= bytes;
-                self.results
-                    .entry(id)
-                    .and_modify(|stored| stored.in_memory -= bytes);
-            } else {
-                self.disk_used -= bytes;
-            }
-        }
-    }
-
-    // ---- Expiry ----
-
     /// Returns the time at which a result expires unless it is used before that; `None` if the
     /// result has readers, is being received or doesn't exist.
     pub fn expiry(&self, id: ResultId) -> Option<Micros> {
