--- a/crates/gateway/src/connection/buffer.rs
+++ b/crates/gateway/src/connection/buffer.rs
@@ -6,7 +6,8 @@
 /// The maximum number of bytes in one read, and the capacity that a buffer retains when it is
 /// emptied.
 pub(super) const READ_CHUNK_BYTES: usize = 16 << 10;
-/// A buffer releases memory when bytes are removed and its capacity exceeds the rest by this factor.
+/// A buffer releases memory when bytes are removed and its capacity exceeds the rest by this
+/// factor.
 const MAX_CAPACITY_RATIO: usize = 4;
 
 /// A byte queue: received bytes that have not been decoded yet, or bytes to be sent. The queue is a
--- a/crates/gateway/src/connection/buffer/tests.rs
+++ b/crates/gateway/src/connection/buffer/tests.rs
@@ -22,8 +22,8 @@
     );
 }
 
-// Guards against a gateway that exceeds its memory limit because connections retain the capacity for
-// a long message that has been handled or cancelled, which the limits on buffered bytes don't count.
+// Guards against a gateway that exceeds its memory limit because connections retain the capacity
+// for a long message that was handled or cancelled, which no limit on buffered bytes counts.
 #[test]
 fn a_buffer_whose_long_message_was_removed_releases_its_memory() {
     const LONG_MESSAGE_BYTES: usize = 64 * READ_CHUNK_BYTES;
--- a/crates/gateway/src/gateway/request_intake.rs
+++ b/crates/gateway/src/gateway/request_intake.rs
@@ -112,8 +112,8 @@
         true
     }
 
-    /// Returns the time by which a call has to be answered: its own deadline, or an earlier one that
-    /// the shutdown sets.
+    /// Returns the time by which a call has to be answered: its own deadline, or an earlier one
+    /// that the shutdown sets.
     fn answer_by(&self, deadline: Micros) -> Micros {
         match self.shutdown.answer_deadline() {
             Some(answer_deadline) => deadline.min(answer_deadline),
--- a/crates/result-spool/src/state.rs
+++ b/crates/result-spool/src/state.rs
@@ -1,8 +1,8 @@
 //! Tracks where each page is stored and makes all decisions of the spool. The host carries out the
 //! decisions and reports the outcome; nothing here does I/O or reads a clock.
 //!
-//! `admission` decides whether a new result fits, `page_moves` which pages go to disk; this file has
-//! the rest of a result's life: its pages, readers, expiry and end.
+//! `admission` decides whether a new result fits, `page_moves` which pages go to disk; this file
+//! has the rest of a result's life: its pages, readers, expiry and end.
 
 use std::collections::{BTreeMap, BTreeSet};
 
