Remove calls from a run's waiting calls when their clients have left

Cause: the connection reported the end of calls with a slot in the table of requests only; attached calls and queries have none. Change: connections report every open call that ends (CallEnded), and the spool keeps its attached calls in a table by CallId, with their timers; an entry leaves with the run, the call's time or its client. SIGUSR1 prints its size, spool_calls. CallId, which request_intake had for itself, is the one type for this.

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -16,10 +16,13 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 pub const QUERY: &[u8] = b"SELECT * FROM sales_17.orders";
 
+/// Pause between two looks at the counters. The log omits lines if there are over 200 in a second.
+const COUNTERS_INTERVAL: Duration = Duration::from_millis(10);
+
 static NEXT_NUMBER: AtomicU32 = AtomicU32::new(0);
 
 /// A configuration with one class for each kind of effect (`report` is safe, `load` is keyed,
@@ -161,6 +164,7 @@
             }
             let has_patience = started_at.elapsed() < PATIENCE;
             assert!(has_patience, "{name} is {counted}, {value} is expected");
+            std::thread::sleep(COUNTERS_INTERVAL);
         }
     }
 
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -15,7 +15,9 @@
 
 use client::{Client, ConnectionState};
 
-pub use events::{ClientContext, ClientEvent, ConnectionChange, ResultQuery};
+pub use events::{
+    CallEndReason, CallId, ClientContext, ClientEvent, ConnectionChange, ResultQuery,
+};
 
 mod answering;
 mod client;
--- a/crates/gateway/src/clients/closing.rs
+++ b/crates/gateway/src/clients/closing.rs
@@ -8,7 +8,9 @@
 use eideryard_event_log::CloseReason;
 
 use super::client::Client;
-use super::{ClientContext, ClientEvent, Clients, ConnectionChange, ConnectionState};
+use super::{
+    CallEndReason, ClientContext, ClientEvent, Clients, ConnectionChange, ConnectionState,
+};
 use crate::deadlines::Deadline;
 use crate::table::Key;
 
@@ -99,10 +101,10 @@
         set_linger_deadline(key, client, context);
         // A request that has no slot yet gets an error when its event is handled, since the
         // connection no longer accepts requests.
-        let requests = client.open_requests.iter().filter_map(|open| open.key);
-        context
-            .events
-            .extend(requests.map(ClientEvent::ConnectionRejected));
+        let reason = CallEndReason::Rejected;
+        let ended = client.open_requests.iter();
+        let ended = ended.map(|open| ClientEvent::call_ended(key, open, reason));
+        context.events.extend(ended);
         self.unflushed.push(key);
     }
 
@@ -121,10 +123,10 @@
         client.connection.output.clear();
         client.connection.shut_down_writes();
         set_linger_deadline(key, client, context);
-        let requests = client.open_requests.drain(..).filter_map(|open| open.key);
-        context
-            .events
-            .extend(requests.map(ClientEvent::Disconnected));
+        let reason = CallEndReason::Disconnected;
+        let ended = client.open_requests.drain(..);
+        let ended = ended.map(|open| ClientEvent::call_ended(key, &open, reason));
+        context.events.extend(ended);
     }
 
     /// Half-closes idle connections. A connection with unread input or with a part of a message is
@@ -157,10 +159,10 @@
             .unsent_bytes
             .saturating_sub(client.connection.output.len());
         self.unread_bytes -= client.connection.input.len();
-        let requests = client.open_requests.into_iter().filter_map(|open| open.key);
-        context
-            .events
-            .extend(requests.map(ClientEvent::Disconnected));
+        let reason = CallEndReason::Disconnected;
+        let ended = client.open_requests.iter();
+        let ended = ended.map(|open| ClientEvent::call_ended(key, open, reason));
+        context.events.extend(ended);
     }
 }
 
--- a/crates/gateway/src/clients/decoding.rs
+++ b/crates/gateway/src/clients/decoding.rs
@@ -4,7 +4,7 @@
 use eideryard_msgpack_rpc::{decode, write_health, Message};
 
 use super::client::{Client, OpenRequest};
-use super::{ClientContext, ClientEvent, ResultQuery};
+use super::{CallEndReason, ClientContext, ClientEvent, ResultQuery};
 use crate::requests::{Call, CallError};
 use crate::table::Key;
 
@@ -145,13 +145,15 @@
         else {
             return;
         };
+        let open = self.client.open_requests.swap_remove(index);
         let events = &mut self.context.events;
-        match self.client.open_requests.swap_remove(index).key {
-            Some(request) => events.push(ClientEvent::RequestCancelled(request)),
-            // The request arrived in the same read, so its event has not been handled yet and is
+        if open.key.is_none() {
+            // If the call arrived in the same read, its event has not been handled yet and is
             // removed.
-            None => events.retain(|event| !event.is_call(self.key, id)),
+            events.retain(|event| !event.is_call(self.key, id));
         }
+        let reason = CallEndReason::Cancelled;
+        events.push(ClientEvent::call_ended(self.key, &open, reason));
     }
 }
 
--- a/crates/gateway/src/clients/events.rs
+++ b/crates/gateway/src/clients/events.rs
@@ -5,6 +5,7 @@
 use eideryard::interface::Micros;
 use eideryard_event_log::CloseReason;
 
+use super::client::OpenRequest;
 use crate::counters::Counters;
 use crate::deadlines::Deadlines;
 use crate::requests::{Call, CallError, Names};
@@ -24,6 +25,14 @@
     pub events: &'a mut Vec<ClientEvent>,
 }
 
+/// Identifies a call: the client's connection, and the message ID that the client chose for the
+/// call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallId {
+    pub client: Key,
+    pub id: u32,
+}
+
 /// An event on a client connection. A field `client` is the key of a connection; the other keys are
 /// those of requests.
 pub enum ClientEvent {
@@ -47,9 +56,36 @@
     ConnectionRejected(Key),
     /// The connection of this request has ended, so no answer can be sent.
     Disconnected(Key),
+    /// A call that has no slot in the table of requests no longer waits for its answer.
+    CallEnded { call: CallId, reason: CallEndReason },
+}
+
+/// Why a call no longer waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallEndReason {
+    /// The client has cancelled the call.
+    Cancelled,
+    /// The gateway is closing the connection, so the call ends with an error.
+    Rejected,
+    /// The connection has ended.
+    Disconnected,
 }
 
 impl ClientEvent {
+    /// Returns the event for an open call that no longer waits for its answer.
+    pub(super) fn call_ended(client: Key, open: &OpenRequest, reason: CallEndReason) -> Self {
+        let call = CallId {
+            client,
+            id: open.id,
+        };
+        match (open.key, reason) {
+            (None, reason) => ClientEvent::CallEnded { call, reason },
+            (Some(request), CallEndReason::Cancelled) => ClientEvent::RequestCancelled(request),
+            (Some(request), CallEndReason::Rejected) => ClientEvent::ConnectionRejected(request),
+            (Some(request), CallEndReason::Disconnected) => ClientEvent::Disconnected(request),
+        }
+    }
+
     /// Returns whether this is a [`ClientEvent::Call`] with this connection and message ID.
     pub(super) fn is_call(&self, connection: Key, message_id: u32) -> bool {
         match self {
--- a/crates/gateway/src/gateway/request_intake.rs
+++ b/crates/gateway/src/gateway/request_intake.rs
@@ -5,10 +5,10 @@
 use eideryard_intent_log::state::RETRY_AFTER;
 
 use super::Gateway;
-use crate::clients::ClientEvent;
+use crate::clients::{CallEndReason, CallId, ClientEvent};
 use crate::error_reply::{ErrorKind, ErrorReply};
 use crate::requests::{AnswerState, Call, CallError, InsertError, RequestLabels};
-use crate::result_spool::{ResultOwner, Waiter};
+use crate::result_spool::{Delivery, ResultOwner, Waiter};
 use crate::table::Key;
 
 /// How long before a client's deadline its attached call gets an error if the run has not ended, so
@@ -17,13 +17,6 @@
 /// The margin is at most the client's wait divided by this.
 const MIN_WAIT_TO_MARGIN_RATIO: Micros = 10;
 
-/// Identifies a call: the client's connection, and the number that the client chose for the call.
-#[derive(Clone, Copy)]
-struct CallId {
-    client: Key,
-    id: u32,
-}
-
 impl Gateway {
     pub(super) fn handle_client_events(&mut self) {
         for event in std::mem::take(&mut self.client_events) {
@@ -41,6 +34,7 @@
                     }
                 }
                 ClientEvent::ConnectionRejected(request) => self.fail_rejected_request(request),
+                ClientEvent::CallEnded { call, reason } => self.end_attached_call(call, reason),
                 ClientEvent::Disconnected(request) => {
                     self.counters.undelivered += 1;
                     if self.is_spooled(request) {
@@ -259,6 +253,23 @@
             .answer(client, id, |output| reply.write(output, id));
     }
 
+    /// Ends the wait of a call that is attached to a run; the run continues. Other calls without a
+    /// slot were answered when they arrived.
+    fn end_attached_call(&mut self, call: CallId, reason: CallEndReason) {
+        let result_spool = self.result_spool.as_mut();
+        let waiter = result_spool.and_then(|spool| spool.remove_attached_call(call));
+        let Some(waiter) = waiter else {
+            return;
+        };
+        match reason {
+            CallEndReason::Cancelled => self.count_delivery(&waiter, AnswerKind::Abandoned),
+            CallEndReason::Disconnected => self.count_delivery(&waiter, AnswerKind::Undelivered),
+            CallEndReason::Rejected => {
+                self.deliver(&Delivery::failed(waiter, "its connection is closing"));
+            }
+        }
+    }
+
     /// Fails a request whose connection is rejected. Its run continues if other calls wait for it.
     fn fail_rejected_request(&mut self, key: Key) {
         let reply = ErrorReply::new(ErrorKind::Failed);
--- a/crates/gateway/src/gateway/result_delivery.rs
+++ b/crates/gateway/src/gateway/result_delivery.rs
@@ -195,7 +195,7 @@
     }
 
     /// Counts and records an answer if the waiting call counts as a separate request.
-    fn count_delivery(&mut self, waiter: &Waiter, kind: AnswerKind) {
+    pub(super) fn count_delivery(&mut self, waiter: &Waiter, kind: AnswerKind) {
         let Some(labels) = waiter.counted_as else {
             return;
         };
@@ -203,6 +203,7 @@
             AnswerKind::Served => self.counters.served += 1,
             AnswerKind::Refused => self.counters.refused += 1,
             AnswerKind::Failed => self.counters.failed += 1,
+            AnswerKind::Abandoned => self.counters.abandoned += 1,
             _ => self.counters.undelivered += 1,
         }
         let answered = HostEvent::Answered {
--- a/crates/gateway/src/result_spool.rs
+++ b/crates/gateway/src/result_spool.rs
@@ -2,7 +2,7 @@
 //! worker. The gateway's main loop owns one [`ResultSpoolDriver`], which stores pages in memory,
 //! tracks pages on disk, and finds the stored result when a client queries it later.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 
 use eideryard::interface::Micros;
@@ -15,6 +15,7 @@
 use eideryard_result_spool::worker::{Directory, Worker};
 use eideryard_result_spool::{Budget, Owner, RejectReason, Spool};
 
+use crate::clients::CallId;
 use crate::error_reply::ErrorKind;
 use crate::requests::{Request, RequestLabels};
 use crate::table::Key;
@@ -59,6 +60,13 @@
             counted_as: None,
         }
     }
+
+    fn call(&self) -> CallId {
+        CallId {
+            client: self.client,
+            id: self.call_id,
+        }
+    }
 }
 
 /// The owner of a result. The spool's space is divided fairly among owners.
@@ -128,6 +136,11 @@
         }
     }
 
+    /// Returns the error for a call whose wait has ended before its run.
+    pub fn failed(waiter: Waiter, reason: &str) -> Self {
+        Delivery::error(waiter, ErrorKind::Failed, reason)
+    }
+
     /// Returns the error for a result that has expired or was dropped.
     fn expired(waiter: Waiter) -> Self {
         Delivery::error(waiter, ErrorKind::Gone, "its result is kept no longer")
@@ -177,10 +190,13 @@
     }
 }
 
-/// A call that waits for the run that it is attached to.
+/// A call or query that waits for the end of the run that it is attached to.
 struct AttachedCall {
     run_name: RunName,
     waiter: Waiter,
+    /// When the call gets an error unless the run has ended; `None` for queries, which state no
+    /// time.
+    timer: Option<Timer>,
 }
 
 /// A job for the background scheduler.
@@ -229,9 +245,9 @@
     worker: Option<Worker>,
     background: Scheduler<Work>,
     expiry_timers: Wheel<ResultId>,
-    /// When attached calls get an error unless their run has ended. A timer isn't cancelled with
-    /// the end of the run, after which it has no effect.
-    call_timers: Wheel<AttachedCall>,
+    /// All calls and queries that wait for a run, except for the requests that started the runs.
+    attached_calls: BTreeMap<CallId, AttachedCall>,
+    call_timers: Wheel<CallId>,
     pending_parts: VecDeque<PendingPart>,
     pub counters: ResultSpoolCounters,
 }
@@ -275,21 +291,23 @@
             worker,
             background: Scheduler::new(WORK_BUDGET, epoch),
             expiry_timers: Wheel::new(epoch),
+            attached_calls: BTreeMap::new(),
             call_timers: Wheel::new(epoch),
             pending_parts: VecDeque::new(),
             counters: ResultSpoolCounters::default(),
         })
     }
 
-    /// Returns the bytes in memory, on disk and claimed, and the number of results, with the names
-    /// under which they are logged.
-    pub fn sizes(&self) -> [(&'static str, usize); 4] {
+    /// Returns the bytes in memory, on disk and claimed, the number of results, and the number of
+    /// attached calls, with the names under which they are logged.
+    pub fn sizes(&self) -> [(&'static str, usize); 5] {
         let (memory, disk, claims) = self.spool.used();
         [
             ("spool_memory", memory as usize),
             ("spool_disk", disk as usize),
             ("spool_claims", claims as usize),
             ("spool_results", self.spool.len()),
+            ("spool_calls", self.attached_calls.len()),
         ]
     }
 }
--- a/crates/gateway/src/result_spool/maintenance.rs
+++ b/crates/gateway/src/result_spool/maintenance.rs
@@ -3,8 +3,7 @@
 use eideryard::interface::Micros;
 use eideryard_result_spool::worker::{DiskJob, FinishedJob, Worker};
 
-use super::{AttachedCall, Delivery, ResultId, ResultSpoolDriver, Work};
-use crate::error_reply::ErrorKind;
+use super::{Delivery, ResultId, ResultSpoolDriver, Work};
 
 impl ResultSpoolDriver {
     /// Handles finished jobs of the disk worker, starts background jobs within the work budget,
@@ -21,20 +20,14 @@
             self.handle_expiry(id, now);
         }
         while let Some(call) = self.call_timers.pop_expired(now) {
-            deliveries.extend(self.end_wait(&call));
+            // The run may still succeed, so the error promises nothing.
+            let waiter = self.remove_attached_call(call);
+            let reason = "the run has not ended in time";
+            deliveries.extend(waiter.map(|waiter| Delivery::failed(waiter, reason)));
         }
         deliveries
     }
 
-    /// Ends the wait of an attached call, unless its run has ended. The run may still succeed, so
-    /// the error promises nothing.
-    fn end_wait(&mut self, call: &AttachedCall) -> Option<Delivery> {
-        let AttachedCall { run_name, waiter } = call;
-        let was_waiting = self.run_registry.remove_waiter(run_name, waiter);
-        let reason = "the run has not ended in time";
-        was_waiting.then(|| Delivery::error(*waiter, ErrorKind::Failed, reason))
-    }
-
     /// Returns the next time at which [`ResultSpoolDriver::poll`] must be called even if nothing
     /// arrives.
     pub fn next_deadline(&self, now: Micros) -> Option<Micros> {
--- a/crates/gateway/src/result_spool/queries.rs
+++ b/crates/gateway/src/result_spool/queries.rs
@@ -37,10 +37,8 @@
         now: Micros,
     ) -> Option<Delivery> {
         let delivery = self.reattach(name, waiter, now);
-        if delivery.is_none() {
-            let run_name = name.into();
-            let call = AttachedCall { run_name, waiter };
-            self.call_timers.set(answer_by, call);
+        if let Some(attached) = self.attached_calls.get_mut(&waiter.call()) {
+            attached.timer = Some(self.call_timers.set(answer_by, waiter.call()));
         }
         delivery
     }
@@ -65,7 +63,15 @@
                 let reason = "too many wait for it";
                 return Some(Delivery::error(waiter, ErrorKind::TryLater, reason));
             }
-            Arrival::Attached => None,
+            Arrival::Attached => {
+                let attached = AttachedCall {
+                    run_name: name.into(),
+                    waiter,
+                    timer: None,
+                };
+                self.attached_calls.insert(waiter.call(), attached);
+                None
+            }
             Arrival::Answered(RunOutcome::Failed) => {
                 let reason = "the request has failed";
                 Some(Delivery::error(waiter, ErrorKind::Failed, reason))
--- a/crates/gateway/src/result_spool/runs.rs
+++ b/crates/gateway/src/result_spool/runs.rs
@@ -8,6 +8,7 @@
     Delivery, ResultId, ResultOwner, ResultSpoolDriver, RunOutcome, SpoolRejection, StoredPage,
     StoredResult, Waiter,
 };
+use crate::clients::CallId;
 use crate::requests::RequestLabels;
 
 /// Expected size of a result in bytes, until sizes for its class have been learned.
@@ -146,6 +147,7 @@
         self.schedule_expiry(id);
         self.counters.completed += 1;
         let waiters = self.run_registry.finish(&name, RunOutcome::Result(id));
+        self.remove_ended_calls(&waiters);
         waiters
             .into_iter()
             .filter_map(|waiter| self.prepare_part(waiter, id, 0, now))
@@ -167,6 +169,7 @@
         self.spool.end(id, false, now);
         if is_rejected {
             let waiters = self.run_registry.withdraw(&name);
+            self.remove_ended_calls(&waiters);
             self.drop_result(id, now);
             return waiters;
         }
@@ -181,7 +184,31 @@
             }
             self.free_pages(pages, now);
         }
-        self.run_registry.finish(&name, RunOutcome::Failed)
+        let waiters = self.run_registry.finish(&name, RunOutcome::Failed);
+        self.remove_ended_calls(&waiters);
+        waiters
+    }
+
+    /// Removes the calls whose run has ended, with their timers.
+    fn remove_ended_calls(&mut self, waiters: &[Waiter]) {
+        for waiter in waiters {
+            let attached = self.attached_calls.remove(&waiter.call());
+            if let Some(timer) = attached.and_then(|attached| attached.timer) {
+                self.call_timers.cancel(timer);
+            }
+        }
+    }
+
+    /// Removes a call that no longer waits for its run; the run continues. Returns `None` if the
+    /// call isn't attached to a run.
+    pub fn remove_attached_call(&mut self, call: CallId) -> Option<Waiter> {
+        let attached = self.attached_calls.remove(&call)?;
+        if let Some(timer) = attached.timer {
+            self.call_timers.cancel(timer);
+        }
+        self.run_registry
+            .remove_waiter(&attached.run_name, &attached.waiter);
+        Some(attached.waiter)
     }
 
     /// Removes a waiting client whose connection has closed. The run continues for later queries.
