--- a/crates/cli/tests/outward_names.rs
+++ b/crates/cli/tests/outward_names.rs
@@ -49,7 +49,7 @@
 [settings fingerprint text]
 gateway fingerprints
 [result spool: reasons of refusal]
-result-spool state
+result-spool state/admission
 [simulator adapter: events, actions and fields]
 simulator-adapter actions error events host lists
 [threads]
--- a/crates/result-spool/src/state.rs
+++ b/crates/result-spool/src/state.rs
@@ -9,7 +9,7 @@
 use crate::limits::*;
 use crate::Micros;
 
-pub use admission::Admission;
+pub use admission::{Admission, RejectReason};
 pub use page_moves::SpoolAction;
 use stored_result::{Page, State, StoredResult, Tier};
 
@@ -30,32 +30,6 @@
     pub address: u64,
 }
 
-/// Why a result is rejected.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum RejectReason {
-    /// Larger than [`Budget::max_result_bytes`], so a retry can't succeed.
-    TooLarge,
-    /// All space is used, or claimed by results that are still being received.
-    Full,
-    /// Space is short, and the result would exceed the tenant's share; see [`TENANT_SHARE`].
-    TenantsShare,
-    /// Space is short, and the result would exceed the share of the client's address; see
-    /// [`ADDRESS_SHARE`].
-    AddressShare,
-}
-
-impl RejectReason {
-    /// Returns the reason as it is sent to clients.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            RejectReason::TooLarge => "too-large",
-            RejectReason::Full => "spool-full",
-            RejectReason::TenantsShare => "tenants-share",
-            RejectReason::AddressShare => "address-share",
-        }
-    }
-}
-
 /// Where a page is, or why it isn't available.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PageLocation {
--- a/crates/result-spool/src/state/admission.rs
+++ b/crates/result-spool/src/state/admission.rs
@@ -1,10 +1,36 @@
 //! Decides whether the result of a new request fits.
 
 use super::stored_result::StoredResult;
-use super::{Owner, RejectReason, ResultId, Spool};
+use super::{Owner, ResultId, Spool};
 use crate::limits::*;
 use crate::Micros;
 
+/// Why a result is rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum RejectReason {
+    /// Larger than [`Budget::max_result_bytes`], so a retry can't succeed.
+    TooLarge,
+    /// All space is used, or claimed by results that are still being received.
+    Full,
+    /// Space is short, and the result would exceed the tenant's share; see [`TENANT_SHARE`].
+    TenantsShare,
+    /// Space is short, and the result would exceed the share of the client's address; see
+    /// [`ADDRESS_SHARE`].
+    AddressShare,
+}
+
+impl RejectReason {
+    /// Returns the reason as it is sent to clients.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RejectReason::TooLarge => "too-large",
+            RejectReason::Full => "spool-full",
+            RejectReason::TenantsShare => "tenants-share",
+            RejectReason::AddressShare => "address-share",
+        }
+    }
+}
+
 /// The decision whether a new result may be stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
