The end of a call's wait is computed by the pure part of the spool

The margin before a client's deadline and its use were in the gateway's intake; they move to limits.rs and run_registry.rs of the result spool, where its other decisions are. No behaviour changes; the tests of returning clients pass as they are.

--- a/crates/gateway/src/gateway/request_intake.rs
+++ b/crates/gateway/src/gateway/request_intake.rs
@@ -3,6 +3,7 @@
 use eideryard::interface::{Event, Micros, PriorAttempt, Request};
 use eideryard_event_log::{AnswerKind, HostEvent, RejectReason};
 use eideryard_intent_log::state::RETRY_AFTER;
+use eideryard_result_spool::run_registry::end_of_wait;
 
 use super::Gateway;
 use crate::clients::{CallEndReason, CallId, ClientEvent};
@@ -11,12 +12,6 @@
 use crate::result_spool::{Delivery, ResultOwner, Waiter};
 use crate::table::Key;
 
-/// How long before a client's deadline its attached call gets an error if the run has not ended, so
-/// that the error arrives in time.
-const ATTACHED_CALL_MARGIN: Micros = 100_000;
-/// The margin is at most the client's wait divided by this.
-const MIN_WAIT_TO_MARGIN_RATIO: Micros = 10;
-
 impl Gateway {
     pub(super) fn handle_client_events(&mut self) {
         for event in std::mem::take(&mut self.client_events) {
@@ -80,8 +75,7 @@
     /// was found.
     fn attach_to_run(&mut self, call_id: CallId, call: &Call) -> bool {
         let now = self.clock.now();
-        let margin = ATTACHED_CALL_MARGIN.min(call.wait / MIN_WAIT_TO_MARGIN_RATIO);
-        let answer_by = self.answer_by(now + call.wait - margin);
+        let answer_by = self.answer_by(end_of_wait(now, call.wait));
         let (Some(key), Some(result_spool)) = (&call.key, &mut self.result_spool) else {
             return false;
         };
--- a/crates/result-spool/src/limits.rs
+++ b/crates/result-spool/src/limits.rs
@@ -60,3 +60,8 @@
         self.memory + self.disk
     }
 }
+/// How long before a client's deadline a request that waits for a run gets an error, so that the
+/// error arrives in time.
+pub const WAIT_MARGIN: Micros = 100_000;
+/// The margin is at most the client's wait divided by this.
+pub const MIN_WAIT_TO_MARGIN_RATIO: Micros = 10;
--- a/crates/result-spool/src/run_registry.rs
+++ b/crates/result-spool/src/run_registry.rs
@@ -4,6 +4,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use crate::limits::{MIN_WAIT_TO_MARGIN_RATIO, WAIT_MARGIN};
+use crate::Micros;
+
 /// The name of a run: the request's idempotency key, or else the id of the first request.
 pub type RunName = Box<str>;
 
@@ -29,6 +32,13 @@
     TooManyWaiters,
 }
 
+/// Returns when a request that arrives at `now` stops waiting for a run; its client waits for the
+/// answer for `wait` microseconds.
+pub fn end_of_wait(now: Micros, wait: Micros) -> Micros {
+    let margin = WAIT_MARGIN.min(wait / MIN_WAIT_TO_MARGIN_RATIO);
+    now + wait - margin
+}
+
 enum Run<W, A> {
     /// In progress, with the requests that are waiting for its answer.
     Running(Vec<W>),
