--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod record;
 mod spoilt;
+mod unsafe_twice;
 
 use std::error::Error;
 use std::path::PathBuf;
@@ -60,6 +61,7 @@
     });
     let outcome: Outcome = match name.as_str() {
         "spoilt" => spoilt::run(&run),
+        "unsafe" => unsafe_twice::run_late(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
