--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -62,6 +62,7 @@
     let outcome: Outcome = match name.as_str() {
         "spoilt" => spoilt::run(&run),
         "unsafe" => unsafe_twice::run_late(&run),
+        "reconfigured" => unsafe_twice::run_reconfigured(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
