--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod config;
 mod engine;
 mod gateway;
+mod order;
 mod record;
 mod spoilt;
 mod unsafe_twice;
@@ -63,6 +64,7 @@
         "spoilt" => spoilt::run(&run),
         "unsafe" => unsafe_twice::run_late(&run),
         "reconfigured" => unsafe_twice::run_reconfigured(&run),
+        "order" => order::run(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
