--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod config;
+mod drain;
 mod engine;
 mod gateway;
 mod order;
@@ -65,6 +66,7 @@
         "unsafe" => unsafe_twice::run_late(&run),
         "reconfigured" => unsafe_twice::run_reconfigured(&run),
         "order" => order::run(&run),
+        "drain" => drain::run(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
