Review, cases 6 and 10: a steadier test, another number; two cases and a half give way

Order is case 10 now. Case 6 spoils the answer of the 20th look-up; before it was the 20th request, which was the report of the other client when the machine was busy. Stand-in engines know zones, groups that drop repeats and lost answers.

--- a/review/stand-ins-2/src/client.rs
+++ b/review/stand-ins-2/src/client.rs
@@ -46,6 +46,10 @@
         }
     }
 
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Answer::Error { word, .. } if word == "TryLater")
+    }
+
     pub fn is_served(&self) -> bool {
         matches!(self, Answer::Served { .. })
     }
--- a/review/stand-ins-2/src/config.rs
+++ b/review/stand-ins-2/src/config.rs
@@ -27,6 +27,7 @@
     pub max_attempts: u32,
     pub note_ms: u64,
     pub order_pause_ms: u64,
+    pub zones: Vec<&'static str>,
     pub drain_grace_ms: u64,
     /// Member of `limits`.
     pub memory_mb: u64,
@@ -34,9 +35,9 @@
 }
 
 /// An engine as the list names it.
-pub fn host(engine: &Engine, block: u32, health: &str) -> String {
+pub fn host(engine: &Engine, zone: &str, health: &str) -> String {
     format!(
-        r#"{{"host":"{}","dial":"{}","site":"here","class":"std","block":{block},"health":"{health}","share":1,"born_ms":0}}"#,
+        r#"{{"host":"{}","dial":"{}","site":"{zone}","class":"std","block":0,"health":"{health}","share":1,"born_ms":0}}"#,
         engine.name, engine.address
     )
 }
@@ -64,12 +65,14 @@
         let texts: Vec<String> = site.classes.iter().map(text).collect();
         texts.join(",")
     };
+    let zones = site.zones.iter().map(|zone| format!("\"{zone}\""));
+    let zones: Vec<String> = zones.collect();
     format!(
         r#"{{"name":"{name}","listen":"{listen}","seed":"8c1f30d27a5be964",
 "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},
 "bulletin":"{bulletin}",
 "known":{{"no":1,"items":[{{"no":1,"roster":{{"seq":1,"whole":true,"hosts":[{hosts}]}}}}]}},
-"settings":{{"tick-us":5000,"peers-total":1,"self-index":0,"az":0,"discovery":"push","zones":["here"],"kinds":["std"],
+"settings":{{"tick-us":5000,"peers-total":1,"self-index":0,"az":0,"discovery":"push","zones":[{zones}],"kinds":["std"],
 "grades":[{classes}],
 "orgs":[{{"name":"{tenant}","quota-rps":100.0,"share":1.0}}],"over-share-worth":0.2,
 "extra":{{"kind-cores":[8],"kind-memory-mb":[16384.0],"threads-by-class":[{threads}],"is-load":[{loads}],
@@ -85,6 +88,7 @@
         hosts = hosts.join(","),
         classes = list(&class),
         tenant = site.tenant,
+        zones = zones.join(","),
         threads = list(&|class| class.threads.to_string()),
         loads = list(&|class| class.is_load.to_string()),
         waits = list(&|_| "false".to_string()),
--- a/review/stand-ins-2/src/engine.rs
+++ b/review/stand-ins-2/src/engine.rs
@@ -13,10 +13,10 @@
 /// A request as it came whole.
 #[derive(Clone, Debug)]
 pub struct Serve {
+    pub engine: String,
     pub id: String,
     pub class: String,
     pub fields: Vec<(String, String)>,
-    pub statement: String,
     /// When its last byte had come, since the start of the run.
     pub at: Duration,
 }
@@ -35,15 +35,34 @@
     Run(Duration, Vec<String>),
     /// The same, with these fields in place of the usual ones.
     Spoilt(Duration, &'static str, Vec<String>),
+    /// The same as `Run`, without lines in the record.
+    Quiet(Duration, Vec<String>),
+    /// Runs for this time; in place of its answer the connection is reset.
+    Lost(Duration),
 }
 
 type Chooser = dyn Fn(&Serve) -> Plan + Send + Sync;
 
+/// The keys of writes that took effect, by the group of engines that drops repeats: when the first
+/// of them was sent. They stand beside the data, so they outlive connections.
+pub type Keys = Arc<Mutex<HashMap<(String, String), Duration>>>;
+
+/// The engine's part in a group that drops repeats.
+#[derive(Clone)]
+pub struct Group {
+    pub name: String,
+    pub keys: Keys,
+    /// How long a key is remembered, from when its first attempt was sent.
+    pub window: Duration,
+}
+
 pub struct Settings {
     /// Whether a run goes on when its request is cancelled or its connection has ended.
     pub runs_on: bool,
     /// Interval of progress notes; zero: none.
     pub notes: Duration,
+    /// `None`: no repeats are dropped.
+    pub group: Option<Group>,
 }
 
 pub struct Engine {
@@ -150,8 +169,7 @@
                 let length: usize = words.get(3)?.parse().ok()?;
                 let mut body = vec![0; length + 2];
                 reader.read_exact(&mut body).ok()?;
-                body.truncate(length);
-                let serve = self.read_serve(&id, words[2], &body);
+                let serve = self.read_serve(&id, words[2]);
                 self.begin(serve, writer, open);
             }
             "cancel" => {
@@ -180,7 +198,7 @@
         Some(())
     }
 
-    fn read_serve(&self, id: &str, fields: &str, body: &[u8]) -> Serve {
+    fn read_serve(&self, id: &str, fields: &str) -> Serve {
         let fields: Vec<(String, String)> = fields
             .split(',')
             .filter_map(|pair| pair.split_once('='))
@@ -188,10 +206,10 @@
             .collect();
         let class = fields.iter().find(|(name, _)| name == "profile");
         Serve {
+            engine: self.name.clone(),
             id: id.to_string(),
             class: class.map(|(_, value)| value.clone()).unwrap_or_default(),
             fields,
-            statement: String::from_utf8_lossy(&body[..body.len().min(200)]).into_owned(),
             at: self.record.now(),
         }
     }
@@ -202,20 +220,22 @@
         writer: &Arc<Mutex<TcpStream>>,
         open: &Arc<Mutex<Open>>,
     ) {
-        let shown: Vec<String> = serve
-            .fields
-            .iter()
-            .map(|(name, value)| format!("{name}={value}"))
-            .collect();
-        self.record.line(&format!(
-            "{} got request {} {}",
-            self.name,
-            serve.id,
-            shown.join(",")
-        ));
         self.served.lock().unwrap().push(serve.clone());
         open.lock().unwrap().running.insert(serve.id.clone(), true);
         let plan = (self.choose)(&serve);
+        if !matches!(plan, Plan::Quiet(..)) {
+            let shown: Vec<String> = serve
+                .fields
+                .iter()
+                .map(|(name, value)| format!("{name}={value}"))
+                .collect();
+            self.record.line(&format!(
+                "{} got request {} {}",
+                self.name,
+                serve.id,
+                shown.join(",")
+            ));
+        }
         let (shared, writer, open) = (self.clone(), writer.clone(), open.clone());
         thread::spawn(move || shared.run(&serve, &plan, &writer, &open));
     }
@@ -228,7 +248,10 @@
         open: &Arc<Mutex<Open>>,
     ) {
         let (time, pages) = match plan {
-            Plan::Run(time, pages) | Plan::Spoilt(time, _, pages) => (*time, pages),
+            Plan::Run(time, pages) | Plan::Spoilt(time, _, pages) | Plan::Quiet(time, pages) => {
+                (*time, Some(pages))
+            }
+            Plan::Lost(time) => (*time, None),
         };
         let id = &serve.id;
         let until = self.record.now() + time;
@@ -259,24 +282,54 @@
         if !was_open && !self.settings.runs_on {
             return;
         }
-        self.record
-            .line(&format!("{} has run request {id} to its end", self.name));
-        self.effects.lock().unwrap().push(serve.clone());
+        self.take_effect(serve, matches!(plan, Plan::Quiet(..)));
+        let Some(pages) = pages else {
+            self.record.line(&format!(
+                "{}: the answer to {id} is lost, its connection ends",
+                self.name
+            ));
+            let _ = writer.lock().unwrap().shutdown(std::net::Shutdown::Both);
+            return;
+        };
         if was_open && !open.is_closed {
             let work = (time.as_secs_f64() * 1e3).max(1.0);
             let usual = format!("count={},ticks={work:.0},footprint=64", pages.len());
             let fields = match plan {
-                Plan::Run(..) => usual.as_str(),
                 Plan::Spoilt(_, fields, _) => {
                     self.record
                         .line(&format!("{} answers {id} with fields {fields}", self.name));
                     fields
                 }
+                _ => usual.as_str(),
             };
             open.pages.insert(id.clone(), pages.clone());
             send(writer, id, "OK", fields, &pages[0]);
         }
     }
+
+    /// Notes the end of a run, and its effect unless it is a repeat that the engine's group drops.
+    fn take_effect(&self, serve: &Serve, is_quiet: bool) {
+        let id = &serve.id;
+        if let (Some(group), Some(key)) = (&self.settings.group, serve.field("replay")) {
+            let name = (group.name.clone(), key.to_string());
+            let mut keys = group.keys.lock().unwrap();
+            if let Some(first) = keys.get(&name) {
+                if serve.at < *first + group.window {
+                    self.record.line(&format!(
+                        "{} drops request {id}: a repeat of key {key}",
+                        self.name
+                    ));
+                    return;
+                }
+            }
+            keys.insert(name, serve.at);
+        }
+        if !is_quiet {
+            self.record
+                .line(&format!("{} has run request {id} to its end", self.name));
+        }
+        self.effects.lock().unwrap().push(serve.clone());
+    }
 }
 
 fn send(writer: &Arc<Mutex<TcpStream>>, id: &str, word: &str, fields: &str, payload: &str) {
--- a/review/stand-ins-2/src/gateway.rs
+++ b/review/stand-ins-2/src/gateway.rs
@@ -1,10 +1,10 @@
 //! The gateway as a process, started with the command of the deploy file, and the bulletin.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -16,55 +16,34 @@
     TcpListener::bind("127.0.0.1:0")?.local_addr()
 }
 
-/// The bulletin: an event stream with a comment each second. It tells what comes after the events
-/// that the configuration holds under `known`.
+/// The bulletin: an event stream that has nothing to tell beyond the events that the configuration
+/// holds under `known`, with a comment each second.
 pub struct Bulletin {
     pub address: SocketAddr,
-    events: Arc<Mutex<Vec<String>>>,
 }
 
 impl Bulletin {
     pub fn start(record: &Record) -> std::io::Result<Self> {
-        Self::start_slow(record, Duration::ZERO)
-    }
-
-    /// Starts a bulletin that takes this time until it begins to answer a request.
-    pub fn start_slow(record: &Record, delay: Duration) -> std::io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
-        let events = Arc::new(Mutex::new(Vec::new()));
-        let accepted = events.clone();
         let record = record.clone();
         thread::spawn(move || {
             for (number, stream) in listener.incoming().flatten().enumerate() {
-                let (events, record) = (accepted.clone(), record.clone());
+                let record = record.clone();
                 thread::spawn(move || {
                     let name = format!("bulletin, connection {}", number + 1);
-                    let _ = serve_bulletin(&name, &record, stream, &events, delay);
+                    let _ = serve_bulletin(&name, &record, stream);
                     record.line(&format!("{name}: over"));
                 });
             }
         });
-        Ok(Bulletin { address, events })
-    }
-
-    /// Tells a further event; `text` is its JSON, with the number that follows the last one. The
-    /// first event that is told here has the number 2.
-    pub fn tell(&self, text: &str) {
-        self.events.lock().unwrap().push(text.to_string());
+        Ok(Bulletin { address })
     }
 }
 
-fn serve_bulletin(
-    name: &str,
-    record: &Record,
-    mut stream: TcpStream,
-    events: &Mutex<Vec<String>>,
-    delay: Duration,
-) -> Option<()> {
+fn serve_bulletin(name: &str, record: &Record, mut stream: TcpStream) -> Option<()> {
     let _ = stream.set_nodelay(true);
     let mut reader = BufReader::new(stream.try_clone().ok()?);
-    let mut last = 0;
     loop {
         let mut line = String::new();
         if reader.read_line(&mut line).ok()? == 0 {
@@ -74,40 +53,15 @@
         if line.is_empty() {
             break;
         }
-        let (name, value) = line.split_once(':').unwrap_or((line, ""));
-        if name.eq_ignore_ascii_case("last-event-id") {
-            last = value.trim().parse().unwrap_or(0);
-        }
-    }
-    record.line(&format!("{name}: asked for what follows event {last}"));
-    if !delay.is_zero() {
-        // Whether the other end has left meanwhile is seen by the first read.
-        stream.set_read_timeout(Some(delay)).ok()?;
-        if matches!(reader.read(&mut [0]), Ok(0)) {
-            record.line(&format!("{name}: the gateway has closed it, unanswered"));
-            return None;
+        if line.to_ascii_lowercase().starts_with("last-event-id:") {
+            record.line(&format!("{name}: {line}"));
         }
     }
-    record.line(&format!("{name}: begins to answer"));
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n: hello\n\n";
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
     stream.write_all(head.as_bytes()).ok()?;
-    let mut commented = Instant::now();
     loop {
-        let told = events.lock().unwrap().clone();
-        for (index, event) in told.iter().enumerate() {
-            let number = index + 2;
-            if number > last {
-                last = number;
-                record.line(&format!("{name}: event {number} is written"));
-                let text = format!("id: {number}\ndata: {event}\n\n");
-                stream.write_all(text.as_bytes()).ok()?;
-            }
-        }
-        if commented.elapsed() >= Duration::from_secs(1) {
-            commented = Instant::now();
-            stream.write_all(b": still here\n\n").ok()?;
-        }
-        thread::sleep(Duration::from_millis(10));
+        stream.write_all(b": nothing new\n\n").ok()?;
+        thread::sleep(Duration::from_secs(1));
     }
 }
 
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -3,13 +3,11 @@
 
 mod client;
 mod config;
-mod drain;
 mod engine;
 mod gateway;
 mod order;
 mod record;
 mod spoilt;
-mod unsafe_twice;
 
 use std::error::Error;
 use std::path::PathBuf;
@@ -63,10 +61,7 @@
     });
     let outcome: Outcome = match name.as_str() {
         "spoilt" => spoilt::run(&run),
-        "unsafe" => unsafe_twice::run_late(&run),
-        "reconfigured" => unsafe_twice::run_reconfigured(&run),
         "order" => order::run(&run),
-        "drain" => drain::run(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
--- a/review/stand-ins-2/src/order.rs
+++ b/review/stand-ins-2/src/order.rs
@@ -15,6 +15,8 @@
 const STALL: Duration = Duration::from_millis(1500);
 const WORK: Duration = Duration::from_millis(400);
 
+const ZONE: &str = "ub-room-1";
+
 fn site() -> Site {
     let class = |name, deadline_ms, repeat, in_order, threads, is_load| Class {
         name,
@@ -37,6 +39,7 @@
         may_cancel: true,
         max_attempts: 4,
         note_ms: 0,
+        zones: vec![ZONE],
         order_pause_ms: 500,
         drain_grace_ms: 500,
         memory_mb: 192,
@@ -54,13 +57,17 @@
             let settings = Settings {
                 runs_on: false,
                 notes: Duration::ZERO,
+                group: None,
             };
             Engine::start(name, record, settings, |serve| {
                 Plan::Run(WORK, one_row(&serve.id))
             })
         })
         .collect::<Result<_, _>>()?;
-    let hosts: Vec<String> = engines.iter().map(|engine| host(engine, 0, "up")).collect();
+    let hosts: Vec<String> = engines
+        .iter()
+        .map(|engine| host(engine, ZONE, "up"))
+        .collect();
     let listen = free_address()?;
     let start = Start {
         root: run.root.clone(),
--- a/review/stand-ins-2/src/spoilt.rs
+++ b/review/stand-ins-2/src/spoilt.rs
@@ -12,8 +12,10 @@
 
 /// Requests of the run, one each 50 ms.
 const REQUESTS: u32 = 60;
-/// Each answer with this number comes spoilt.
-const SPOILT: [u32; 1] = [20];
+/// The answer to the look-up with this number comes spoilt.
+const SPOILT: u32 = 20;
+
+const ZONE: &str = "bldg-a";
 
 fn site() -> Site {
     let class = |name, deadline_ms, repeat, threads, is_load| Class {
@@ -37,6 +39,7 @@
         may_cancel: true,
         max_attempts: 5,
         note_ms: 500,
+        zones: vec![ZONE],
         order_pause_ms: 0,
         drain_grace_ms: 500,
         memory_mb: 192,
@@ -56,12 +59,15 @@
             let settings = Settings {
                 runs_on: false,
                 notes: Duration::ZERO,
+                group: None,
             };
             Engine::start(name, record, settings, move |serve| {
+                if serve.class == "history-report" {
+                    return Plan::Run(Duration::from_millis(2000), one_row(&serve.id));
+                }
                 let number = count.fetch_add(1, Ordering::SeqCst) + 1;
-                let is_report = serve.class == "history-report";
-                let time = Duration::from_millis(if is_report { 2000 } else { 150 });
-                if has_trouble && SPOILT.contains(&number) {
+                let time = Duration::from_millis(150);
+                if has_trouble && number == SPOILT {
                     Plan::Spoilt(time, "count=1,ticks=150,footprint=nan", one_row(&serve.id))
                 } else {
                     Plan::Run(time, one_row(&serve.id))
@@ -69,7 +75,10 @@
             })
         })
         .collect::<Result<_, _>>()?;
-    let hosts: Vec<String> = engines.iter().map(|engine| host(engine, 0, "up")).collect();
+    let hosts: Vec<String> = engines
+        .iter()
+        .map(|engine| host(engine, ZONE, "up"))
+        .collect();
     let listen = free_address()?;
     let start = Start {
         root: run.root.clone(),
@@ -104,7 +113,7 @@
         {
             unanswered.push(number);
         }
-        if number == SPOILT[0] {
+        if number == SPOILT {
             let id = "00000000001b0001";
             let fields = [
                 ("i", id),
