--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -7,6 +7,7 @@
 mod gateway;
 mod order;
 mod record;
+mod refused;
 mod spoilt;
 
 use std::error::Error;
@@ -62,6 +63,7 @@
     let outcome: Outcome = match name.as_str() {
         "spoilt" => spoilt::run(&run),
         "order" => order::run(&run),
+        "refused" => refused::run(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
