--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod gateway;
 mod order;
+mod reconfigured;
 mod record;
 mod refused;
 mod spoilt;
@@ -64,6 +65,7 @@
         "spoilt" => spoilt::run(&run),
         "order" => order::run(&run),
         "refused" => refused::run(&run),
+        "reconfigured" => reconfigured::run(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
