--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -9,6 +9,7 @@
 mod reconfigured;
 mod record;
 mod refused;
+mod rewrite;
 mod spoilt;
 
 use std::error::Error;
@@ -66,6 +67,7 @@
         "order" => order::run(&run),
         "refused" => refused::run(&run),
         "reconfigured" => reconfigured::run(&run),
+        "rewrite" => rewrite::run(&run),
         other => Err(format!("no case '{other}'").into()),
     };
     let (text, code) = match outcome {
