--- a/review/stand-ins-2/src/order.rs
+++ b/review/stand-ins-2/src/order.rs
@@ -40,7 +40,7 @@
         max_attempts: 4,
         note_ms: 0,
         zones: vec![ZONE],
-        order_pause_ms: 500,
+        order_pause_ms: 0,
         drain_grace_ms: 500,
         memory_mb: 192,
         sockets: 1024,
