--- a/crates/gateway/src/discovery_watch.rs
+++ b/crates/gateway/src/discovery_watch.rs
@@ -255,7 +255,7 @@
             .update
             .as_ref()
             .is_some_and(|update| update.is_snapshot);
-        if item.number > self.last_event + 1 && !is_snapshot {
+        if item.number - self.last_event > 1 && !is_snapshot {
             return Err(DisconnectReason::MissedEvents {
                 received: item.number,
                 last: self.last_event,
--- a/crates/gateway/src/engines/answer_fields.rs
+++ b/crates/gateway/src/engines/answer_fields.rs
@@ -52,18 +52,20 @@
 }
 
 /// Returns the resources that a successful attempt has used: `ticks` is work in milliseconds,
-/// `footprint` is memory in MB.
+/// `footprint` is memory in MB. Returns `None` if a figure is not a number or the work is missing.
+/// The balancer checks whether the figures are plausible.
 pub(super) fn resource_usage(fields: &Fields<'_>) -> Option<ResourceUsage> {
     let work_ms: f64 = fields.number("ticks").filter(|work| *work > 0.0)?;
     Some(ResourceUsage {
         work: work_ms * MICROS_PER_MS,
-        memory_mb: fields.number("footprint").unwrap_or(0.0),
+        memory_mb: number_or_zero(fields, "footprint")?,
     })
 }
 
-/// Returns the progress of a running attempt that an engine reports; `None` for an unknown kind.
+/// Returns the progress of a running attempt that an engine reports; `None` for an unknown kind or
+/// a level that is not a number.
 pub(super) fn progress(fields: &Fields<'_>) -> Option<Progress> {
-    let level: f64 = fields.number("reading").unwrap_or(0.0);
+    let level = number_or_zero(fields, "reading")?;
     match fields.get("remark")? {
         "share" => Some(Progress::Share(level)),
         "short" => Some(Progress::Spilling(level)),
@@ -73,6 +75,14 @@
     }
 }
 
+/// Returns the number in a field, 0 if the field is missing, or `None` if it is not a number.
+fn number_or_zero(fields: &Fields<'_>, name: &str) -> Option<f64> {
+    match fields.get(name) {
+        Some(text) => text.parse().ok(),
+        None => Some(0.0),
+    }
+}
+
 /// Returns the report of the engine's system load. The values in the answer have the names from the
 /// settings or the names of the engine protocol.
 pub(super) fn load_report(fields: &Fields<'_>) -> Option<LoadReport> {
--- a/src/balancer.rs
+++ b/src/balancer.rs
@@ -27,6 +27,7 @@
 mod pending_queue;
 mod progress;
 mod queue_release;
+mod reported_figures;
 mod retry_budget;
 mod sampling;
 mod slow_start;
@@ -43,6 +44,7 @@
 use load_estimate::LoadEstimates;
 use outlier_detection::OutlierDetection;
 use pending_queue::PendingQueue;
+use reported_figures::FigureLimits;
 use retry_budget::RetryBudget;
 use sampling::SamplingBudget;
 use slow_start::SlowStart;
@@ -73,6 +75,7 @@
     traffic: Traffic,
     subsetting: Subsetting,
     load_estimates: LoadEstimates,
+    figure_limits: FigureLimits,
     slow_start: SlowStart,
     outlier_detection: OutlierDetection,
     retry_budget: RetryBudget,
@@ -110,6 +113,7 @@
             },
             subsetting: Subsetting::new(&settings, ring_position),
             load_estimates,
+            figure_limits: FigureLimits::new(&settings),
             slow_start: SlowStart::new(&settings),
             outlier_detection: OutlierDetection::new(&settings, latency_time_constant),
             retry_budget: RetryBudget::new(settings.retry_budget),
--- a/src/balancer/class_estimates.rs
+++ b/src/balancer/class_estimates.rs
@@ -8,6 +8,9 @@
 /// An observation is clamped to within this factor of the estimate, so that an outlier doesn't
 /// distort the mean.
 pub(super) const MAX_DEVIATION: f64 = 3.0;
+/// Upper limit on the ratios of a class; their lower limit is its inverse. Without limits, repeated
+/// observations against a tiny estimate would lead to an infinite ratio.
+const MAX_RATIO: f64 = 1e6;
 
 #[derive(Clone)]
 struct ClassEstimate {
@@ -137,5 +140,6 @@
 /// `MAX_DEVIATION`.
 fn blend_ratio(ratio: f64, observed: f64) -> f64 {
     let bounded = observed.clamp(ratio / MAX_DEVIATION, ratio * MAX_DEVIATION);
-    ratio + LEARNING_RATE * (bounded - ratio)
+    let blended = ratio + LEARNING_RATE * (bounded - ratio);
+    blended.clamp(1.0 / MAX_RATIO, MAX_RATIO)
 }
--- a/src/balancer/endpoints.rs
+++ b/src/balancer/endpoints.rs
@@ -37,13 +37,14 @@
     }
 
     fn update_endpoint(&mut self, endpoint: Endpoint) {
-        let warm_up_end = self.slow_start.warm_up_end(endpoint.booted_at);
+        let warm_up_end = self.slow_start.warm_up_end(endpoint.booted_at, self.now);
         self.engines.update_listing(endpoint, self.now, |engine| {
             if endpoint.booted_at > engine.endpoint.booted_at {
                 reset_after_restart(engine, endpoint);
             }
-            if endpoint.booted_at > 0 {
-                engine.cold_until = engine.cold_until.max(warm_up_end);
+            // A repeated listing of the same process must not prolong its warm-up.
+            if endpoint.booted_at > 0 && engine.cold_until == 0 {
+                engine.cold_until = warm_up_end;
             }
             engine.endpoint = endpoint;
             engine.is_listed = endpoint.phase != Phase::Removed;
--- a/src/balancer/health.rs
+++ b/src/balancer/health.rs
@@ -55,8 +55,9 @@
         }
     }
 
-    /// Updates the load estimates with a load report from an engine.
+    /// Updates the load estimates with the plausible figures of a load report from an engine.
     pub(super) fn on_load_report(&mut self, id: EngineId, report: &LoadReport) {
+        let report = self.figure_limits.checked_report(*report);
         let cores = self
             .engines
             .get(&id)
@@ -68,7 +69,7 @@
             now: self.now,
         };
         if let Some(engine) = self.engines.get_mut(&id) {
-            self.load_estimates.apply_report(engine, report, &context);
+            self.load_estimates.apply_report(engine, &report, &context);
         }
     }
 
--- a/src/balancer/outcome.rs
+++ b/src/balancer/outcome.rs
@@ -55,11 +55,12 @@
     fn learn_from_attempt(&mut self, engine: EngineId, ended: &AttemptEnded) {
         let reservation = self.release_reservation(engine, ended);
         if let Some(reservation) = reservation.filter(|_| ended.outcome == Outcome::Answered) {
-            if let Some(usage) = &ended.usage {
+            let usage = self.checked_usage(ended, &reservation);
+            if let Some(usage) = &usage {
                 let request = &self.requests[&ended.request].request;
                 self.class_estimates.record_usage(request, usage);
             }
-            self.learn_slowdown(engine, &reservation, ended.spent, ended.usage);
+            self.learn_slowdown(engine, &reservation, ended.spent, usage);
         }
         // An error is attributed to the engine or to the request once the request is closed.
         if ended.outcome != Outcome::Error && !ended.is_already_reported {
@@ -70,6 +71,17 @@
         }
     }
 
+    /// Returns the usage that an answer reports, unless it is implausible.
+    fn checked_usage(
+        &self,
+        ended: &AttemptEnded,
+        reservation: &Reservation,
+    ) -> Option<ResourceUsage> {
+        let spent = ended.spent.max(self.settings.tick) as f64;
+        let max_work = spent * reservation.threads;
+        self.figure_limits.checked_usage(ended.usage?, max_work)
+    }
+
     /// Removes and returns the attempt's reservation. An engine at capacity is also excluded for a
     /// while. Because it rejects attempts at once, their reservations are freed, and it would
     /// otherwise attract the whole queue.
--- a/src/balancer/progress.rs
+++ b/src/balancer/progress.rs
@@ -1,6 +1,7 @@
 //! Handles progress reports from attempts in flight. An attempt that has a bad query plan or is
 //! waiting for a load is cancelled, so that the request can be retried on another engine.
 
+use super::reported_figures::checked_share;
 use super::Balancer;
 use crate::engine_state::ProgressMark;
 use crate::interface::{Action, EngineId, Micros, Progress, RequestId};
@@ -27,6 +28,9 @@
         self.record_activity(engine);
         match progress {
             Progress::Share(share) => {
+                let Some(share) = checked_share(share) else {
+                    return;
+                };
                 if self.detect_bad_plan(engine, id, attempt, share) {
                     self.cancel_for_retry(id, attempt);
                 }
