--- a/crates/gateway/src/intent_durability.rs
+++ b/crates/gateway/src/intent_durability.rs
@@ -4,7 +4,7 @@
 //! replication driver; the gateway's main loop calls its methods. [`IntentDurability`] exists only
 //! if the operator's file contains `store-dir`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 
 use eideryard::interface::{EngineId, Micros, Settings};
@@ -48,6 +48,8 @@
     /// `None` if the store can't be used; requests that need an intent are refused then.
     worker: Option<Worker>,
     pending_sends: PendingSends<PendingSend>,
+    /// Keys of intents for which the store has rejected a write that nothing waits for.
+    rejected_keys: BTreeSet<Vec<u8>>,
     replication: Option<Box<ReplicationDriver>>,
     status_writer: Option<StatusWriter>,
     /// The retry window of each class, by the class's index in the settings.
@@ -85,6 +87,7 @@
             intent_log: recovery.intent_log,
             worker: recovery.worker,
             pending_sends: PendingSends::default(),
+            rejected_keys: BTreeSet::new(),
             replication: None,
             status_writer: None,
             retry_windows,
--- a/crates/gateway/src/intent_durability/learned_state.rs
+++ b/crates/gateway/src/intent_durability/learned_state.rs
@@ -2,7 +2,7 @@
 //! exchanged with peers as hints.
 
 use eideryard::interface::{LearnedState, Micros};
-use eideryard_store::Batch;
+use eideryard_store::{Batch, NO_EXPIRY};
 
 use super::IntentDurability;
 use crate::checkpoint;
@@ -59,7 +59,7 @@
         if let Some(worker) = &mut self.worker {
             let bytes = checkpoint::to_bytes(learned, now, fingerprint);
             let mut batch = Batch::default();
-            batch.put(checkpoint::STORE_KEY.to_vec(), bytes, 0);
+            batch.put(checkpoint::STORE_KEY.to_vec(), bytes, NO_EXPIRY);
             // If the store rejects the write, the next checkpoint replaces this one.
             worker.write(batch);
         }
--- a/crates/gateway/src/intent_durability/recovery.rs
+++ b/crates/gateway/src/intent_durability/recovery.rs
@@ -7,6 +7,7 @@
 use eideryard_store::worker::Worker;
 use eideryard_store::{Config, Directory, OpenError, RecoveryReport, RecoveryStatus, Store};
 
+use super::sends::store_batch;
 use crate::checkpoint;
 use crate::recovered_state::RecoveredState;
 
@@ -52,12 +53,17 @@
 }
 
 fn recover_from_store(
-    store: Store,
+    mut store: Store,
     report: &RecoveryReport,
     context: &RecoveryContext<'_>,
     wake: Box<dyn Fn() + Send>,
 ) -> Recovery {
-    let intent_log = restore_intents(&store, report, context);
+    let mut intent_log = restore_intents(&store, report, context);
+    for write in intent_log.take_prolonged() {
+        // The worker flushes the writes. Those of a process that is killed before are repeated at
+        // the next start.
+        store.write(store_batch(&write));
+    }
     log_report(report, context.now, intent_log.uncertain_window());
     let learned_state = restore_checkpoint(&store, context);
     let recovered_state = RecoveredState::read(&store, report);
--- a/crates/gateway/src/intent_durability/sends.rs
+++ b/crates/gateway/src/intent_durability/sends.rs
@@ -10,7 +10,7 @@
 use eideryard_intent_log::{entry, Intent, IntentError, IntentWrite, Location, SendDecision};
 use eideryard_replication::Verdict;
 use eideryard_store::worker::Worker;
-use eideryard_store::Batch;
+use eideryard_store::{Batch, NO_EXPIRY};
 
 use super::IntentDurability;
 use crate::replication::{prior_attempts, Claim};
@@ -170,18 +170,27 @@
         self.worker.as_ref().map_or(0, Worker::durable_ticket)
     }
 
-    fn write_intent(&mut self, write: &IntentWrite) -> Option<u64> {
-        let key = write.key.clone();
-        let mut batch = Batch::default();
-        match &write.intent {
-            // The store drops the intent at its expiry even if this gateway never removes it.
-            Some(intent) => {
-                let expires_ms = intent.until / 1000 + RETENTION_MARGIN / 1000;
-                batch.put(key, entry::to_bytes(intent), expires_ms);
+    /// Writes a change of an intent that nothing waits for. If the store rejects the write, it is
+    /// repeated by [`Self::repeat_rejected_writes`].
+    fn write_without_waiting(&mut self, write: &IntentWrite) {
+        if self.write_intent(write).is_none() {
+            self.rejected_keys.insert(write.key.clone());
+        }
+    }
+
+    /// Writes the current intents of keys for which the store has rejected a write.
+    fn repeat_rejected_writes(&mut self) {
+        while let Some(key) = self.rejected_keys.pop_first() {
+            let write = self.intent_log.current_write(&key);
+            if self.write_intent(&write).is_none() {
+                self.rejected_keys.insert(key);
+                return;
             }
-            None => batch.remove(key),
         }
-        self.worker.as_mut()?.write(batch)
+    }
+
+    fn write_intent(&mut self, write: &IntentWrite) -> Option<u64> {
+        self.worker.as_mut()?.write(store_batch(write))
     }
 
     /// Decides how to proceed with a send. If it needs an intent, writes and claims the intent.
@@ -268,8 +277,7 @@
         let Some(write) = self.intent_log.on_attempt_ended(now, attempt) else {
             return;
         };
-        // If the store rejects this write, the only effect is that the intent is retained longer.
-        self.write_intent(&write);
+        self.write_without_waiting(&write);
         let intent = write.intent.as_ref();
         if intent.is_some_and(|intent| intent.in_flight > 0) {
             return;
@@ -283,8 +291,9 @@
     /// Handles durable writes, messages of peers and expired deadlines. Returns the results for
     /// waiting sends.
     pub fn poll(&mut self, now: Micros) -> SendResults {
+        self.repeat_rejected_writes();
         for write in self.intent_log.expire(now) {
-            self.write_intent(&write);
+            self.write_without_waiting(&write);
         }
         let mut results = SendResults::default();
         self.apply_verdicts(now, &mut results);
@@ -340,6 +349,20 @@
     }
 }
 
+/// Returns the batch that writes a change of an intent to the store.
+pub(super) fn store_batch(write: &IntentWrite) -> Batch {
+    let mut batch = Batch::default();
+    let key = write.key.clone();
+    match &write.intent {
+        Some(intent) => {
+            let expires_ms = write.expires_at().map_or(NO_EXPIRY, |at| at / 1000);
+            batch.put(key, entry::to_bytes(intent), expires_ms);
+        }
+        None => batch.remove(key),
+    }
+    batch
+}
+
 /// Converts an attempt to the prior attempt that it is for later requests with the same key.
 fn as_prior_attempt(now: Micros, location: Location, intent: Option<&Intent>) -> PriorAttempt {
     PriorAttempt {
--- a/crates/gateway/src/leases/stored_tokens.rs
+++ b/crates/gateway/src/leases/stored_tokens.rs
@@ -1,7 +1,7 @@
 //! The encoding of fencing tokens in the store.
 
 use eideryard_leases::{FencingToken, Task};
-use eideryard_store::Batch;
+use eideryard_store::{Batch, NO_EXPIRY};
 
 /// Prefix of the store's keys for tokens. The task's kind (one byte) and number (four bytes,
 /// big-endian) follow the prefix.
@@ -30,7 +30,7 @@
 pub(super) fn store_token(task: Task, token: FencingToken) -> Batch {
     let mut batch = Batch::default();
     let value = postcard::to_stdvec(&token).unwrap_or_default();
-    batch.put(token_key(task), value, 0);
+    batch.put(token_key(task), value, NO_EXPIRY);
     batch
 }
 
--- a/crates/gateway/src/replication.rs
+++ b/crates/gateway/src/replication.rs
@@ -15,7 +15,7 @@
 use eideryard_replication::drains::Drain;
 use eideryard_replication::{entry, Core, Message, Origin, Output, Peer, ReplicaRecord, Verdict};
 use eideryard_store::worker::Worker;
-use eideryard_store::Batch;
+use eideryard_store::{Batch, NO_EXPIRY};
 use serde::{Deserialize, Serialize};
 
 use crate::leases::{lease_owner, LeaseAction, LeaseDriver, PendingToken};
--- a/crates/gateway/src/replication/outputs.rs
+++ b/crates/gateway/src/replication/outputs.rs
@@ -65,7 +65,7 @@
         let stored_key = entry::stored_key(key);
         let mut batch = Batch::default();
         match replica {
-            Some(replica) => batch.put(stored_key, entry::to_bytes(replica), 0),
+            Some(replica) => batch.put(stored_key, entry::to_bytes(replica), NO_EXPIRY),
             None => batch.remove(stored_key),
         }
         let ticket = worker.write(batch);
@@ -93,7 +93,7 @@
             .push(FleetEvent::VotingChanged { is_voter: true });
         let identity = self.core.origin().identity.to_be_bytes();
         let mut batch = Batch::default();
-        batch.put(VOTER_IDENTITY_KEY.to_vec(), identity.to_vec(), 0);
+        batch.put(VOTER_IDENTITY_KEY.to_vec(), identity.to_vec(), NO_EXPIRY);
         let announce = |link| {
             Output::Send(
                 Peer::Requester(link),
--- a/crates/intent-log/src/state.rs
+++ b/crates/intent-log/src/state.rs
@@ -50,6 +50,16 @@
     pub intent: Option<Intent>,
 }
 
+impl IntentWrite {
+    /// Returns the Unix time in microseconds after which the store may drop the written value by
+    /// itself; `None` if it must not. While an attempt is in flight, nobody knows when the intent
+    /// may be dropped, so only a later write may remove it.
+    pub fn expires_at(&self) -> Option<Micros> {
+        let intent = self.intent.filter(|intent| intent.in_flight == 0)?;
+        Some(intent.until + RETENTION_MARGIN)
+    }
+}
+
 /// Why a request with an idempotency key is not accepted now. The texts are sent to clients as the
 /// reason, so they must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -121,6 +131,8 @@
     /// All keys, ordered by the time at which they may be dropped.
     expiry: BTreeSet<(Micros, Vec<u8>)>,
     uncertain_window: UncertainWindow,
+    /// Intents that [`IntentLog::restore`] retains for longer than the store knows.
+    prolonged: Vec<IntentWrite>,
 }
 
 /// Returns whether attempts in a class are recorded as intents. Idempotent requests may be repeated
@@ -186,8 +198,10 @@
             entries: HashMap::new(),
             expiry: BTreeSet::new(),
             uncertain_window,
+            prolonged: Vec::new(),
         };
         for (key, mut intent) in stored {
+            let stored_intent = intent;
             // Attempts that were in flight ended with the process that sent them, but an engine may
             // still work on them. They are treated as if they ended now.
             if std::mem::take(&mut intent.in_flight) > 0 {
@@ -200,12 +214,32 @@
                 intent.since = 0;
                 intent.until = now + retention;
             }
+            if intent != stored_intent {
+                log.prolonged.push(IntentWrite {
+                    key: key.clone(),
+                    intent: Some(intent),
+                });
+            }
             log.expiry.insert((intent.until, key.clone()));
             log.entries.insert(key, intent);
         }
         log
     }
 
+    /// Takes the writes of intents that [`IntentLog::restore`] has changed. The store has to write
+    /// them, because it would drop their old values too early. Nothing has to wait for them.
+    pub fn take_prolonged(&mut self) -> Vec<IntentWrite> {
+        std::mem::take(&mut self.prolonged)
+    }
+
+    /// Returns the write that makes the stored value of a key equal to the one in memory.
+    pub fn current_write(&self, key: &[u8]) -> IntentWrite {
+        IntentWrite {
+            key: key.to_vec(),
+            intent: self.entries.get(key).copied(),
+        }
+    }
+
     /// Returns the number of keys in the log.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/intent-log/tests/intents.rs
+++ b/crates/intent-log/tests/intents.rs
@@ -159,3 +159,42 @@
     let intent = write.intent.expect("an intent");
     assert_eq!((intent.since, intent.in_flight), (now, 2));
 }
+
+/// While an attempt is in flight, the store must not drop its intent by itself, however long the
+/// attempt runs. Guards against a rewrite of the store's log that drops it, and with it the
+/// knowledge that the request may have run.
+#[test]
+fn an_intent_has_no_expiry_on_disk_while_an_attempt_is_in_flight() {
+    let mut log = restored(stored_intent(NOW - 9, 0), LONG_AGO);
+    let SendDecision::AfterWrite(sent) = send(&mut log, NOW, OTHER_KEY, Location::default(), &[])
+    else {
+        panic!("a write");
+    };
+    assert_eq!(sent.expires_at(), None);
+    let ended_at = NOW + 3 * WINDOW;
+    log.expire(ended_at);
+    let ended = EndedAttempt {
+        class: 0,
+        key: Some(OTHER_KEY),
+        never_ran: false,
+    };
+    let write = log.on_attempt_ended(ended_at, ended).expect("a write");
+    assert!(write.expires_at() > Some(ended_at + WINDOW));
+}
+
+/// Guards against a rewrite after a start that drops intents which this start retains for longer
+/// than the previous process has written: they may have run again after a second kill.
+#[test]
+fn intents_that_a_start_retains_for_longer_are_written_again() {
+    for stored in [stored_intent(NOW - 9, 1), stored_intent(NOW + 9, 0)] {
+        let mut log = restored(stored, LONG_AGO);
+        let writes = log.take_prolonged();
+        let [write] = &writes[..] else {
+            panic!("one write of {stored:?}, not {writes:?}");
+        };
+        assert!(write.expires_at() > Some(NOW + WINDOW));
+        assert_eq!(*write, log.current_write(&entry::stored_key(0, KEY)));
+    }
+    let mut log = restored(stored_intent(NOW - 9, 0), LONG_AGO);
+    assert!(log.take_prolonged().is_empty());
+}
--- a/crates/store/src/frame.rs
+++ b/crates/store/src/frame.rs
@@ -42,6 +42,9 @@
     pub at_ms: u64,
 }
 
+/// The expiry of a key that is dropped only when it is removed.
+pub const NO_EXPIRY: u64 = 0;
+
 /// Writes that become durable atomically: all of them or none.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
@@ -56,13 +59,13 @@
     pub key: Vec<u8>,
     /// The new value; `None` removes the key.
     pub value: Option<Vec<u8>>,
-    /// Time after which the key may be dropped, in Unix milliseconds; 0 for never.
+    /// Time after which the key may be dropped, in Unix milliseconds, or [`NO_EXPIRY`].
     pub until_ms: u64,
 }
 
 impl Batch {
     /// Adds a new value for a key. The key may be dropped after `until_ms`, a Unix time in
-    /// milliseconds; 0 for never.
+    /// milliseconds, or [`NO_EXPIRY`].
     pub fn put(&mut self, key: Vec<u8>, value: Vec<u8>, until_ms: u64) {
         self.writes.push(Write {
             key,
@@ -76,7 +79,7 @@
         self.writes.push(Write {
             key,
             value: None,
-            until_ms: 0,
+            until_ms: NO_EXPIRY,
         });
     }
 }
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -45,6 +45,6 @@
 pub mod worker;
 
 pub use files::{Directory, Files};
-pub use frame::Batch;
+pub use frame::{Batch, NO_EXPIRY};
 pub use recovery::{OpenError, RecoveryReport, RecoveryStatus};
 pub use store::{inspect, Config, Store};
--- a/crates/store/src/store/rewrite.rs
+++ b/crates/store/src/store/rewrite.rs
@@ -6,7 +6,7 @@
 
 use super::{disk_bytes, Store};
 use crate::files::AppendFile;
-use crate::frame::{self, Batch, Frame, SegmentHeader};
+use crate::frame::{self, Batch, Frame, SegmentHeader, NO_EXPIRY};
 use crate::recovery;
 
 /// A log of up to this many bytes, or an eighth of the budget if that is less, is not rewritten.
@@ -156,7 +156,7 @@
         let mut part_bytes = 0;
         let mut expired = Vec::new();
         for (key, value) in self.keys.range::<[u8], _>((start, Bound::Unbounded)) {
-            if value.until_ms != 0 && value.until_ms < now_ms {
+            if value.until_ms != NO_EXPIRY && value.until_ms < now_ms {
                 expired.push(key.clone());
                 continue;
             }
