Gateway: a request whose client leaves before its send reserves no room

Cause: the slot of a request was freed when its client left, before the balancer handled the event. If an earlier event of the same poll made the balancer send the request, send_attempt found no slot and dropped the action, so the reservation never ended.

Change: the slot is kept until the balancer has handled ClientLeft; a send decided before that ends as not sent.

Measured: the new test in crates/cli/tests/closing.rs failed on the code before (no further request was sent) and passes.

--- a/crates/cli/tests/closing.rs
+++ b/crates/cli/tests/closing.rs
@@ -287,3 +287,46 @@
         (12, 0, 0)
     );
 }
+
+/// A request waits for room at an engine. Its client leaves in the same poll in which an answer
+/// frees room. Guards against room that stays reserved for the request, which was never sent.
+#[test]
+fn a_queued_request_whose_client_leaves_reserves_no_room() {
+    const ROUNDS: u64 = 3;
+    const RUNNING: u64 = 2;
+    let (bulletin, engines) = start_emulators(1);
+    let mut configured = config(bulletin.address(), &addresses(&engines));
+    // One core has room for two requests.
+    configured["settings"]["extra"]["kind-cores"] = json!([1]);
+    let mut gateway = GatewayProcess::start(&configured);
+    let mut client = gateway.client();
+    let call_next = |client: &mut Client, number: u64| {
+        let id = format!("{number:016x}");
+        client
+            .call(number, "report", &fields(&id, "15000"), QUERY)
+            .unwrap();
+    };
+    call_next(&mut client, 1);
+    let mut end = engines[0].accept().unwrap();
+    let mut running = vec![next_command(&mut end, "serve")];
+    for number in 2..=RUNNING {
+        call_next(&mut client, number);
+        running.push(next_command(&mut end, "serve"));
+    }
+    for round in 0..ROUNDS {
+        let mut leaving = gateway.client();
+        call_next(&mut leaving, 100 + round);
+        gateway.wait_for_counter("taken", RUNNING + 2 * round + 1);
+        gateway.pause();
+        let ended = running.remove(0);
+        end.answer(ended.id(), "OK", "count=1", "a\tb\tc\n")
+            .unwrap();
+        drop(leaving);
+        gateway.resume();
+        assert!(matches!(client.answer().unwrap(), Answer::Result { .. }));
+        call_next(&mut client, RUNNING + 1 + round);
+        running.push(next_command(&mut end, "serve"));
+    }
+    let counters = gateway.counters();
+    assert_eq!((counters["open"], counters["requests"]), (RUNNING, RUNNING));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -216,12 +216,19 @@
             while let Some(event) = self.events.pop_front() {
                 let now = self.clock.now();
                 self.event_recorder.record_event(now, &event);
+                let left_request = match event {
+                    Event::ClientLeft { request } => Some(Key::from_number(request)),
+                    _ => None,
+                };
                 let mut actions = std::mem::take(&mut self.actions);
                 self.balancer.handle(now, event, &mut actions);
                 for action in actions.drain(..) {
                     self.execute_action(now, action);
                 }
                 self.actions = actions;
+                if let Some(request) = left_request {
+                    self.release_left_request(request);
+                }
             }
             self.flush();
             if self.events.is_empty() {
--- a/crates/gateway/src/gateway/actions/durability_results.rs
+++ b/crates/gateway/src/gateway/actions/durability_results.rs
@@ -123,9 +123,7 @@
         // balancer would send another attempt of a request that no longer exists in this gateway's
         // table, and would never get the outcome of that attempt.
         if is_only_attempt {
-            self.events.push_back(Event::ClientLeft {
-                request: request.number(),
-            });
+            self.push_client_left(request);
         }
         self.cancel_attempt(request, attempt, Outcome::NotSent);
         if is_only_attempt {
--- a/crates/gateway/src/gateway/actions/sends.rs
+++ b/crates/gateway/src/gateway/actions/sends.rs
@@ -21,18 +21,23 @@
         let Some(request) = self.requests.get(key) else {
             return;
         };
-        // A send is recorded here and not with the other actions, because nothing is sent for a
-        // request that has ended.
+        let has_ended = request.has_ended();
+        let is_spooled = request.is_spooled;
+        // A send is recorded here and not with the other actions, because a request that is no
+        // longer in the table gets none.
         let action = Action::Send {
             request: key.number(),
             engine,
             attempt_deadline,
         };
         self.event_recorder.record_action(now, &action);
-        if request.is_spooled {
+        self.counters.attempts_sent += 1;
+        if has_ended {
+            return self.end_attempt_of_ended_request(now, key, engine);
+        }
+        if is_spooled {
             self.restart_spooling(now, key);
         }
-        self.counters.attempts_sent += 1;
         let plan = self.prepare_send(now, key, engine, attempt_deadline);
         let Some(attempt) = self.add_attempt(now, key, engine, &plan) else {
             return;
@@ -62,6 +67,14 @@
         }
     }
 
+    /// Ends an attempt of a request whose client has left. The balancer has reserved room for the
+    /// attempt, so it must learn of the end.
+    fn end_attempt_of_ended_request(&mut self, now: Micros, key: Key, engine: EngineId) {
+        if let Some(attempt) = self.add_attempt(now, key, engine, &SendPlan::Immediate) {
+            self.end_unsent_attempt(key, attempt);
+        }
+    }
+
     /// Drops the pages that a previous, incomplete attempt has spooled.
     fn restart_spooling(&mut self, now: Micros, key: Key) {
         if let Some(result_spool) = &mut self.result_spool {
--- a/crates/gateway/src/gateway/request_intake.rs
+++ b/crates/gateway/src/gateway/request_intake.rs
@@ -271,22 +271,35 @@
             self.answer_and_detach(key, &reply);
             return;
         }
-        self.events.push_back(Event::ClientLeft {
-            request: key.number(),
-        });
+        self.push_client_left(key);
         self.answer_error(key, &reply);
     }
 
+    /// Queues the event that the client of a request has left. The request's slot is freed only
+    /// once the balancer has handled the event.
+    pub(super) fn push_client_left(&mut self, key: Key) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.awaits_balancer = true;
+            let request = key.number();
+            self.events.push_back(Event::ClientLeft { request });
+        }
+    }
+
+    /// Frees the slot of a request, after the balancer has handled that its client has left.
+    pub(super) fn release_left_request(&mut self, key: Key) {
+        if let Some(request) = self.requests.get_mut(key) {
+            request.awaits_balancer = false;
+            self.requests.release(key, &mut self.deadlines);
+        }
+    }
+
     /// Ends a request whose client no longer waits for the answer.
     fn handle_client_left(&mut self, key: Key, kind: AnswerKind) {
         self.end_spooled_run(key, ErrorKind::TryLater);
         self.record_unanswered(key, kind);
         if let Some(request) = self.requests.get_mut(key) {
             request.answer_state = AnswerState::Ended;
-            self.events.push_back(Event::ClientLeft {
-                request: key.number(),
-            });
-            self.requests.release(key, &mut self.deadlines);
+            self.push_client_left(key);
         }
     }
 }
--- a/crates/gateway/src/gateway/result_delivery.rs
+++ b/crates/gateway/src/gateway/result_delivery.rs
@@ -1,7 +1,6 @@
 //! Handles spooled results: receives pages from engines and sends these pages to the clients that
 //! query them.
 
-use eideryard::interface::Event;
 use eideryard_event_log::{AnswerKind, HostEvent};
 use eideryard_msgpack_rpc::write_partial_result;
 
@@ -63,9 +62,7 @@
                 self.incoming_results.insert(key);
             }
             Err(reason) => {
-                self.events.push_back(Event::ClientLeft {
-                    request: key.number(),
-                });
+                self.push_client_left(key);
                 let reply = ErrorReply::with_reason(ErrorKind::Failed, reason.as_str());
                 self.answer_error(key, &reply);
             }
--- a/crates/gateway/src/requests.rs
+++ b/crates/gateway/src/requests.rs
@@ -78,6 +78,9 @@
     /// The rank that the balancer has set; `None` until the balancer sets one.
     pub rank: Option<u8>,
     pub answer_state: AnswerState,
+    /// Whether the balancer has yet to handle that the client has left. Until then it may still
+    /// decide to send an attempt, whose end it must be told.
+    pub awaits_balancer: bool,
     /// When the client stops waiting.
     pub deadline: Micros,
     pub attempts: Vec<Attempt>,
@@ -103,12 +106,12 @@
         self.answer_state == AnswerState::Ended
     }
 
-    /// Returns whether the request has ended and none of its attempts is in flight or waiting for
-    /// its intent.
+    /// Returns whether the request has ended, none of its attempts is in flight or waiting for its
+    /// intent, and the balancer knows of the end.
     fn is_finished(&self) -> bool {
         let is_over =
             |attempt: &Attempt| attempt.connection.is_none() && !attempt.awaits_durability;
-        self.has_ended() && self.attempts.iter().all(is_over)
+        self.has_ended() && !self.awaits_balancer && self.attempts.iter().all(is_over)
     }
 }
 
@@ -181,6 +184,7 @@
             grant_mb: 0,
             rank: None,
             answer_state: AnswerState::Awaited,
+            awaits_balancer: false,
             deadline,
             attempts: Vec::new(),
             prior_attempts: Vec::new(),
@@ -219,7 +223,8 @@
         open.map(|(key, _)| key).collect()
     }
 
-    /// Frees the slot of a request if it has ended and none of its attempts is in flight.
+    /// Frees the slot of a request if it has ended, none of its attempts is in flight and the
+    /// balancer knows of the end.
     pub fn release(&mut self, key: Key, deadlines: &mut Deadlines) {
         if !self.table.get(key).is_some_and(Request::is_finished) {
             return;
