--- a/crates/emulators/src/scripted.rs
+++ b/crates/emulators/src/scripted.rs
@@ -9,7 +9,7 @@
 
 mod client;
 
-pub use client::{call, forget, parse_answer, Answer, Client};
+pub use client::{call, forget, parse_answer, read_answer, Answer, Client};
 
 /// Timeout of every read, and of accepting a connection.
 pub const PATIENCE: Duration = Duration::from_secs(20);
--- a/crates/emulators/src/scripted/client.rs
+++ b/crates/emulators/src/scripted/client.rs
@@ -166,7 +166,12 @@
     }
 }
 
-fn read_answer(input: &mut impl BufRead) -> io::Result<Answer> {
+/// Reads the next answer.
+///
+/// # Errors
+///
+/// Returns an error if the input ends or fails, or isn't a valid answer.
+pub fn read_answer(input: &mut impl BufRead) -> io::Result<Answer> {
     let malformed = |what: &str| io::Error::other(format!("not a valid answer: {what}"));
     if input.fill_buf()?.is_empty() {
         return Err(io::ErrorKind::UnexpectedEof.into());
--- a/crates/gateway/src/clients.rs
+++ b/crates/gateway/src/clients.rs
@@ -2,6 +2,7 @@
 //! decodes their messages into [`ClientEvent`]s and writes the answers. Each connection occupies a
 //! slot of a [`Table`]; only [`Clients::close`] frees a slot.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 
@@ -25,6 +26,8 @@
 mod decoding;
 mod events;
 mod reading;
+#[cfg(test)]
+mod tests;
 
 /// Time limit for the first request on a connection, and for the rest of a partly received message.
 /// The limit guards against connections that send nothing or stop within a message: a client must
@@ -39,9 +42,9 @@
     table: Table<Client>,
     /// Connections that the next [`Clients::flush`] has to process.
     unflushed: Vec<Key>,
-    /// Connections that may have more input, to be read after the others. The main loop empties the
-    /// list.
-    pub unfinished_reads: Vec<Key>,
+    /// Connections that have used up their turn and may have more input, in the order of their next
+    /// turns. The main loop empties the list.
+    pub unfinished_reads: VecDeque<Key>,
     max_connections: usize,
     /// Bytes of unwritten answers, summed over all connections.
     unsent_bytes: usize,
@@ -86,7 +89,7 @@
             listener: Some(listen(event_loop, config.listen_address)?),
             table: Table::new(),
             unflushed: Vec::new(),
-            unfinished_reads: Vec::new(),
+            unfinished_reads: VecDeque::new(),
             // The operators guarantee that clients use at most a third of the descriptors; the
             // difference between a third and the half used here is room for a burst.
             max_connections: (config.max_descriptors / 2).max(1),
--- a/crates/gateway/src/clients/client.rs
+++ b/crates/gateway/src/clients/client.rs
@@ -37,6 +37,9 @@
     pub(super) open_requests: Vec<OpenRequest>,
     /// Whether the client has sent at least one message that requires an answer.
     pub(super) has_requested: bool,
+    /// Whether the input may contain complete messages that have not been decoded, because the
+    /// connection has used up its turn.
+    pub(super) has_undecoded: bool,
     /// The number of reads that completed at least one message.
     pub(super) message_reads: u64,
     pub(super) state: ConnectionState,
@@ -60,6 +63,7 @@
             address,
             open_requests: Vec::new(),
             has_requested: false,
+            has_undecoded: false,
             message_reads: 0,
             state: ConnectionState::Open,
             last_used_at: now,
--- a/crates/gateway/src/clients/closing.rs
+++ b/crates/gateway/src/clients/closing.rs
@@ -31,13 +31,17 @@
             let Some(key) = self.longest_idle(context.now) else {
                 return false;
             };
-            // A connection that has unread input is not idle.
+            // A connection that has unread or undecoded input is not idle.
+            let had_undecoded = self
+                .table
+                .get(key)
+                .is_some_and(|client| client.has_undecoded);
             let bytes_before = context.counters.bytes_in;
             self.read(key, context);
             if self.table.get(key).is_none() {
                 return true;
             }
-            if context.counters.bytes_in == bytes_before {
+            if context.counters.bytes_in == bytes_before && !had_undecoded {
                 context.counters.closed.evicted += 1;
                 self.record_change(key, ConnectionChange::Closing(CloseReason::Evicted));
                 self.close(key, context);
@@ -98,6 +102,7 @@
         client.state = ConnectionState::Draining;
         self.unread_bytes -= client.connection.input.len();
         client.connection.input.clear();
+        client.has_undecoded = false;
         set_linger_deadline(key, client, context);
         // A request that has no slot yet gets an error when its event is handled, since the
         // connection no longer accepts requests.
@@ -117,6 +122,7 @@
         client.state = ConnectionState::Discarding;
         self.unread_bytes -= client.connection.input.len();
         client.connection.input.clear();
+        client.has_undecoded = false;
         self.unsent_bytes = self
             .unsent_bytes
             .saturating_sub(client.connection.output.len());
--- a/crates/gateway/src/clients/decoding.rs
+++ b/crates/gateway/src/clients/decoding.rs
@@ -9,7 +9,7 @@
 use crate::table::Key;
 
 /// The protocol's limit on the number of open requests on one connection.
-const MAX_OPEN_REQUESTS: usize = 32;
+pub(super) const MAX_OPEN_REQUESTS: usize = 32;
 
 /// The RPC method of a health check of this gateway.
 const HEALTH_METHOD: &str = "isWell";
@@ -29,18 +29,24 @@
 }
 
 impl MessageDecoder<'_, '_> {
-    /// Handles all complete messages in the connection's input buffer.
-    pub(super) fn decode_all(&mut self) -> Result<(), MalformedInput> {
+    /// Handles complete messages in the connection's input buffer, at most `max_messages`. Returns
+    /// the number of messages that were handled; if it is `max_messages`, there may be more.
+    pub(super) fn decode(&mut self, max_messages: usize) -> Result<usize, MalformedInput> {
         // The input is moved out while its messages borrow it.
         let mut input = std::mem::take(&mut self.client.connection.input);
         let mut consumed = 0;
+        let mut handled = 0;
         let result = loop {
+            if handled == max_messages {
+                break Ok(handled);
+            }
             let (message, length) = match decode(&input.filled()[consumed..]) {
                 Ok(Some(decoded)) => decoded,
-                Ok(None) => break Ok(()),
+                Ok(None) => break Ok(handled),
                 Err(_) => break Err(MalformedInput),
             };
             consumed += length;
+            handled += 1;
             if let Err(error) = self.handle(message) {
                 break Err(error);
             }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -4,6 +4,7 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
@@ -216,6 +217,17 @@
         Ok(())
     }
 
+    /// Returns whether the peer has closed its side, although bytes that it sent before may still be
+    /// unread.
+    pub fn has_peer_closed(&self) -> bool {
+        let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut polled = [PollFd::new(&*self.socket.file, PollFlags::RDHUP)];
+        let no_wait = Timespec::default();
+        // If the socket can't be polled, the next read detects why.
+        rustix::event::poll(&mut polled, Some(&no_wait)).is_ok()
+            && polled[0].revents().intersects(closed)
+    }
+
     /// Half-closes the connection; bytes from the peer can still be read.
     pub fn shut_down_writes(&self) {
         // This fails only if the connection has already ended, which the next read detects.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -43,6 +43,10 @@
 /// free. Until then, connecting clients wait in the listen queue.
 const ACCEPT_RETRY_DELAY: Micros = 20_000;
 
+/// Maximum number of turns in one poll for client connections that have used up their first turn.
+/// Deadlines and answers wait for them.
+const MAX_FURTHER_TURNS: usize = 32;
+
 /// The state of one gateway process: its components, and the queued events and actions.
 pub struct Gateway {
     balancer: Balancer,
@@ -111,6 +115,7 @@
         for wake in wakes.drain(..) {
             self.handle_wake(wake, &mut unfinished);
         }
+        self.continue_client_reads();
         // Answers and page requests need no decision of the balancer, so they are written first.
         self.flush();
         self.run_balancer();
@@ -132,11 +137,25 @@
         wakes.extend(unfinished_clients.map(WakeReason::Client));
     }
 
+    /// Gives client connections with unfinished input a bounded number of further turns.
+    fn continue_client_reads(&mut self) {
+        for _ in 0..MAX_FURTHER_TURNS {
+            let Some(key) = self.clients.unfinished_reads.pop_front() else {
+                return;
+            };
+            self.with_clients(|clients, context| clients.read(key, context));
+            self.handle_client_events();
+        }
+    }
+
     fn handle_wake(&mut self, wake: WakeReason, unfinished: &mut PendingWakes) {
         match wake {
             WakeReason::Listener => {
                 self.accept_connections();
             }
+            // The socket of a connection whose last turn was not finished may have woken the loop
+            // as well.
+            WakeReason::Client(key) if self.clients.has_used_turn(key) => {}
             WakeReason::Client(key) => {
                 self.with_clients(|clients, context| clients.read(key, context));
                 self.handle_client_events();
