Gateway: a client that does not wait for answers is rejected

Cause: the end of a connection lies behind all that was sent before it, so the gateway can't see it, and each ended request of that client made room for its next one.

Change: over 64 calls in a row beyond the 32 open ones reject the connection; up to that each gets its error as before, which a test holds. A sound client sends none beyond the 32.

The new test failed on the code before.

--- a/crates/gateway/src/clients/client.rs
+++ b/crates/gateway/src/clients/client.rs
@@ -35,6 +35,8 @@
     pub(super) connection: Connection,
     pub(super) address: IpAddr,
     pub(super) open_requests: Vec<OpenRequest>,
+    /// The number of consecutive calls beyond the limit on open requests, up to the last call.
+    pub(super) excess_calls: usize,
     /// Whether the client has sent at least one message that requires an answer.
     pub(super) has_requested: bool,
     /// Whether the input may contain complete messages that have not been decoded, because the
@@ -62,6 +64,7 @@
             connection,
             address,
             open_requests: Vec::new(),
+            excess_calls: 0,
             has_requested: false,
             has_undecoded: false,
             message_reads: 0,
--- a/crates/gateway/src/clients/decoding.rs
+++ b/crates/gateway/src/clients/decoding.rs
@@ -11,11 +11,15 @@
 /// The protocol's limit on the number of open requests on one connection.
 pub(super) const MAX_OPEN_REQUESTS: usize = 32;
 
+/// Maximum number of consecutive calls beyond [`MAX_OPEN_REQUESTS`]. A client that sends more does
+/// not wait for answers, and may have left with much of its input still unread.
+const MAX_EXCESS_CALLS: usize = 2 * MAX_OPEN_REQUESTS;
+
 /// The RPC method of a health check of this gateway.
 const HEALTH_METHOD: &str = "isWell";
 
-/// The input can't be decoded, or two open requests have the same message ID, so the client could
-/// not tell their answers apart.
+/// The input can't be decoded, two open requests have the same message ID, so the client could not
+/// tell their answers apart, or there are more than [`MAX_EXCESS_CALLS`] beyond the limit.
 #[derive(Debug)]
 pub(super) struct MalformedInput;
 
@@ -110,8 +114,10 @@
             return Err(MalformedInput);
         }
         let call = if self.client.open_requests.len() < MAX_OPEN_REQUESTS {
+            self.client.excess_calls = 0;
             call
         } else {
+            self.client.excess_calls += 1;
             Err(CallError::TooManyOpen)
         };
         self.client
@@ -122,6 +128,9 @@
             id,
             call,
         });
+        if self.client.excess_calls > MAX_EXCESS_CALLS {
+            return Err(MalformedInput);
+        }
         Ok(())
     }
 
--- a/crates/gateway/src/clients/tests.rs
+++ b/crates/gateway/src/clients/tests.rs
@@ -12,6 +12,7 @@
 use crate::requests::Names;
 
 const NOW: Micros = 1_000_000;
+const MAX_OPEN_REQUESTS: usize = 32;
 const MAX_MESSAGES_PER_TURN: usize = 32;
 /// A request without an ID, as a client sends it: `[0, 1, "report", [{}, "x"]]`.
 const REQUEST: &[u8] = b"\x94\x00\x01\xa6report\x92\x80\xc4\x01x";
@@ -151,3 +152,26 @@
     gateway.with(|clients, context| clients.read(key, context));
     assert_eq!(gateway.clients.accepts_requests(key), None);
 }
+
+/// A client that sends on and on without waiting for answers may have left, with the end of its
+/// connection behind more input than the system buffers. Guards against its requests being sent to
+/// engines whenever one of its earlier requests has ended.
+#[test]
+fn a_client_that_does_not_wait_for_answers_is_rejected() {
+    const MAX_EXCESS_CALLS: usize = 64;
+    let mut gateway = TestClients::listen();
+    let (mut client, key) = gateway.connect();
+    let allowed = MAX_OPEN_REQUESTS + MAX_EXCESS_CALLS;
+    let input = requests(allowed + 1);
+    let (allowed_input, last_request) = input.split_at(allowed * REQUEST.len());
+    client.write_all(allowed_input).unwrap();
+    while gateway.events.len() < allowed {
+        gateway.with(|clients, context| clients.read(key, context));
+    }
+    assert_eq!(gateway.clients.accepts_requests(key), Some(true));
+    client.write_all(last_request).unwrap();
+    while gateway.events.len() == allowed {
+        gateway.with(|clients, context| clients.read(key, context));
+    }
+    assert_eq!(gateway.clients.accepts_requests(key), Some(false));
+}
