Docs: links and line lengths of comments that the script checks

Change: the links name their modules; the comments are wrapped.

Measured: cargo doc with the script's flags, the format and the length check pass.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -217,8 +217,8 @@
         Ok(())
     }
 
-    /// Returns whether the peer has closed its side, although bytes that it sent before may still be
-    /// unread.
+    /// Returns whether the peer has closed its side, although bytes that it sent before may still
+    /// be unread.
     pub fn has_peer_closed(&self) -> bool {
         let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
         let mut polled = [PollFd::new(&*self.socket.file, PollFlags::RDHUP)];
--- a/crates/intent-log/src/state/messages.rs
+++ b/crates/intent-log/src/state/messages.rs
@@ -8,7 +8,7 @@
 /// A change of one intent that the store has to make durable.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct IntentWrite {
-    /// Store key of the intent, from [`stored_key`].
+    /// Store key of the intent, from [`stored_key`](crate::entry::stored_key).
     pub key: Vec<u8>,
     /// The new value of the intent; `None` removes the key.
     pub intent: Option<Intent>,
@@ -28,10 +28,11 @@
 /// reason, so they must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum IntentError {
-    /// The log contains [`Limits::entries`] keys, and the key of the request is not among them.
+    /// The log contains [`Limits::entries`](super::Limits::entries) keys, and the key of the request
+    /// is not among them.
     #[error("ledger full")]
     Full,
-    /// The store has not written for [`STALL_TIMEOUT`], or its writes fail.
+    /// The store has not written for [`STALL_TIMEOUT`](super::STALL_TIMEOUT), or its writes fail.
     #[error("store stalled")]
     Stalled,
 }
--- a/src/balancer/slow_start.rs
+++ b/src/balancer/slow_start.rs
@@ -49,8 +49,8 @@
         }
     }
 
-    /// Returns the time at which an engine that started at `booted_at` is warm. A start that is more
-    /// than a warm-up ahead of `now` is implausible and counts as one a warm-up ahead.
+    /// Returns the time at which an engine that started at `booted_at` is warm. A start that is
+    /// more than a warm-up ahead of `now` is implausible and counts as one a warm-up ahead.
     pub(super) fn warm_up_end(&self, booted_at: Micros, now: Micros) -> Micros {
         let latest_start = now + self.warm_up_duration;
         booted_at.min(latest_start) + self.warm_up_duration
