--- a/crates/intent-log/src/state/messages.rs
+++ b/crates/intent-log/src/state/messages.rs
@@ -28,8 +28,8 @@
 /// reason, so they must not change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum IntentError {
-    /// The log contains [`Limits::entries`](super::Limits::entries) keys, and the key of the request
-    /// is not among them.
+    /// The log contains [`Limits::entries`](super::Limits::entries) keys, and the key of the
+    /// request is not among them.
     #[error("ledger full")]
     Full,
     /// The store has not written for [`STALL_TIMEOUT`](super::STALL_TIMEOUT), or its writes fail.
