Tests: a request that was sent before its client left is skipped

Seen: a_queued_request_whose_client_leaves_reserves_no_room failed once, in a run of the whole script beside the build and cases.

Cause as far as read: the pause of the process takes effect a moment after the signal, so an answer may be read in a poll before the one that reads the client's leaving; the request is then sent and cancelled, and the test took its command for the next request's.

Change: the test waits for the command of the request that it has sent; what it checks is as strict.

--- a/crates/cli/tests/closing.rs
+++ b/crates/cli/tests/closing.rs
@@ -4,7 +4,7 @@
 
 mod common;
 
-use common::scripted::{self, Answer, Bulletin, Client};
+use common::scripted::{self, Answer, Bulletin, Client, EngineConnection};
 use common::{
     addresses, config, fields, next_command, send_query, start_emulators, start_one,
     GatewayProcess, QUERY,
@@ -306,12 +306,19 @@
             .call(number, "report", &fields(&id, "15000"), QUERY)
             .unwrap();
     };
+    // Skips a request that was sent before its client has left.
+    let serve_of = |end: &mut EngineConnection, number: u64| loop {
+        let serve = next_command(end, "serve");
+        if serve.id() == format!("{number:016x}") {
+            return serve;
+        }
+    };
     call_next(&mut client, 1);
     let mut end = engines[0].accept().unwrap();
-    let mut running = vec![next_command(&mut end, "serve")];
+    let mut running = vec![serve_of(&mut end, 1)];
     for number in 2..=RUNNING {
         call_next(&mut client, number);
-        running.push(next_command(&mut end, "serve"));
+        running.push(serve_of(&mut end, number));
     }
     for round in 0..ROUNDS {
         let mut leaving = gateway.client();
@@ -324,8 +331,9 @@
         drop(leaving);
         gateway.resume();
         assert!(matches!(client.answer().unwrap(), Answer::Result { .. }));
-        call_next(&mut client, RUNNING + 1 + round);
-        running.push(next_command(&mut end, "serve"));
+        let number = RUNNING + 1 + round;
+        call_next(&mut client, number);
+        running.push(serve_of(&mut end, number));
     }
     let counters = gateway.counters();
     assert_eq!((counters["open"], counters["requests"]), (RUNNING, RUNNING));
